--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Developers' commands; each sets up all that it needs in .venv.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: demo test lint bench slopes fuzz proto clean
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[testbed,dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m siskinlever_testbed demo
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+test: lint
+	$(BIN)/python -m pytest
+
+# Regenerates the committed code of the peers' interface.
+proto: $(STAMP)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[codegen]'
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src \
+		--grpclib_python_out=src siskinlever/_internal/peers/peer.proto
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/siskinlever/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of siskinlever; nothing here is a public interface."""
--- /dev/null
+++ b/src/siskinlever/_internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- /dev/null
+++ b/src/siskinlever/_internal/callers/access.py
@@ -0,0 +1,80 @@
+"""Who calls, and how much each workspace may ask."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from ..configuration.current import CurrentConfiguration
+from ..models.declaration import Declaration, Workspace
+from ..models.ids import WorkspaceName
+from ..models.outcome import Reason, Refused
+from ..utils.clock import monotonic
+from ..utils.digests import key_digest
+
+CONCURRENT_RETRY_S = 0.5
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    filled_at: float
+
+
+class Access:
+    """Finds the workspace of a key and keeps its limits at this host.
+
+    The limits of a workspace are for each host: hosts share no counters.
+    """
+
+    def __init__(self, current: CurrentConfiguration) -> None:
+        self._current = current
+        self._bucket_by_workspace: dict[WorkspaceName, _Bucket] = {}
+        self._running_by_workspace: Counter[WorkspaceName] = Counter()
+
+    def workspace(self, declaration: Declaration, header: str) -> Workspace | None:
+        """Return the workspace whose key an Authorization header holds."""
+        scheme, _, key = header.partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            return None
+        return declaration.workspace_by_key_digest.get(key_digest(key.strip()))
+
+    @contextmanager
+    def admitted(self, workspace: Workspace) -> Iterator[Result[None, Refused]]:
+        """Count a request against its workspace's limits for a block."""
+        name = WorkspaceName(workspace.name)
+        refused = self._refusal(workspace, name)
+        if refused is not None:
+            yield Error(refused)
+            return
+        self._running_by_workspace[name] += 1
+        try:
+            yield Ok(None)
+        finally:
+            self._running_by_workspace[name] -= 1
+
+    def _refusal(self, workspace: Workspace, name: WorkspaceName) -> Refused | None:
+        limits = workspace.limits
+        if self._running_by_workspace[name] >= limits.concurrent:
+            return Refused(
+                Reason.RATE_LIMITED, CONCURRENT_RETRY_S, "too many requests at once"
+            )
+        bucket = self._filled(workspace, name)
+        if bucket.tokens < 1:
+            wait_s = (1 - bucket.tokens) / limits.requests_per_s
+            return Refused(Reason.RATE_LIMITED, wait_s, "too many requests a second")
+        bucket.tokens -= 1
+        return None
+
+    def _filled(self, workspace: Workspace, name: WorkspaceName) -> _Bucket:
+        limits = workspace.limits
+        now = monotonic()
+        bucket = self._bucket_by_workspace.setdefault(name, _Bucket(limits.burst, now))
+        gained = (now - bucket.filled_at) * limits.requests_per_s
+        bucket.tokens = min(limits.burst, bucket.tokens + gained)
+        bucket.filled_at = now
+        return bucket
--- /dev/null
+++ b/src/siskinlever/_internal/callers/bodies.py
@@ -0,0 +1,82 @@
+"""The bodies of callers' requests."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+OWN_FIELDS = frozenset({"model", "prompt", "messages", "max_tokens", "stream"})
+DEFAULT_MAX_TOKENS = 256
+
+
+class Body(BaseModel):
+    """What completions and chat completions have in common.
+
+    Further fields are passed to the engine unchanged.
+    """
+
+    model_config = ConfigDict(extra="allow", strict=True)
+
+    model: Annotated[str, Field(min_length=1, max_length=128)]
+    max_tokens: Annotated[int, Field(ge=1)] | None = None
+    stream: bool = False
+    n: Literal[1] = 1
+
+    @property
+    def sampling(self) -> dict[str, Any]:
+        """Fields that only the engine understands."""
+        return {
+            name: value
+            for name, value in (self.model_extra or {}).items()
+            if name not in OWN_FIELDS and name not in ("kv_transfer_params", "priority")
+        }
+
+
+class CompletionBody(Body):
+    """Body of ``/v1/completions``."""
+
+    prompt: Annotated[str, Field(min_length=1)]
+
+    @property
+    def text(self) -> str:
+        """The prompt."""
+        return self.prompt
+
+
+class TextPart(BaseModel):
+    """A part of a message's content."""
+
+    model_config = ConfigDict(strict=True)
+
+    type: Literal["text"]
+    text: str
+
+
+class Message(BaseModel):
+    """One message of a conversation."""
+
+    model_config = ConfigDict(extra="allow", strict=True)
+
+    role: str
+    content: str | list[TextPart]
+
+    @property
+    def text(self) -> str:
+        """The content's text."""
+        if isinstance(self.content, str):
+            return self.content
+        return "".join(part.text for part in self.content)
+
+
+class ChatBody(Body):
+    """Body of ``/v1/chat/completions``."""
+
+    messages: Annotated[list[Message], Field(min_length=1)]
+    max_completion_tokens: Annotated[int, Field(ge=1)] | None = None
+
+    @property
+    def text(self) -> str:
+        """The conversation as one prompt."""
+        lines = [f"{message.role}: {message.text}" for message in self.messages]
+        return "\n".join([*lines, "assistant:"])
--- /dev/null
+++ b/src/siskinlever/_internal/callers/sinks.py
@@ -0,0 +1,151 @@
+"""Hands answers to callers, whole or as streams of server sent events."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from sanic import Request
+
+from ..engines.base import Chunk
+from ..exceptions import SiskinleverError
+from ..models.ids import RequestId
+from ..models.outcome import Answered, Failed, Refused
+from .errors import ending_body
+
+HEARTBEAT_S = 1.0
+SEND_TIMEOUT_S = 3.0
+
+
+class CallerGoneError(SiskinleverError):
+    """The caller took nothing for too long, or closed its connection."""
+
+
+class AnswerShape:
+    """The JSON of one kind of answer.
+
+    Parameters
+    ----------
+    request_id, model : str
+    chat : bool
+        Whether the answer is of ``/v1/chat/completions``.
+    """
+
+    def __init__(self, request_id: RequestId, model: str, chat: bool) -> None:
+        self._head = {
+            "id": request_id,
+            "created": int(time.time()),
+            "model": model,
+        }
+        self._chat = chat
+
+    def chunk(self, text: str, finish_reason: str | None) -> dict[str, Any]:
+        """Return one event of a stream."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+        if not self._chat:
+            choice |= {"text": text, "logprobs": None}
+            return {**self._head, "object": "text_completion", "choices": [choice]}
+        choice["delta"] = {"role": "assistant", "content": text} if text else {}
+        return {**self._head, "object": "chat.completion.chunk", "choices": [choice]}
+
+    def whole(self, answered: Answered) -> dict[str, Any]:
+        """Return a whole answer."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": answered.text}
+            kind = "chat.completion"
+        else:
+            choice |= {"text": answered.text, "logprobs": None}
+            kind = "text_completion"
+        usage = {
+            "prompt_tokens": answered.prompt_tokens,
+            "completion_tokens": answered.completion_tokens,
+            "total_tokens": answered.prompt_tokens + answered.completion_tokens,
+        }
+        return {**self._head, "object": kind, "choices": [choice], "usage": usage}
+
+
+class CollectingSink:
+    """Takes an answer that is handed over whole, at its end."""
+
+    async def send(self, chunk: Chunk) -> None:
+        """Do nothing: the executor keeps the text."""
+
+
+class StreamingSink:
+    """Sends each piece of an answer as an event.
+
+    The response's head is sent with the first piece, so that a refusal is a
+    plain HTTP error.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        shape: AnswerShape,
+        headers: dict[str, str],
+        skip_through: int = -1,
+    ) -> None:
+        self._request = request
+        self._shape = shape
+        self._headers = headers
+        self._skip_through = skip_through
+        self._response: Any = None
+        self._heartbeats: asyncio.Task[None] | None = None
+
+    @property
+    def started(self) -> bool:
+        return self._response is not None
+
+    async def send(self, chunk: Chunk) -> None:
+        """Send one piece; raises `CallerGoneError`."""
+        if chunk.index <= self._skip_through:
+            return
+        data = json.dumps(self._shape.chunk(chunk.text, None))
+        await self._write(f"id: {chunk.index}\ndata: {data}\n\n")
+
+    async def finish(self) -> None:
+        """Send the final marker, which alone makes an answer complete."""
+        data = json.dumps(self._shape.chunk("", "stop"))
+        await self._write(f"data: {data}\n\ndata: [DONE]\n\n")
+        await self._close()
+
+    async def fail(self, ending: Refused | Failed) -> None:
+        """Send an error as the last event, with no final marker."""
+        await self._write(f"event: error\ndata: {json.dumps(ending_body(ending))}\n\n")
+        await self._close()
+
+    async def _open(self) -> Any:
+        if self._response is None:
+            self._response = await self._request.respond(
+                content_type="text/event-stream", headers=self._headers
+            )
+            self._heartbeats = asyncio.create_task(self._beat())
+        return self._response
+
+    async def _write(self, text: str) -> None:
+        try:
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                response = await self._open()
+                await response.send(text)
+        except (TimeoutError, ConnectionError) as error:
+            raise CallerGoneError(f"the caller is gone: {error!r}") from error
+
+    async def _beat(self) -> None:
+        """Send comments, so that both ends notice a connection fallen silent."""
+        assert self._response is not None
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            await self._response.send(": heartbeat\n\n")
+
+    async def _close(self) -> None:
+        self.stop_heartbeats()
+        if self._response is not None:
+            await self._response.eof()
+
+    def stop_heartbeats(self) -> None:
+        """End the heartbeats."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
--- /dev/null
+++ b/src/siskinlever/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Parsing of the command lines."""
--- /dev/null
+++ b/src/siskinlever/_internal/commands/__init__.py
@@ -0,0 +1,29 @@
+"""The commands, each in a module of its own that is imported when it is run."""
+
+from __future__ import annotations
+
+import importlib
+from typing import Any
+
+from ..exceptions import UsageError
+
+MODULE_BY_COMMAND = {
+    "apply": "apply",
+    "plan": "plan",
+    "show": "show",
+    "status": "status",
+    "timeline": "timeline",
+    "validate": "validate",
+    "version": "version",
+}
+
+
+def load_command(name: str) -> Any:
+    """Import the module of a command; raises `UsageError`."""
+    module = MODULE_BY_COMMAND.get(name)
+    if module is None:
+        raise UsageError(
+            f"unknown command {name!r}, allowed: {sorted(MODULE_BY_COMMAND)}",
+            "see `siskinlever --help`",
+        )
+    return importlib.import_module(f".{module}", __name__)
--- /dev/null
+++ b/src/siskinlever/_internal/commands/plan.py
@@ -0,0 +1,62 @@
+"""Shows what an apply would change.
+
+Usage:
+  siskinlever plan <file>
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..cli.exit_codes import ExitCode
+from .base import CommandContext, administration, print_json, read_declaration
+
+
+async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
+    """Run the command."""
+    _, declaration = read_declaration(arguments["<file>"])
+    async with administration(context) as hosts:
+        found = await hosts.first("GET", "/v1/configuration")
+    changes = differences(
+        found["declaration"] or {}, declaration.model_dump(mode="json")
+    )
+    if context.json:
+        print_json({"base_generation": found["generation"], "changes": changes})
+        return ExitCode.OK
+    print(f"against generation {found['generation']}:")
+    for change in changes or ["no change"]:
+        print(f"  {change}")
+    return ExitCode.OK
+
+
+def differences(before: Any, after: Any, path: str = "$") -> list[str]:
+    """List the differences of two JSON values by path."""
+    if isinstance(before, dict) and isinstance(after, dict):
+        return [
+            line
+            for name in sorted(before.keys() | after.keys())
+            for line in _member(before, after, name, f"{path}.{name}")
+        ]
+    named = _named(before), _named(after)
+    if named[0] is not None and named[1] is not None:
+        return differences(named[0], named[1], path)
+    return [] if before == after else [f"{path}: {before!r} -> {after!r}"]
+
+
+def _member(
+    before: dict[str, Any], after: dict[str, Any], name: str, path: str
+) -> list[str]:
+    if name not in before:
+        return [f"{path}: added"]
+    if name not in after:
+        return [f"{path}: removed"]
+    return differences(before[name], after[name], path)
+
+
+def _named(value: Any) -> dict[str, Any] | None:
+    """Return a list of named objects as a mapping by name."""
+    if not isinstance(value, list):
+        return None
+    if not all(isinstance(item, dict) and "name" in item for item in value):
+        return None
+    return {item["name"]: item for item in value}
--- /dev/null
+++ b/src/siskinlever/_internal/commands/version.py
@@ -0,0 +1,19 @@
+"""Shows the version.
+
+Usage:
+  siskinlever version
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ... import __version__
+from ..cli.exit_codes import ExitCode
+from .base import CommandContext
+
+
+async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
+    """Run the command."""
+    print(__version__)
+    return ExitCode.OK
--- /dev/null
+++ b/src/siskinlever/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The declaration in force: stored in the platform's service, followed by all."""
--- /dev/null
+++ b/src/siskinlever/_internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Puts the parts of one host together."""
--- /dev/null
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -0,0 +1,252 @@
+"""One host of the system: all parts, in the order in which they start."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import ssl
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+from absl import logging
+
+from ..callers.access import Access
+from ..callers.app import CallerContext, callers_app
+from ..configuration.current import CurrentConfiguration
+from ..configuration.follower import ConfigurationFollower
+from ..configuration.store import ConfigurationStore
+from ..engines.registry import Engines
+from ..membership.detector import Detector, initial_incarnation
+from ..membership.members import Member, MemberState, MemberTable
+from ..metrics.registry import Metrics
+from ..models.events import EventKind
+from ..models.ids import Attempt, HostName
+from ..models.settings import Settings
+from ..network.http_server import App, http_server
+from ..network.sessions import http_session
+from ..operators.app import OperatorContext, operators_app
+from ..peers import peer_pb2
+from ..peers.link import Peers, peer_links
+from ..peers.server import Handler, peer_server
+from ..platform.host_list import HostListClient
+from ..platform.key_value import KeyValueClient
+from ..requests.aborts import AbortQueue
+from ..requests.claims import Claims
+from ..requests.deliveries import Deliveries
+from ..requests.execution import Executor
+from ..requests.home import RequestHome
+from ..requests.registration import Registrar
+from ..routing.home import AdmissionHome
+from ..routing.reserving import ReservingPlacement
+from ..services.client import ServiceClient
+from ..timeline.recorder import Recorder
+from ..utils.clock import MS_PER_S, HybridClock
+from ..utils.tasks import TaskSet, task_set
+
+DRAIN_POLL_S = 0.05
+
+
+@dataclass(slots=True)
+class Host:
+    """The parts of a running host."""
+
+    settings: Settings
+    metrics: Metrics
+    recorder: Recorder
+    members: MemberTable
+    current: CurrentConfiguration
+    store: ConfigurationStore
+    follower: ConfigurationFollower
+    detector: Detector
+    executor: Executor
+    deliveries: Deliveries
+    request_home: RequestHome
+    admission_home: AdmissionHome
+
+    async def drain(self) -> None:
+        """Take no new work and wait for all requests in progress."""
+        self.members.set_leaving(self.members.own_host)
+        self.recorder.record(EventKind.HOST_LEAVING)
+        await self.detector.announce()
+        while self.executor.running_by_key:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+
+@asynccontextmanager
+async def running_host(settings: Settings) -> AsyncIterator[Host]:
+    """Run a host for the length of a block."""
+    async with AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(task_set())
+        host = await _assemble(settings, stack, tasks)
+        tls = _server_tls(settings)
+        await stack.enter_async_context(
+            peer_server(
+                settings.peers.address, settings.peers.key, tls, _handlers(host)
+            )
+        )
+        await host.detector.join()
+        tasks.start(host.detector.run(tasks), "membership")
+        tasks.start(host.follower.run(), "configuration")
+        tasks.start(host.request_home.run(), "request-home")
+        tasks.start(host.admission_home.run(tasks), "admission-home")
+        await stack.enter_async_context(
+            http_server(_operators(host), settings.operators.address, tls)
+        )
+        await stack.enter_async_context(
+            http_server(_callers(host), settings.callers.address, tls)
+        )
+        host.recorder.record(EventKind.HOST_STARTED)
+        logging.info("host started host=%s zone=%s", settings.host, settings.zone)
+        yield host
+        host.recorder.record(EventKind.HOST_STOPPED)
+        logging.info("host stopped host=%s", settings.host)
+
+
+async def serve(settings: Settings) -> None:
+    """Run a host until a signal asks it to leave, then drain it."""
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    async with running_host(settings) as host:
+        await leave.wait()
+        await host.drain()
+
+
+async def _assemble(settings: Settings, stack: AsyncExitStack, tasks: TaskSet) -> Host:
+    metrics = Metrics()
+    recorder = Recorder(settings.host, HybridClock())
+    members = MemberTable(_own_member(settings))
+    current = CurrentConfiguration()
+    pooled = await stack.enter_async_context(http_session(pooled=True))
+    fresh = await stack.enter_async_context(http_session(pooled=False))
+    peers = await stack.enter_async_context(
+        peer_links(settings.peers.key, _client_tls(settings), metrics)
+    )
+    key_value = KeyValueClient(pooled, settings.platform.key_value, metrics)
+    store = ConfigurationStore(key_value, settings.platform.key_prefix)
+    follower = ConfigurationFollower(current, store, peers, recorder, metrics, tasks)
+    detector = Detector(
+        members,
+        peers,
+        HostListClient(pooled, settings.platform.host_list),
+        recorder,
+        metrics,
+        generation=lambda: current.generation,
+        current_age_ms=lambda: current.current_age_ms,
+    )
+    detector.on_ping(follower.heard)
+    engines = Engines(pooled)
+    aborts = AbortQueue(engines, tasks, metrics)
+    admission = AdmissionHome(current, members, engines, aborts, recorder, metrics)
+    request_home = RequestHome(members, aborts, recorder, metrics)
+    placement = _placement(
+        settings, current, members, peers, admission, recorder, metrics, tasks
+    )
+    registrar = Registrar(members, peers, request_home, recorder, metrics, tasks)
+    executor = Executor(
+        members, engines, placement, registrar, aborts, recorder, metrics
+    )
+    claims = Claims(key_value, settings.platform.key_prefix, settings.host)
+    deliveries = Deliveries(ServiceClient(fresh), claims, recorder, metrics)
+    return Host(
+        settings,
+        metrics,
+        recorder,
+        members,
+        current,
+        store,
+        follower,
+        detector,
+        executor,
+        deliveries,
+        request_home,
+        admission,
+    )
+
+
+def _placement(
+    settings: Settings,
+    current: CurrentConfiguration,
+    members: MemberTable,
+    peers: Peers,
+    admission: AdmissionHome,
+    recorder: Recorder,
+    metrics: Metrics,
+    tasks: TaskSet,
+) -> ReservingPlacement:
+    return ReservingPlacement(
+        current, members, peers, admission, recorder, metrics, tasks
+    )
+
+
+def _handlers(host: Host) -> dict[str, Handler]:
+    async def stop_attempt(
+        request: peer_pb2.StopAttemptRequest,
+    ) -> peer_pb2.StopAttemptReply:
+        stopped = host.executor.stop(
+            request.workspace, request.request_id, Attempt(request.attempt)
+        )
+        return peer_pb2.StopAttemptReply(stopped=stopped)
+
+    return {
+        "Exchange": host.detector.exchange,
+        "PingIndirectly": host.detector.ping_indirectly,
+        "FetchConfiguration": host.follower.serve,
+        "Register": host.request_home.register,
+        "Hold": host.request_home.hold,
+        "Complete": host.request_home.complete,
+        "Abandon": host.request_home.abandon,
+        "StopAttempt": stop_attempt,
+        "Reserve": host.admission_home.reserve,
+        "Progress": host.admission_home.progress,
+        "Announce": host.admission_home.announce,
+    }
+
+
+def _operators(host: Host) -> App:
+    return operators_app(
+        OperatorContext(
+            host.settings.operators.key_digests,
+            host.current,
+            host.store,
+            host.members,
+            host.executor,
+            host.recorder,
+            host.metrics,
+        )
+    )
+
+
+def _callers(host: Host) -> App:
+    return callers_app(
+        CallerContext(
+            host.current,
+            host.members,
+            host.executor,
+            host.deliveries,
+            Access(host.current),
+            host.metrics,
+        )
+    )
+
+
+def _own_member(settings: Settings) -> Member:
+    return Member(
+        host=HostName(settings.host),
+        zone=settings.zone,
+        incarnation=initial_incarnation(int(time.time() * MS_PER_S)),
+        state=MemberState.ALIVE,
+        peer_address=settings.peers.address,
+        callers_address=settings.callers.address,
+    )
+
+
+def _server_tls(settings: Settings) -> ssl.SSLContext | None:
+    return None
+
+
+def _client_tls(settings: Settings) -> ssl.SSLContext | None:
+    return None
--- /dev/null
+++ b/src/siskinlever/_internal/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines, one adapter for each dialect."""
--- /dev/null
+++ b/src/siskinlever/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are alive, by heartbeats between them."""
--- /dev/null
+++ b/src/siskinlever/_internal/membership/members.py
@@ -0,0 +1,126 @@
+"""The table of hosts and the rules by which news about them is merged."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from ..models.ids import HostName, Incarnation
+
+
+class MemberState(IntEnum):
+    """What is believed of a host; a later state goes before an earlier one."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One host.
+
+    Parameters
+    ----------
+    host : str
+    zone : str
+    incarnation : int
+        Grows with each start of the process and each time that it contradicts
+        news of its death.
+    state : MemberState
+    peer_address, callers_address : str
+    leaving : bool
+        Whether the host gets no new work.
+    """
+
+    host: HostName
+    zone: str
+    incarnation: Incarnation
+    state: MemberState
+    peer_address: str
+    callers_address: str
+    leaving: bool = False
+
+    @property
+    def rank(self) -> tuple[int, int, bool]:
+        """Order of news about the same host: the highest wins."""
+        return (self.incarnation, int(self.state), self.leaving)
+
+
+Listener = Callable[[Member | None, Member], None]
+
+
+class MemberTable:
+    """All hosts known, with the latest news of each.
+
+    Parameters
+    ----------
+    own : Member
+        The host of this process.
+    """
+
+    def __init__(self, own: Member) -> None:
+        self.own_host = own.host
+        self.by_host: dict[HostName, Member] = {own.host: own}
+        self._listeners: list[Listener] = []
+
+    @property
+    def own(self) -> Member:
+        return self.by_host[self.own_host]
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener(before, after)`` on each change."""
+        self._listeners.append(listener)
+
+    def merge(self, news: Member) -> bool:
+        """Take in news of a host; tell whether it changed anything."""
+        if news.host == self.own_host:
+            return self._contradict(news)
+        known = self.by_host.get(news.host)
+        if known is not None and known.rank >= news.rank:
+            return False
+        self._set(known, news)
+        return True
+
+    def set_leaving(self, host: HostName) -> bool:
+        """Mark a host as leaving; tell whether that was news."""
+        known = self.by_host.get(host)
+        if known is None or known.leaving:
+            return False
+        self._set(known, replace(known, leaving=True))
+        return True
+
+    def set_state(self, host: HostName, state: MemberState) -> bool:
+        """Change what is believed of a host; tell whether that was news."""
+        known = self.by_host.get(host)
+        if known is None or known.state >= state:
+            return False
+        self._set(known, replace(known, state=state))
+        return True
+
+    def forget(self, host: HostName) -> None:
+        """Remove a dead host."""
+        self.by_host.pop(host, None)
+
+    def alive(self) -> Iterable[Member]:
+        """Return hosts that are not dead, this one included."""
+        return [m for m in self.by_host.values() if m.state is not MemberState.DEAD]
+
+    def zone_by_host(self) -> dict[HostName, str]:
+        """Return the zones of hosts that may hold shared state."""
+        return {m.host: m.zone for m in self.alive() if not m.leaving}
+
+    def _contradict(self, news: Member) -> bool:
+        own = self.own
+        stale = news.incarnation > own.incarnation
+        wrong = news.state is not MemberState.ALIVE
+        if not stale and not (wrong and news.incarnation == own.incarnation):
+            return False
+        self._set(own, replace(own, incarnation=Incarnation(news.incarnation + 1)))
+        return True
+
+    def _set(self, before: Member | None, after: Member) -> None:
+        self.by_host[after.host] = after
+        for listener in self._listeners:
+            listener(before, after)
--- /dev/null
+++ b/src/siskinlever/_internal/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and latencies."""
--- /dev/null
+++ b/src/siskinlever/_internal/metrics/registry.py
@@ -0,0 +1,81 @@
+"""Counters and latency histograms, shown in the Prometheus text format."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_FIGURES = 2
+US_PER_S = 1_000_000
+QUANTILES = (0.5, 0.95, 0.99)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """The counters, gauges and latencies of one process."""
+
+    def __init__(self) -> None:
+        self._count_by_key: Counter[tuple[str, Labels]] = Counter()
+        self._gauge_by_key: dict[tuple[str, Labels], float] = {}
+        self._latency_by_key: dict[tuple[str, Labels], HdrHistogram] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        self._count_by_key[name, _key(labels)] += amount  # type: ignore[assignment]
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self._gauge_by_key[name, _key(labels)] = value
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a latency in seconds."""
+        key = (name, _key(labels))
+        histogram = self._latency_by_key.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_FIGURES)
+            self._latency_by_key[key] = histogram
+        value = min(max(int(seconds * US_PER_S), LOWEST_US), HIGHEST_US)
+        histogram.record_value(value)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return a counter's value."""
+        return self._count_by_key[name, _key(labels)]
+
+    def exposition(self) -> str:
+        """Return everything in the Prometheus text format."""
+        lines: list[str] = []
+        for (name, labels), count in sorted(self._count_by_key.items()):
+            lines.append(f"siskinlever_{name}_total{_shown(labels)} {count}")
+        for (name, labels), value in sorted(self._gauge_by_key.items()):
+            lines.append(f"siskinlever_{name}{_shown(labels)} {value}")
+        for (name, labels), histogram in sorted(
+            self._latency_by_key.items(), key=lambda item: item[0]
+        ):
+            lines += _summary(f"siskinlever_{name}_seconds", labels, histogram)
+        return "\n".join(lines) + "\n"
+
+
+def _key(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
+
+
+def _shown(labels: Labels) -> str:
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{name}="{value}"' for name, value in labels) + "}"
+
+
+def _summary(name: str, labels: Labels, histogram: HdrHistogram) -> list[str]:
+    lines = []
+    for quantile in QUANTILES:
+        value = histogram.get_value_at_percentile(quantile * 100) / US_PER_S
+        shown = _shown((*labels, ("quantile", str(quantile))))
+        lines.append(f"{name}{shown} {value}")
+    total = histogram.get_mean_value() * histogram.total_count / US_PER_S
+    lines.append(f"{name}_sum{_shown(labels)} {total}")
+    lines.append(f"{name}_count{_shown(labels)} {histogram.total_count}")
+    return lines
--- /dev/null
+++ b/src/siskinlever/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data shared by the layers."""
--- /dev/null
+++ b/src/siskinlever/_internal/models/declaration.py
@@ -0,0 +1,236 @@
+"""The declaration that operators apply for the whole fleet."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from functools import cached_property
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+ADDRESS_PATTERN = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$"
+KEY_DIGEST_PATTERN = r"^sha256:[0-9a-f]{64}$"
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+KeyDigest = Annotated[str, Field(pattern=KEY_DIGEST_PATTERN)]
+
+
+class Strict(BaseModel):
+    """A model that admits no unknown field and converts no type."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class Role(StrEnum):
+    """What a runner of an engine pool does."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class Urgency(StrEnum):
+    """Whether somebody waits for the answer."""
+
+    INTERACTIVE = "interactive"
+    DEFERRABLE = "deferrable"
+
+
+class Runner(Strict):
+    """One runner of an engine pool.
+
+    Parameters
+    ----------
+    name : str
+    address : str
+        IP number and port of the engine's HTTP interface.
+    zone : str
+    role : Role
+    slots : int
+        Requests that a decode runner holds at once.
+    prefill_tokens_per_s : float
+        Prompt tokens that a prefill runner processes a second.
+    checks_fencing : bool
+        Whether the engine refuses an order with an old fencing token.
+    leaving : bool
+        Whether the runner gets no new work.
+    version, adapters
+        What the engine is ordered to load.
+    """
+
+    name: Name
+    address: Address
+    zone: Name
+    role: Annotated[Role, Field(strict=False)]
+    slots: Annotated[int, Field(ge=1, le=4096)] = 20
+    prefill_tokens_per_s: Annotated[float, Field(gt=0)] = 8000.0
+    transfer_bytes_per_s: Annotated[float, Field(gt=0)] = 1e9
+    checks_fencing: bool = True
+    leaving: bool = False
+    version: str | None = None
+    adapters: tuple[Name, ...] = Field(default=(), strict=False)
+
+
+class ServiceRunner(Strict):
+    """One runner of a plain service."""
+
+    name: Name
+    address: Address
+    zone: Name
+    concurrency: Annotated[int, Field(ge=1, le=65536)] = 64
+    leaving: bool = False
+
+
+class EnginePool(Strict):
+    """Prefill and decode runners that serve the same weights."""
+
+    name: Name
+    runners: tuple[Runner, ...] = Field(min_length=1, strict=False)
+    kv_bytes_per_token: Annotated[int, Field(ge=1)] = 131072
+
+
+class Model(Strict):
+    """A name that callers put in ``model``, with its targets and worth.
+
+    Parameters
+    ----------
+    first_token_s, per_token_s : float
+        Targets in seconds.
+    answer_within_s : float
+        Deadline of the whole answer, for deferrable requests.
+    worth : float
+        Weight of one request answered within its targets.
+    """
+
+    name: Name
+    pool: Name
+    urgency: Annotated[Urgency, Field(strict=False)] = Urgency.INTERACTIVE
+    worth: Annotated[float, Field(gt=0)] = 1.0
+    first_token_s: Annotated[float, Field(gt=0, le=3600)] = 0.71
+    per_token_s: Annotated[float, Field(gt=0, le=60)] = 0.068
+    answer_within_s: Annotated[float, Field(gt=0, le=604800)] = 86400.0
+    max_prompt_tokens: Annotated[int, Field(ge=1)] = 65536
+    max_tokens: Annotated[int, Field(ge=1)] = 4096
+
+
+class Service(Strict):
+    """A plain service and the runners behind it."""
+
+    name: Name
+    runners: tuple[ServiceRunner, ...] = Field(min_length=1, strict=False)
+    idempotent: bool = False
+    worth: Annotated[float, Field(gt=0)] = 1.0
+    timeout_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
+
+
+class Limits(Strict):
+    """What one workspace may ask of the system."""
+
+    requests_per_s: Annotated[float, Field(gt=0)] = 100.0
+    burst: Annotated[int, Field(ge=1)] = 200
+    concurrent: Annotated[int, Field(ge=1)] = 256
+
+
+class Workspace(Strict):
+    """A customer with its keys and limits."""
+
+    name: Name
+    key_digests: tuple[KeyDigest, ...] = Field(min_length=1, strict=False)
+    limits: Limits = Limits()
+    models: tuple[Name, ...] | None = Field(default=None, strict=False)
+    services: tuple[Name, ...] | None = Field(default=None, strict=False)
+
+
+class LeavingHost(Strict):
+    """A host that operators take out of service."""
+
+    name: Name
+
+
+class Declaration(Strict):
+    """Everything that operators declare, applied as a whole."""
+
+    version: Literal[1]
+    engine_pools: tuple[EnginePool, ...] = Field(default=(), strict=False)
+    models: tuple[Model, ...] = Field(default=(), strict=False)
+    services: tuple[Service, ...] = Field(default=(), strict=False)
+    workspaces: tuple[Workspace, ...] = Field(default=(), strict=False)
+    leaving_hosts: tuple[LeavingHost, ...] = Field(default=(), strict=False)
+
+    @cached_property
+    def pool_by_name(self) -> dict[str, EnginePool]:
+        return {pool.name: pool for pool in self.engine_pools}
+
+    @cached_property
+    def model_by_name(self) -> dict[str, Model]:
+        return {model.name: model for model in self.models}
+
+    @cached_property
+    def service_by_name(self) -> dict[str, Service]:
+        return {service.name: service for service in self.services}
+
+    @cached_property
+    def workspace_by_key_digest(self) -> dict[str, Workspace]:
+        return {
+            digest: workspace
+            for workspace in self.workspaces
+            for digest in workspace.key_digests
+        }
+
+    @cached_property
+    def runner_by_name(self) -> dict[str, Runner]:
+        return {
+            runner.name: runner for pool in self.engine_pools for runner in pool.runners
+        }
+
+    @model_validator(mode="after")
+    def _check_references(self) -> Declaration:
+        faults = list(reference_faults(self))
+        if faults:
+            raise PydanticCustomError(
+                "references", "{faults}", {"faults": "\n".join(faults)}
+            )
+        return self
+
+
+def reference_faults(declaration: Declaration) -> list[str]:
+    """List duplicate names and dangling references, each with its JSON path."""
+    faults: list[str] = []
+    faults += _duplicates("engine_pools", [p.name for p in declaration.engine_pools])
+    faults += _duplicates("models", [m.name for m in declaration.models])
+    faults += _duplicates("services", [s.name for s in declaration.services])
+    faults += _duplicates("workspaces", [w.name for w in declaration.workspaces])
+    runners = [
+        (f"$.engine_pools[{i}].runners[{j}].name", runner.name)
+        for i, pool in enumerate(declaration.engine_pools)
+        for j, runner in enumerate(pool.runners)
+    ] + [
+        (f"$.services[{i}].runners[{j}].name", runner.name)
+        for i, service in enumerate(declaration.services)
+        for j, runner in enumerate(service.runners)
+    ]
+    counts = Counter(name for _, name in runners)
+    faults += [
+        f"{path}: duplicate runner name {name!r}"
+        for path, name in runners
+        if counts[name] > 1
+    ]
+    pools = sorted(pool.name for pool in declaration.engine_pools)
+    faults += [
+        f"$.models[{i}].pool: found {model.pool!r}, allowed: {pools}"
+        for i, model in enumerate(declaration.models)
+        if model.pool not in pools
+    ]
+    return faults
+
+
+def _duplicates(collection: str, names: list[str]) -> list[str]:
+    counts = Counter(names)
+    return [
+        f"$.{collection}[{i}].name: duplicate name {name!r}"
+        for i, name in enumerate(names)
+        if counts[name] > 1
+    ]
--- /dev/null
+++ b/src/siskinlever/_internal/models/events.py
@@ -0,0 +1,49 @@
+"""Events of the time line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class EventKind(Enum):
+    """What happened."""
+
+    HOST_STARTED = "host_started"
+    HOST_LEAVING = "host_leaving"
+    HOST_STOPPED = "host_stopped"
+    MEMBER_CHANGED = "member_changed"
+    CONFIGURATION_IN_FORCE = "configuration_in_force"
+    REQUEST_ACCEPTED = "request_accepted"
+    REQUEST_ENDED = "request_ended"
+    RESERVED = "reserved"
+    PREFILL_STARTED = "prefill_started"
+    PREFILL_ENDED = "prefill_ended"
+    DECODE_STARTED = "decode_started"
+    FIRST_TOKEN = "first_token"
+    CANCELLED = "cancelled"
+    TAKEN_OVER = "taken_over"
+    CLAIMED = "claimed"
+    DRAFT_STORED = "draft_stored"
+    DRAFT_RESULT = "draft_result"
+    ORDER_SENT = "order_sent"
+    STORE_STATE = "store_state"
+
+
+@dataclass(frozen=True, slots=True)
+class Stamp:
+    """A hybrid logical time: milliseconds of the wall clock, then a counter."""
+
+    wall_ms: int
+    counter: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event at one host."""
+
+    stamp: Stamp
+    host: str
+    kind: EventKind
+    request_id: str = ""
+    fields: dict[str, str | int | float] = field(default_factory=dict)
--- /dev/null
+++ b/src/siskinlever/_internal/models/outcome.py
@@ -0,0 +1,94 @@
+"""How a request ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Outcome(Enum):
+    """The three ends of a request, as the reply's ``outcome`` field."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(Enum):
+    """Why a request was not answered, as the reply's ``code`` field."""
+
+    OVERLOADED = "overloaded"
+    TOO_LATE = "too_late"
+    NO_RUNNER = "no_runner"
+    NO_CONFIGURATION = "no_configuration"
+    STALE_CONFIGURATION = "stale_configuration"
+    STORE_UNAVAILABLE = "store_unavailable"
+    RATE_LIMITED = "rate_limited"
+    HOST_LEAVING = "host_leaving"
+    DUPLICATE = "duplicate"
+    TAKEN_OVER = "taken_over"
+    ALREADY_ANSWERED = "already_answered"
+    CLAIM_EXISTS = "claim_exists"
+    ENGINE_FAILED = "engine_failed"
+    SERVICE_FAILED = "service_failed"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A request that was certainly not run.
+
+    Parameters
+    ----------
+    reason : Reason
+    retry_after_s : float
+        Seconds after which the caller should come back.
+    message : str
+    """
+
+    reason: Reason
+    retry_after_s: float
+    message: str
+
+    outcome = Outcome.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """A request that ran, or may have run, and has no answer.
+
+    Parameters
+    ----------
+    reason : Reason
+    message : str
+    retry_after_s : float
+        Seconds after which an idempotent request may be repeated.
+    """
+
+    reason: Reason
+    message: str
+    retry_after_s: float = 1.0
+
+    outcome = Outcome.MAY_HAVE_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A request whose whole answer was handed to its caller.
+
+    Parameters
+    ----------
+    text : str
+    prompt_tokens : int
+    completion_tokens : int
+    """
+
+    text: str
+    prompt_tokens: int
+    completion_tokens: int
+
+    outcome = Outcome.ANSWERED
+
+
+Ending = Answered | Refused | Failed
--- /dev/null
+++ b/src/siskinlever/_internal/models/settings.py
@@ -0,0 +1,71 @@
+"""The settings of one process."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+
+from pydantic import Field
+
+from .declaration import Address, KeyDigest, Name, Strict
+
+HttpUrl = Annotated[
+    str, Field(pattern=r"^https?://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
+]
+
+
+class Policy(StrEnum):
+    """How requests are placed on runners."""
+
+    SISKINLEVER = "siskinlever"
+    NAIVE = "naive"
+    BOUNDED = "bounded"
+
+
+class Listener(Strict):
+    """Where one interface of the process listens."""
+
+    address: Address
+
+
+class OperatorsListener(Listener):
+    """The administration interface and the digests of its keys."""
+
+    key_digests: tuple[KeyDigest, ...] = Field(min_length=1, strict=False)
+
+
+class PeersListener(Listener):
+    """The interface between hosts and the key that they share."""
+
+    key: Annotated[str, Field(min_length=16)]
+
+
+class Platform(Strict):
+    """Where the platform's services are."""
+
+    key_value: HttpUrl
+    host_list: HttpUrl
+    key_prefix: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "siskinlever"
+
+
+class Tls(Strict):
+    """Certificate files in PEM form; the authority verifies peers."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class Settings(Strict):
+    """Everything that one process must know before it starts."""
+
+    host: Name
+    zone: Name
+    region: Name = "default"
+    callers: Listener
+    operators: OperatorsListener
+    peers: PeersListener
+    platform: Platform
+    tls: Tls | None = None
+    policy: Annotated[Policy, Field(strict=False)] = Policy.SISKINLEVER
+    time_scale: Annotated[float, Field(gt=0, le=1)] = 1.0
--- /dev/null
+++ b/src/siskinlever/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and HTTP sessions."""
--- /dev/null
+++ b/src/siskinlever/_internal/network/http_server.py
@@ -0,0 +1,63 @@
+"""Runs a Sanic application inside the loop of this process.
+
+Sanic's own process manager starts worker processes and shares memory with
+them; neither is wanted here.
+"""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from sanic import Sanic
+
+from .sockets import split_address
+
+App = Sanic[Any, Any]
+
+DAY_S = 86_400
+RECEIVE_TIMEOUT_S = 15
+IDLE_TIMEOUT_S = 30
+MAX_BODY_BYTES = 4 << 20
+MAX_HEAD_BYTES = 16 << 10
+
+
+@asynccontextmanager
+async def http_server(
+    app: App, address: str, tls: ssl.SSLContext | None
+) -> AsyncIterator[None]:
+    """Serve an application for the length of a block.
+
+    An answer may take as long as it needs: Sanic's defaults would cut it.
+    """
+    app.config.update(
+        {
+            "ACCESS_LOG": False,
+            "AUTO_EXTEND": False,
+            "MOTD": False,
+            # Compiles the server's methods anew, which fails for a second app.
+            "TOUCHUP": False,
+            "GRACEFUL_SHUTDOWN_TIMEOUT": DAY_S,
+            "RESPONSE_TIMEOUT": DAY_S,
+            "REQUEST_TIMEOUT": RECEIVE_TIMEOUT_S,
+            "KEEP_ALIVE_TIMEOUT": IDLE_TIMEOUT_S,
+            "REQUEST_MAX_SIZE": MAX_BODY_BYTES,
+            "REQUEST_MAX_HEADER_SIZE": MAX_HEAD_BYTES,
+        }
+    )
+    host, port = split_address(address)
+    server: Any = await app.create_server(
+        host=host, port=port, ssl=tls, access_log=False, return_asyncio_server=True
+    )
+    assert server is not None
+    await server.startup()
+    await server.before_start()
+    await server.after_start()
+    try:
+        yield
+    finally:
+        server.close()
+        await server.wait_closed()
+        Sanic.unregister_app(app)
--- /dev/null
+++ b/src/siskinlever/_internal/network/sessions.py
@@ -0,0 +1,46 @@
+"""HTTP client sessions."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+from aiohappyeyeballs import AddrInfoType
+
+from .sockets import detect_silence
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+def _silence_detecting_socket(address: AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setblocking(False)
+    detect_silence(sock)
+    return sock
+
+
+@asynccontextmanager
+async def http_session(pooled: bool, limit: int = 0) -> AsyncIterator[Any]:
+    """Open an HTTP client session.
+
+    Parameters
+    ----------
+    pooled : bool
+        Whether connections are used again. A call that may not be repeated
+        needs a fresh one: a reset on a used connection does not tell whether
+        the far end read the call, a failed connect does.
+    limit : int
+        Connections open at once; 0 for no limit.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=limit, force_close=not pooled, socket_factory=_silence_detecting_socket
+    )
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout, auto_decompress=True
+    ) as session:
+        yield session
--- /dev/null
+++ b/src/siskinlever/_internal/network/sockets.py
@@ -0,0 +1,36 @@
+"""Socket options that reveal connections which fell silent."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import suppress
+
+USER_TIMEOUT_MS = 3000
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+
+def detect_silence(sock: socket.socket) -> None:
+    """Make the kernel drop a connection whose far end acknowledges nothing."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def detect_silence_of(transport: asyncio.BaseTransport | None) -> None:
+    """Apply `detect_silence` to the socket of a transport, if it has one."""
+    sock = transport.get_extra_info("socket") if transport else None
+    if sock is None:
+        return
+    with suppress(OSError):
+        detect_silence(sock)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port``; an IPv6 number stands in brackets."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/src/siskinlever/_internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The administration interface."""
--- /dev/null
+++ b/src/siskinlever/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The interface between hosts, over gRPC."""
--- /dev/null
+++ b/src/siskinlever/_internal/peers/link.py
@@ -0,0 +1,159 @@
+"""Calls to peers, each over one HTTP/2 connection that is replaced on silence."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from ..exceptions import PeerError
+from ..metrics.registry import Metrics
+from ..models.ids import HostName
+from ..network.sockets import split_address
+from . import peer_grpc
+
+CALL_TIMEOUT_S = 0.5
+TRIES = 2
+
+
+class PeerLink:
+    """The connection to one peer.
+
+    A connection can fall silent for good while new ones work, so a call that
+    is not answered in time closes its connection and tries once more on a new
+    one. Every call between peers is idempotent.
+    """
+
+    def __init__(
+        self, address: str, key: str, tls: ssl.SSLContext | None, metrics: Metrics
+    ) -> None:
+        self.address = address
+        self._key = key
+        self._tls = tls
+        self._metrics = metrics
+        self._channel: Channel | None = None
+
+    async def call(
+        self, rpc: str, message: Any, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Any:
+        """Make a call.
+
+        Parameters
+        ----------
+        rpc : str
+            Name of the method.
+        message : protobuf message
+        timeout_s : float
+            For each of the tries.
+
+        Raises
+        ------
+        PeerError
+        """
+        cause: Exception | None = None
+        for _ in range(TRIES):
+            channel = self._open()
+            try:
+                return await self._call_once(channel, rpc, message, timeout_s)
+            except (TimeoutError, StreamTerminatedError) as error:
+                self._metrics.count("peer_connections_replaced")
+                self._drop(channel)
+                cause = error
+            except (OSError, GRPCError) as error:
+                cause = error
+                break
+        self._metrics.count("peer_calls_failed", rpc=rpc)
+        raise PeerError(f"{rpc} at {self.address}: {cause!r}") from cause
+
+    async def _call_once(
+        self, channel: Channel, rpc: str, message: Any, timeout_s: float
+    ) -> Any:
+        self._metrics.count("peer_calls", rpc=rpc)
+        stub = peer_grpc.PeerStub(channel)
+        metadata = {"authorization": f"Bearer {self._key}"}
+        async with asyncio.timeout(timeout_s):
+            return await getattr(stub, rpc)(message, metadata=metadata)
+
+    def _open(self) -> Channel:
+        if self._channel is None:
+            host, port = split_address(self.address)
+            self._channel = Channel(host, port, ssl=self._tls)
+        return self._channel
+
+    def _drop(self, channel: Channel) -> None:
+        channel.close()
+        if self._channel is channel:
+            self._channel = None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._channel is not None:
+            self._drop(self._channel)
+
+
+class Peers:
+    """The links to all peers, opened when first used."""
+
+    def __init__(self, key: str, tls: ssl.SSLContext | None, metrics: Metrics) -> None:
+        self._key = key
+        self._tls = tls
+        self._metrics = metrics
+        self._link_by_address: dict[str, PeerLink] = {}
+        self.address_by_host: dict[HostName, str] = {}
+
+    async def call(
+        self,
+        host: HostName,
+        rpc: str,
+        message: Any,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        """Call a peer by the name of its host; raises `PeerError`."""
+        address = self.address_by_host.get(host)
+        if address is None:
+            raise PeerError(f"{rpc}: the address of host {host} is not known")
+        return await self.call_address(address, rpc, message, timeout_s)
+
+    async def call_address(
+        self,
+        address: str,
+        rpc: str,
+        message: Any,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        """Call a peer by its address; raises `PeerError`."""
+        link = self._link_by_address.get(address)
+        if link is None:
+            link = PeerLink(address, self._key, self._tls, self._metrics)
+            self._link_by_address[address] = link
+        return await link.call(rpc, message, timeout_s)
+
+    def forget(self, host: HostName) -> None:
+        """Close the link to a host that is gone."""
+        address = self.address_by_host.get(host)
+        link = self._link_by_address.pop(address, None) if address else None
+        if link is not None:
+            link.close()
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._link_by_address.values():
+            link.close()
+        self._link_by_address.clear()
+
+
+@asynccontextmanager
+async def peer_links(
+    key: str, tls: ssl.SSLContext | None, metrics: Metrics
+) -> AsyncIterator[Peers]:
+    """Own the links to peers for the length of a block."""
+    peers = Peers(key, tls, metrics)
+    try:
+        yield peers
+    finally:
+        peers.close()
--- /dev/null
+++ b/src/siskinlever/_internal/platform/key_value.py
@@ -0,0 +1,229 @@
+"""Client of the key-value service, by Consul's HTTP interface.
+
+Uses ``/v1/kv`` with check-and-set and blocking queries, ``/v1/session`` for
+leases and ``/v1/txn`` for several writes in one call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from ..exceptions import (
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from ..metrics.registry import Metrics
+
+CALL_TIMEOUT_S = 2.0
+WATCH_GRACE_S = 2.0
+MAX_VALUE_BYTES = 1_000_000
+MAX_TXN_OPERATIONS = 64
+MUST_NOT_EXIST = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One record of the key-value service.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes
+    version : int
+        The record's ``ModifyIndex``.
+    session : str
+        The lease that holds the record, or "".
+    """
+
+    key: str
+    value: bytes
+    version: int
+    session: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """One write of a batch, made only if the record has the version expected."""
+
+    key: str
+    value: bytes
+    expected_version: int
+
+
+class KeyValueClient:
+    """Calls the key-value service.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    url : str
+    metrics : Metrics
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, metrics: Metrics
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._metrics = metrics
+
+    async def get(self, key: str) -> Record | None:
+        """Read a record.
+
+        Raises
+        ------
+        StoreUnavailableError
+        """
+        records = await self._read(key, {}, CALL_TIMEOUT_S)
+        return records[0] if records else None
+
+    async def list_prefix(self, prefix: str) -> list[Record]:
+        """Read all records below a prefix."""
+        return await self._read(prefix, {"recurse": "true"}, CALL_TIMEOUT_S)
+
+    async def watch(self, key: str, after_version: int, wait_s: float) -> Record | None:
+        """Wait until a record is newer than a version, at most ``wait_s`` seconds."""
+        query = {"index": str(after_version), "wait": f"{wait_s:g}s"}
+        records = await self._read(key, query, wait_s + WATCH_GRACE_S)
+        return records[0] if records else None
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> None:
+        """Write a record if it has the version expected.
+
+        Parameters
+        ----------
+        key : str
+        value : bytes
+        expected_version : int
+            `MUST_NOT_EXIST` creates the record.
+
+        Raises
+        ------
+        StoreConflictError
+            The record has another version; nothing was written.
+        StoreUnavailableError
+            The service was not reached; nothing was written.
+        StoreOutcomeUnknownError
+            The answer was lost; the write may have taken effect.
+        """
+        done = await self._write(
+            "PUT", f"/v1/kv/{key}", params={"cas": str(expected_version)}, data=value
+        )
+        if done is not True:
+            raise StoreConflictError(f"{key} is not at version {expected_version}")
+
+    async def put_if_held(self, key: str, value: bytes, session: str) -> bool:
+        """Write a record and hold it by a lease; False if another lease holds it."""
+        return bool(
+            await self._write(
+                "PUT", f"/v1/kv/{key}", params={"acquire": session}, data=value
+            )
+        )
+
+    async def put_all(self, puts: list[Put]) -> set[str]:
+        """Write several records in one call, all or none.
+
+        Returns
+        -------
+        conflicts : set of str
+            Keys with another version than expected; if not empty, nothing
+            was written.
+        """
+        operations = [
+            {
+                "KV": {
+                    "Verb": "cas",
+                    "Key": put.key,
+                    "Value": base64.b64encode(put.value).decode(),
+                    "Index": put.expected_version,
+                }
+            }
+            for put in puts
+        ]
+        answer = await self._write("PUT", "/v1/txn", json=operations, conflict_ok=True)
+        errors = answer.get("Errors") or []
+        return {puts[error["OpIndex"]].key for error in errors}
+
+    async def delete(self, key: str, expected_version: int) -> None:
+        """Delete a record if it has the version expected; raises as `put`."""
+        done = await self._write(
+            "DELETE", f"/v1/kv/{key}", params={"cas": str(expected_version)}
+        )
+        if done is not True:
+            raise StoreConflictError(f"{key} is not at version {expected_version}")
+
+    async def open_lease(self, name: str, ttl_s: float, delete_records: bool) -> str:
+        """Open a lease and return its id."""
+        behavior = "delete" if delete_records else "release"
+        body = {"Name": name, "TTL": f"{ttl_s:g}s", "Behavior": behavior}
+        answer = await self._write("PUT", "/v1/session/create", json=body)
+        return str(answer["ID"])
+
+    async def renew_lease(self, lease: str) -> bool:
+        """Renew a lease; False if it has lapsed."""
+        answer = await self._write(
+            "PUT", f"/v1/session/renew/{lease}", conflict_ok=True
+        )
+        return bool(answer)
+
+    async def close_lease(self, lease: str) -> None:
+        """End a lease now."""
+        await self._write("PUT", f"/v1/session/destroy/{lease}")
+
+    async def _read(
+        self, key: str, query: dict[str, str], timeout_s: float
+    ) -> list[Record]:
+        self._metrics.count("store_calls", kind="read")
+        url = f"{self._url}/v1/kv/{key}"
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.get(url, params=query) as response:
+                    if response.status == 404:
+                        return []
+                    if response.status != 200:
+                        raise StoreUnavailableError(f"status {response.status}")
+                    return [_record(item) for item in await response.json()]
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            self._metrics.count("store_failures", kind="read")
+            raise StoreUnavailableError(f"key-value service: {error!r}") from error
+
+    async def _write(
+        self, method: str, path: str, conflict_ok: bool = False, **kwargs: Any
+    ) -> Any:
+        self._metrics.count("store_calls", kind="write")
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                async with self._session.request(
+                    method, self._url + path, **kwargs
+                ) as response:
+                    content = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            self._metrics.count("store_failures", kind="write")
+            raise StoreUnavailableError(f"key-value service: {error!r}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._metrics.count("store_failures", kind="write")
+            raise StoreOutcomeUnknownError(f"key-value service: {error!r}") from error
+        return _written(response.status, content, conflict_ok)
+
+
+def _written(status: int, content: bytes, conflict_ok: bool) -> Any:
+    conflict = status in (404, 409)
+    if conflict and conflict_ok:
+        return json.loads(content) if status == 409 else None
+    if status == 429 or status == 503:
+        raise StoreUnavailableError(f"status {status}")
+    if status != 200:
+        raise StoreOutcomeUnknownError(f"status {status}")
+    return json.loads(content)
+
+
+def _record(item: dict[str, Any]) -> Record:
+    value = base64.b64decode(item["Value"]) if item["Value"] else b""
+    return Record(item["Key"], value, item["ModifyIndex"], item.get("Session", ""))
--- /dev/null
+++ b/src/siskinlever/_internal/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request: attempts, claims, drafts and cancellation."""
--- /dev/null
+++ b/src/siskinlever/_internal/requests/aborts.py
@@ -0,0 +1,50 @@
+"""Cancels generations at engines until each cancel is confirmed."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..engines.registry import Engines
+from ..exceptions import EngineError
+from ..metrics.registry import Metrics
+from ..utils.clock import Deadline
+from ..utils.tasks import TaskSet
+
+RETRY_PAUSE_S = 0.2
+GIVE_UP_AFTER_S = 60.0
+
+
+class AbortQueue:
+    """Cancels in the background; a lost answer is followed by another try."""
+
+    def __init__(self, engines: Engines, tasks: TaskSet, metrics: Metrics) -> None:
+        self._engines = engines
+        self._tasks = tasks
+        self._metrics = metrics
+        self._pending: set[tuple[str, str]] = set()
+
+    @property
+    def pending(self) -> int:
+        return len(self._pending)
+
+    def add(self, address: str, engine_request_id: str) -> None:
+        """Cancel a generation; returns at once."""
+        item = (address, engine_request_id)
+        if item in self._pending:
+            return
+        self._pending.add(item)
+        self._metrics.count("aborts")
+        self._tasks.start(self._abort(address, engine_request_id), "abort")
+
+    async def _abort(self, address: str, engine_request_id: str) -> None:
+        deadline = Deadline(GIVE_UP_AFTER_S)
+        try:
+            while not deadline.passed:
+                try:
+                    await self._engines.at(address).abort(engine_request_id)
+                    return
+                except EngineError:
+                    self._metrics.count("abort_retries")
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            self._pending.discard((address, engine_request_id))
--- /dev/null
+++ b/src/siskinlever/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which runners serve a request, when, and which requests are refused."""
--- /dev/null
+++ b/src/siskinlever/_internal/services/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services behind the router."""
--- /dev/null
+++ b/src/siskinlever/_internal/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line of events over all processes."""
--- /dev/null
+++ b/src/siskinlever/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state of the system."""
--- /dev/null
+++ b/src/siskinlever/_internal/utils/clock.py
@@ -0,0 +1,67 @@
+"""Monotonic deadlines and the hybrid logical clock."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from ..models.events import Stamp
+
+MS_PER_S = 1000
+
+
+def monotonic() -> float:
+    """Return seconds of a clock that never goes back."""
+    return time.monotonic()
+
+
+class Deadline:
+    """A moment of the monotonic clock.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Seconds from now.
+    """
+
+    __slots__ = ("at",)
+
+    def __init__(self, timeout_s: float) -> None:
+        self.at = monotonic() + timeout_s
+
+    @property
+    def remaining_s(self) -> float:
+        return self.at - monotonic()
+
+    @property
+    def passed(self) -> bool:
+        return self.remaining_s <= 0
+
+
+class HybridClock:
+    """A logical clock close to the wall clock that respects cause and effect.
+
+    Parameters
+    ----------
+    wall_ms : callable, default=None
+        Returns milliseconds of the wall clock.
+    """
+
+    def __init__(self, wall_ms: Callable[[], int] | None = None) -> None:
+        self._wall_ms = wall_ms or (lambda: int(time.time() * MS_PER_S))
+        self._last = Stamp(0, 0)
+
+    def tick(self) -> Stamp:
+        """Return a stamp later than all stamps seen here."""
+        wall = self._wall_ms()
+        if wall > self._last.wall_ms:
+            self._last = Stamp(wall, 0)
+        else:
+            self._last = Stamp(self._last.wall_ms, self._last.counter + 1)
+        return self._last
+
+    def observe(self, wall_ms: int, counter: int) -> None:
+        """Take in the stamp of a message received."""
+        seen = (wall_ms, counter)
+        if seen > (self._last.wall_ms, self._last.counter):
+            self._last = Stamp(wall_ms, counter)
--- /dev/null
+++ b/src/siskinlever/_internal/utils/rendezvous.py
@@ -0,0 +1,33 @@
+"""Rendezvous hashing: every host ranks the same candidates in the same order."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+
+
+def score(key: str, candidate: str) -> int:
+    """Return the weight of a candidate for a key."""
+    digest = blake2b(f"{key}\0{candidate}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def ranked(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return the candidates of a key, best first."""
+    return sorted(candidates, key=lambda c: (score(key, c), c), reverse=True)
+
+
+def primary_and_backup(
+    key: str, zone_by_name: Mapping[str, str]
+) -> tuple[str | None, str | None]:
+    """Return the best candidate and the best one of another zone.
+
+    The backup falls back to the primary's zone when there is no other.
+    """
+    order = ranked(key, zone_by_name)
+    if not order:
+        return None, None
+    primary = order[0]
+    rest = order[1:]
+    elsewhere = (n for n in rest if zone_by_name[n] != zone_by_name[primary])
+    return primary, next(elsewhere, rest[0] if rest else None)
--- /dev/null
+++ b/src/siskinlever/_internal/utils/tasks.py
@@ -0,0 +1,49 @@
+"""Ownership of background tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+from absl import logging
+
+
+class TaskSet:
+    """Background tasks that end with their owner."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
+        """Run a coroutine until it ends or the owner does."""
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        logging.error("task failed name=%s", task.get_name(), exc_info=task.exception())
+
+    async def close(self) -> None:
+        """Cancel what still runs and wait for it."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        for task in tasks:
+            with suppress(asyncio.CancelledError, Exception):
+                await task
+
+
+@asynccontextmanager
+async def task_set() -> AsyncIterator[TaskSet]:
+    """Own background tasks for the length of a block."""
+    tasks = TaskSet()
+    try:
+        yield tasks
+    finally:
+        await tasks.close()
--- /dev/null
+++ b/src/siskinlever_testbed/__init__.py
@@ -0,0 +1,4 @@
+"""Stand-ins for outside systems, the demonstration and the measurements.
+
+Nothing here is part of the running system.
+"""
--- /dev/null
+++ b/src/siskinlever_testbed/__main__.py
@@ -0,0 +1,33 @@
+"""Runs the demonstration and the measurements.
+
+Usage:
+  siskinlever_testbed <tool> [<args>...]
+
+Tools:
+  demo  Start a fleet and send it real requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import sys
+
+from docopt import docopt
+
+TOOLS = frozenset({"demo"})
+
+
+def main() -> int:
+    """Run one tool; return its exit code."""
+    arguments = docopt(__doc__ or "", argv=sys.argv[1:], options_first=True)
+    tool = arguments["<tool>"]
+    if tool not in TOOLS:
+        print(f"unknown tool {tool!r}, allowed: {sorted(TOOLS)}", file=sys.stderr)
+        return 2
+    module = importlib.import_module(f".{tool}", __package__)
+    return int(asyncio.run(module.run(arguments["<args>"])))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/siskinlever_testbed/client.py
@@ -0,0 +1,165 @@
+"""A caller: looks up hosts and sends requests."""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a caller got.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether the final marker arrived.
+    outcome : str
+        ``answered``, ``not_run`` or ``may_have_run``; "" if the connection
+        broke.
+    token_times : list of float
+        Seconds since sending, one for each piece.
+    """
+
+    status: int = 0
+    request_id: str = ""
+    host: str = ""
+    text: str = ""
+    complete: bool = False
+    outcome: str = ""
+    code: str = ""
+    retry_after_s: float = 0.0
+    body: Any = None
+    last_event_id: int = -1
+    token_times: list[float] = field(default_factory=list)
+    elapsed_s: float = 0.0
+
+
+class Caller:
+    """Sends requests as one workspace."""
+
+    def __init__(self, session: aiohttp.ClientSession, key: str) -> None:
+        self._session = session
+        self._key = key
+
+    async def hosts(self, address: str, zone: str = "") -> list[dict[str, str]]:
+        """Look up which hosts to use."""
+        params = {"zone": zone} if zone else {}
+        url = f"http://{address}/v1/hosts"
+        async with self._session.get(url, params=params) as response:
+            body = await response.json()
+        return list(body["hosts"])
+
+    async def complete(
+        self,
+        address: str,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        request_id: str | None = None,
+        stream: bool = True,
+        headers: dict[str, str] | None = None,
+        on_piece: Any = None,
+    ) -> Reply:
+        """Send a completion; ``on_piece(reply)`` is called for each piece."""
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+        reply = Reply(request_id=request_id or "")
+        began = time.monotonic()
+        try:
+            async with self._session.post(
+                f"http://{address}/v1/completions",
+                json=body,
+                headers=self._headers(request_id, headers),
+            ) as response:
+                reply.status = response.status
+                reply.request_id = response.headers.get("X-Request-Id", "")
+                if stream and response.status == 200:
+                    await _read_stream(response, reply, began, on_piece)
+                else:
+                    _read_whole(await response.json(), response, reply)
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            pass
+        reply.elapsed_s = time.monotonic() - began
+        return reply
+
+    async def call_service(
+        self, address: str, service: str, body: Any, request_id: str | None = None
+    ) -> Reply:
+        """Call a plain service."""
+        reply = Reply(request_id=request_id or "")
+        began = time.monotonic()
+        try:
+            async with self._session.post(
+                f"http://{address}/v1/services/{service}/deliver",
+                json=body,
+                headers=self._headers(request_id, None),
+            ) as response:
+                reply.status = response.status
+                _read_whole(await response.json(), response, reply)
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            pass
+        reply.elapsed_s = time.monotonic() - began
+        return reply
+
+    def _headers(
+        self, request_id: str | None, more: dict[str, str] | None
+    ) -> dict[str, str]:
+        headers = {"Authorization": f"Bearer {self._key}", **(more or {})}
+        if request_id is not None:
+            headers["X-Request-Id"] = request_id
+        return headers
+
+
+async def _read_stream(
+    response: aiohttp.ClientResponse, reply: Reply, began: float, on_piece: Any
+) -> None:
+    event = ""
+    async for raw in response.content:
+        line = raw.decode().rstrip("\r\n")
+        if line.startswith("event:"):
+            event = line[6:].strip()
+        if line.startswith("id:"):
+            reply.last_event_id = int(line[3:])
+        if not line.startswith("data:"):
+            continue
+        data = line[5:].strip()
+        if data == "[DONE]":
+            reply.complete = True
+            reply.outcome = "answered"
+            return
+        body = json.loads(data)
+        if event == "error":
+            _read_error(body["error"], reply)
+            return
+        text = body["choices"][0]["text"]
+        if text:
+            reply.text += text
+            reply.token_times.append(time.monotonic() - began)
+            if on_piece is not None:
+                await on_piece(reply)
+
+
+def _read_whole(body: Any, response: aiohttp.ClientResponse, reply: Reply) -> None:
+    reply.body = body
+    reply.retry_after_s = float(response.headers.get("Retry-After-Ms", 0)) / 1000
+    if isinstance(body, dict) and "error" in body:
+        _read_error(body["error"], reply)
+        return
+    reply.outcome = response.headers.get("X-Siskinlever-Outcome", "")
+    reply.complete = response.status == 200
+    if isinstance(body, dict) and "choices" in body:
+        reply.text = body["choices"][0]["text"]
+
+
+def _read_error(error: dict[str, Any], reply: Reply) -> None:
+    reply.outcome = error["outcome"]
+    reply.code = error["code"]
--- /dev/null
+++ b/src/siskinlever_testbed/processes.py
@@ -0,0 +1,140 @@
+"""Starts and ends processes on loopback, and disturbs them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+
+READY_TIMEOUT_S = 20.0
+END_TIMEOUT_S = 5.0
+POLL_S = 0.05
+
+
+class Process:
+    """A process that this one started.
+
+    Parameters
+    ----------
+    name : str
+    command : list of str
+    log : Path
+        Receives what the process prints.
+    address : str
+        Where the process accepts connections once it is ready.
+    """
+
+    def __init__(self, name: str, command: list[str], log: Path, address: str) -> None:
+        self.name = name
+        self.address = address
+        self._command = command
+        self._log = log
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def returncode(self) -> int | None:
+        return self._process.poll() if self._process else None
+
+    def start(self) -> None:
+        """Start the process; its log is appended to."""
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    async def ready(self) -> None:
+        """Wait until the process accepts connections."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not _accepts(self.address):
+                if self.returncode is not None:
+                    raise RuntimeError(f"{self.name} ended: see {self._log}")
+                await asyncio.sleep(POLL_S)
+
+    async def ended(self, timeout_s: float) -> int:
+        """Wait for the process's end; return its exit code."""
+        async with asyncio.timeout(timeout_s):
+            while self.returncode is None:
+                await asyncio.sleep(POLL_S)
+        return self.returncode
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait(END_TIMEOUT_S)
+
+    def freeze(self) -> None:
+        """Stop the process where it stands."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+
+    def leave(self) -> None:
+        """Ask the process to leave."""
+        self._signal(signal.SIGTERM)
+
+    def end(self) -> None:
+        """End the process, whatever its state."""
+        if self.returncode is None and self._process is not None:
+            self.thaw()
+            self.kill()
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(self.pid, number)
+
+
+@contextmanager
+def owned_processes() -> Iterator[dict[str, Process]]:
+    """Own processes by name for the length of a block; all are ended."""
+    by_name: dict[str, Process] = {}
+    try:
+        yield by_name
+    finally:
+        for process in by_name.values():
+            process.end()
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses with ports that are free now."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sockets.append(sock)
+    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return addresses
+
+
+def standin_command(kind: str, *arguments: str) -> list[str]:
+    """Return the command that runs a stand-in."""
+    return [sys.executable, "-m", "siskinlever_testbed.standins", kind, *arguments]
+
+
+def daemon_command(settings: Path) -> list[str]:
+    """Return the command that runs a host."""
+    module = "siskinlever._internal.cli.daemon"
+    return [sys.executable, "-m", module, f"--settings={settings}"]
+
+
+def _accepts(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    with socket.socket() as sock:
+        sock.settimeout(0.2)
+        return sock.connect_ex((host, int(port))) == 0
--- /dev/null
+++ b/src/siskinlever_testbed/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that siskinlever talks to."""
--- /dev/null
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -0,0 +1,449 @@
+"""Stand-in for a model engine in vLLM's OpenAI-compatible dialect.
+
+Usage:
+  engine --address=ADDRESS --name=NAME --role=ROLE [options]
+
+Options:
+  --slots=COUNT           Requests held at once in decode [default: 20].
+  --prefill-rate=RATE     Prompt tokens processed a second [default: 8000].
+  --token-time=SECONDS    Time between tokens [default: 0.02].
+  --retention=SECONDS     Life of an exported KV cache [default: 0.8].
+  --cache-tokens=COUNT    Tokens of prefixes kept in cache [default: 200000].
+  --kv-bytes=BYTES        KV cache of one token [default: 131072].
+  --link-rate=RATE        Bytes a second out of this engine [default: 4e9].
+  --load-lag=SECONDS      Age of the load report [default: 0.5].
+  --ignore-fencing        Take orders with old fencing tokens.
+  --record=FILE           Append-only record of what was done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import json
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from .answers import answer_tokens, prompt_tokens
+from .faults import Faults
+from .record import Record
+
+PREFIX_BLOCK_TOKENS = 64
+TICK_S = 0.005
+
+
+@dataclass(slots=True)
+class Exported:
+    """A KV cache waiting to be pulled."""
+
+    prompt: str
+    tokens: int
+    expires_at: float
+
+
+@dataclass(slots=True)
+class Generation:
+    """One decode, read by whoever asks for its stream."""
+
+    request_id: str
+    tokens: list[str]
+    produced: int = 0
+    done: bool = False
+    aborted: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def advance(self) -> None:
+        """Wake readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class PriorityGate:
+    """Lets a number of holders in, the lowest priority value first."""
+
+    def __init__(self, places: int) -> None:
+        self.places = places
+        self.held = 0
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def waiting(self) -> int:
+        return sum(not future.done() for _, _, future in self._waiting)
+
+    async def enter(self, priority: int) -> None:
+        """Wait for a place."""
+        if self.held < self.places:
+            self.held += 1
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (priority, next(self._order), future))
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Give a place back."""
+        while self._waiting:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+        self.held -= 1
+
+
+class PrefixCache:
+    """Tokens of prompt prefixes kept, the least recently used dropped first."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity = capacity_tokens // PREFIX_BLOCK_TOKENS
+        self._blocks: OrderedDict[bytes, None] = OrderedDict()
+
+    def reuse(self, prompt: str) -> int:
+        """Return how many tokens were cached, and cache the prompt."""
+        words = prompt.split(" ")
+        digest = blake2b(digest_size=12)
+        hits = 0
+        missed = False
+        for start in range(0, len(words) - PREFIX_BLOCK_TOKENS, PREFIX_BLOCK_TOKENS):
+            block = " ".join(words[start : start + PREFIX_BLOCK_TOKENS])
+            digest.update(block.encode())
+            key = digest.digest()
+            missed = missed or key not in self._blocks
+            hits += not missed
+            self._blocks[key] = None
+            self._blocks.move_to_end(key)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+        return hits * PREFIX_BLOCK_TOKENS
+
+
+class Engine:
+    """The engine's state and routes."""
+
+    def __init__(self, arguments: dict[str, Any]) -> None:
+        self.name = arguments["--name"]
+        self.role = arguments["--role"]
+        self.address = arguments["--address"]
+        self.record = Record(arguments["--record"] or "")
+        self.faults = Faults()
+        self._prefill_rate = float(arguments["--prefill-rate"])
+        self._token_time_s = float(arguments["--token-time"])
+        self._retention_s = float(arguments["--retention"])
+        self._kv_bytes = int(arguments["--kv-bytes"])
+        self._link_rate = float(arguments["--link-rate"])
+        self._load_lag_s = float(arguments["--load-lag"])
+        self._checks_fencing = not arguments["--ignore-fencing"]
+        self._compute = PriorityGate(1)
+        self._slots = PriorityGate(int(arguments["--slots"]))
+        self._link = PriorityGate(1)
+        self._cache = PrefixCache(int(arguments["--cache-tokens"]))
+        self._exported_by_id: dict[str, Exported] = {}
+        self._generation_by_id: dict[str, Generation] = {}
+        self._task_by_id: dict[str, asyncio.Task[Any]] = {}
+        self._aborted: set[str] = set()
+        self._fencing_token = 0
+        self._loaded: dict[str, Any] = {}
+        self._reports: deque[tuple[float, dict[str, Any]]] = deque()
+        self._session: aiohttp.ClientSession | None = None
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(client_max_size=16 << 20)
+        self.faults.add_route(app)
+        app.router.add_post("/v1/completions", self._completions)
+        app.router.add_get("/v1/completions/{id}/stream", self._resume)
+        app.router.add_post("/abort_request", self._abort)
+        app.router.add_get("/load", self._load)
+        app.router.add_get("/v1/loaded", self._show_loaded)
+        app.router.add_post("/kv/{id}", self._pull)
+        app.router.add_post("/v1/{kind}", self._order)
+        return app
+
+    async def run(self) -> None:
+        """Age load reports and evict KV caches until cancelled."""
+        while True:
+            now = time.monotonic()
+            self._reports.append((now, self._report()))
+            while len(self._reports) > 1 and self._reports[1][0] <= (
+                now - self._load_lag_s
+            ):
+                self._reports.popleft()
+            for key, exported in list(self._exported_by_id.items()):
+                if exported.expires_at <= now:
+                    del self._exported_by_id[key]
+                    self.record.add("evicted", request_id=key, tokens=exported.tokens)
+            await asyncio.sleep(TICK_S)
+
+    async def _completions(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        request_id = request.headers["X-Request-Id"]
+        if request_id in self._aborted:
+            return web.json_response({"error": "aborted"}, status=409)
+        transfer = body.get("kv_transfer_params") or {}
+        if transfer.get("do_remote_decode"):
+            return await self._owned(request_id, self._prefill(request_id, body))
+        return await self._decode(request, request_id, body, transfer)
+
+    async def _owned(self, request_id: str, work: Any) -> web.StreamResponse:
+        """Run work that an abort cancels."""
+        task = asyncio.create_task(work)
+        self._task_by_id[request_id] = task
+        try:
+            return await asyncio.shield(task)  # type: ignore[no-any-return]
+        except asyncio.CancelledError:
+            if task.cancelled():
+                return web.json_response({"error": "aborted"}, status=409)
+            raise
+        finally:
+            if task.done():
+                self._task_by_id.pop(request_id, None)
+            else:
+                task.add_done_callback(lambda _: self._task_by_id.pop(request_id, None))
+
+    async def _prefill(self, request_id: str, body: dict[str, Any]) -> web.Response:
+        prompt = body["prompt"]
+        tokens = prompt_tokens(prompt)
+        await self._compute.enter(body.get("priority", 0))
+        try:
+            cached = self._cache.reuse(prompt)
+            self.record.add(
+                "prefill_started", request_id=request_id, tokens=tokens, cached=cached
+            )
+            await asyncio.sleep(max(1, tokens - cached) / self._prefill_rate)
+        finally:
+            self._compute.leave()
+        self.record.add("prefilled", request_id=request_id, tokens=tokens - cached)
+        expires_at = time.monotonic() + self._retention_s
+        self._exported_by_id[request_id] = Exported(prompt, tokens, expires_at)
+        host, _, port = self.address.rpartition(":")
+        answer = {
+            "id": request_id,
+            "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
+            "usage": {
+                "prompt_tokens": tokens,
+                "completion_tokens": 1,
+                "prompt_tokens_details": {"cached_tokens": cached},
+            },
+            "kv_transfer_params": {
+                "do_remote_prefill": True,
+                "remote_engine_id": self.name,
+                "remote_block_ids": [request_id],
+                "remote_host": host,
+                "remote_port": int(port),
+            },
+        }
+        return web.json_response(answer)
+
+    async def _pull(self, request: web.Request) -> web.Response:
+        """Give a KV cache to a decode engine over this engine's link."""
+        request_id = request.match_info["id"]
+        exported = self._exported_by_id.pop(request_id, None)
+        if exported is None:
+            return web.json_response({"error": "evicted"}, status=404)
+        await self._link.enter(0)
+        try:
+            stall_s = float(self.faults.values.get("stall_transfer_s", 0))
+            size = exported.tokens * self._kv_bytes
+            await asyncio.sleep(size / self._link_rate + stall_s)
+        finally:
+            self._link.leave()
+        self.record.add("transferred", request_id=request_id, tokens=exported.tokens)
+        return web.json_response({"prompt": exported.prompt, "tokens": exported.tokens})
+
+    async def _decode(
+        self,
+        request: web.Request,
+        request_id: str,
+        body: dict[str, Any],
+        transfer: dict[str, Any],
+    ) -> web.StreamResponse:
+        task = asyncio.create_task(self._import(request_id, body, transfer))
+        self._task_by_id[request_id] = task
+        try:
+            generation = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                return web.json_response({"error": "aborted"}, status=409)
+            raise
+        finally:
+            self._task_by_id.pop(request_id, None)
+        if generation is None:
+            return web.json_response({"error": "kv cache evicted"}, status=410)
+        return await self._stream(request, generation, after=-1)
+
+    async def _import(
+        self, request_id: str, body: dict[str, Any], transfer: dict[str, Any]
+    ) -> Generation | None:
+        """Take a slot, pull the KV cache and start the generation."""
+        self.record.add("queued", request_id=request_id)
+        await self._slots.enter(body.get("priority", 0))
+        self.record.add("held", request_id=request_id)
+        try:
+            imported = await self._pull_from(transfer)
+        except BaseException:
+            self._release(request_id)
+            raise
+        if imported is None:
+            self._release(request_id)
+            return None
+        tokens = answer_tokens(body["prompt"], int(body["max_tokens"]))
+        generation = Generation(request_id, tokens)
+        self._generation_by_id[request_id] = generation
+        generate = asyncio.create_task(self._generate(generation))
+        self._task_by_id[request_id + "/generate"] = generate
+        return generation
+
+    async def _pull_from(self, transfer: dict[str, Any]) -> dict[str, Any] | None:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        host, port = transfer["remote_host"], transfer["remote_port"]
+        block = transfer["remote_block_ids"][0]
+        async with self._session.post(f"http://{host}:{port}/kv/{block}") as response:
+            return await response.json() if response.status == 200 else None
+
+    async def _generate(self, generation: Generation) -> None:
+        try:
+            self.record.add("decode_started", request_id=generation.request_id)
+            while generation.produced < len(generation.tokens):
+                generation.produced += 1
+                generation.advance()
+                await asyncio.sleep(self._token_time_s)
+            generation.done = True
+            self.record.add(
+                "finished",
+                request_id=generation.request_id,
+                tokens=len(generation.tokens),
+            )
+        finally:
+            generation.aborted = not generation.done
+            generation.advance()
+            self._release(generation.request_id)
+            self._task_by_id.pop(generation.request_id + "/generate", None)
+
+    def _release(self, request_id: str) -> None:
+        self._slots.leave()
+        self.record.add("released", request_id=request_id)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        generation = self._generation_by_id.get(request.match_info["id"])
+        if generation is None:
+            return web.json_response({"error": "unknown request"}, status=404)
+        after = int(request.headers.get("Last-Event-ID", "-1"))
+        return await self._stream(request, generation, after)
+
+    async def _stream(
+        self, request: web.Request, generation: Generation, after: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        position = after + 1
+        while True:
+            changed = generation.changed
+            while position < generation.produced:
+                await response.write(_event(generation, position))
+                position += 1
+                if self._cut_here(position):
+                    assert request.transport is not None
+                    request.transport.abort()
+                    return response
+            if generation.aborted:
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            if generation.done:
+                break
+            await changed.wait()
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+        return response
+
+    def _cut_here(self, position: int) -> bool:
+        """Tell whether the fault ``cut_stream_at`` is due; it shows once."""
+        if self.faults.values.get("cut_stream_at") != position:
+            return False
+        del self.faults.values["cut_stream_at"]
+        return True
+
+    async def _abort(self, request: web.Request) -> web.Response:
+        request_id = (await request.json())["rid"]
+        self._aborted.add(request_id)
+        found = False
+        for key in (request_id, request_id + "/generate"):
+            task = self._task_by_id.get(key)
+            if task is not None:
+                found = True
+                task.cancel()
+        exported = self._exported_by_id.pop(request_id, None)
+        if exported is not None:
+            self.record.add("discarded", request_id=request_id, tokens=exported.tokens)
+        self.record.add("aborted", request_id=request_id, found=found)
+        return web.json_response({"aborted": found})
+
+    async def _load(self, request: web.Request) -> web.Response:
+        return web.json_response(self._reports[0][1] if self._reports else {})
+
+    def _report(self) -> dict[str, Any]:
+        gate = self._compute if self.role == "prefill" else self._slots
+        return {
+            "running": gate.held,
+            "waiting": gate.waiting,
+            "slots": gate.places,
+            "leaving": bool(self.faults.values.get("leaving", False)),
+            "request_ids": [
+                key for key in self._task_by_id if not key.endswith("/generate")
+            ]
+            + [
+                key.removesuffix("/generate")
+                for key in self._task_by_id
+                if key.endswith("/generate")
+            ],
+        }
+
+    async def _show_loaded(self, request: web.Request) -> web.Response:
+        shown = {"fencing_token": self._fencing_token, "loaded": self._loaded}
+        return web.json_response(shown)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        token = int(request.headers.get("X-Fencing-Token", "0"))
+        if self._checks_fencing and token < self._fencing_token:
+            self.record.add("order_refused", kind=kind, token=token)
+            return web.json_response({"error": "old fencing token"}, status=412)
+        self._fencing_token = max(token, self._fencing_token)
+        arguments = await request.json()
+        self._loaded[kind] = arguments
+        self.record.add("order", kind=kind, token=token, arguments=arguments)
+        return web.json_response({})
+
+
+def _event(generation: Generation, position: int) -> bytes:
+    last = position == len(generation.tokens) - 1
+    data = {
+        "id": generation.request_id,
+        "object": "text_completion",
+        "choices": [
+            {
+                "index": 0,
+                "text": generation.tokens[position],
+                "finish_reason": "length" if last else None,
+            }
+        ],
+    }
+    return f"id: {position}\ndata: {json.dumps(data)}\n\n".encode()
+
+
+async def start(arguments: dict[str, Any]) -> tuple[web.Application, Any]:
+    """Return the application and its background work."""
+    engine = Engine(arguments)
+    return engine.app(), engine.run()
--- /dev/null
+++ b/src/siskinlever_testbed/standins/host_list.py
@@ -0,0 +1,50 @@
+"""Stand-in for the host list, in the Prometheus HTTP discovery format.
+
+Usage:
+  host-list --address=ADDRESS [--lag=SECONDS]
+
+Options:
+  --lag=SECONDS  Age of what readers see [default: 0].
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from typing import Any
+
+from aiohttp import web
+
+from .faults import Faults
+
+
+class HostList:
+    """The list's state and routes; ``PUT /hosts`` replaces the list."""
+
+    def __init__(self, lag_s: float) -> None:
+        self._lag_s = lag_s
+        self._versions: deque[tuple[float, list[Any]]] = deque([(0.0, [])])
+        self.faults = Faults()
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application()
+        self.faults.add_route(app)
+        app.router.add_get("/hosts", self._get)
+        app.router.add_put("/hosts", self._put)
+        return app
+
+    async def _get(self, request: web.Request) -> web.Response:
+        seen = time.monotonic() - self._lag_s
+        while len(self._versions) > 1 and self._versions[1][0] <= seen:
+            self._versions.popleft()
+        return web.json_response(self._versions[0][1])
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self._versions.append((time.monotonic(), await request.json()))
+        return web.json_response({})
+
+
+async def start(arguments: dict[str, Any]) -> tuple[web.Application, Any]:
+    """Return the application and its background work."""
+    return HostList(float(arguments["--lag"])).app(), None
--- /dev/null
+++ b/src/siskinlever_testbed/standins/service.py
@@ -0,0 +1,55 @@
+"""Stand-in for a runner of a plain service.
+
+Usage:
+  service --address=ADDRESS --name=NAME [--record=FILE] [--delay=SECONDS]
+
+Options:
+  --delay=SECONDS  How long a call runs [default: 0.02].
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from .faults import Faults
+from .record import Record
+
+
+class Service:
+    """The service's routes."""
+
+    def __init__(self, name: str, delay_s: float, record: Record) -> None:
+        self._name = name
+        self._delay_s = delay_s
+        self._record = record
+        self.faults = Faults()
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(client_max_size=8 << 20)
+        self.faults.add_route(app)
+        app.router.add_route("*", "/{path:.*}", self._run)
+        return app
+
+    async def _run(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        request_id = request.headers.get("X-Request-Id", "")
+        self._record.add("ran", runner=self._name, request_id=request_id)
+        await asyncio.sleep(self._delay_s)
+        answer = {
+            "runner": self._name,
+            "request_id": request_id,
+            "path": request.path,
+            "bytes": len(body),
+        }
+        return web.json_response(answer)
+
+
+async def start(arguments: dict[str, Any]) -> tuple[web.Application, Any]:
+    """Return the application and its background work."""
+    record = Record(arguments["--record"] or "")
+    service = Service(arguments["--name"], float(arguments["--delay"]), record)
+    return service.app(), None
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""What several tests share."""
