Name the case in which a connection was replaced before

Cause: the strict type check read the identity test as a narrowing to None. Ruled out: an ignore comment.

--- a/src/siskinlever/_internal/peers/link.py
+++ b/src/siskinlever/_internal/peers/link.py
@@ -96,7 +96,8 @@
         return self._channel
 
     def _drop(self, channel: Channel) -> None:
-        if self._channel is not channel:
+        replaced_before = self._channel is not channel
+        if replaced_before:
             return
         self._metrics.count("peer_connections_replaced")
         channel.close()
