--- a/src/siskinlever/_internal/callers/access.py
+++ b/src/siskinlever/_internal/callers/access.py
@@ -39,7 +39,8 @@
     def workspace(self, declaration: Declaration, header: str) -> Workspace | None:
         """Return the workspace whose key an Authorization header holds."""
         scheme, _, key = header.partition(" ")
-        if scheme.lower() != "bearer" or not key:
+        # Bytes that are no UTF-8 arrive as lone surrogates, which have no digest.
+        if scheme.lower() != "bearer" or not key or not key.isascii():
             return None
         return declaration.workspace_by_key_digest.get(key_digest(key.strip()))
 
--- a/src/siskinlever/_internal/callers/bodies.py
+++ b/src/siskinlever/_internal/callers/bodies.py
@@ -10,6 +10,14 @@
 DEFAULT_MAX_TOKENS = 256
 
 
+class StreamOptions(BaseModel):
+    """Options of a streamed answer."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    include_usage: bool = False
+
+
 class Body(BaseModel):
     """What completions and chat completions have in common.
 
@@ -21,8 +29,19 @@
     model: Annotated[str, Field(min_length=1, max_length=128)]
     max_tokens: Annotated[int, Field(ge=1)] | None = None
     stream: bool = False
+    stream_options: StreamOptions | None = None
     n: Literal[1] = 1
 
+    @property
+    def include_usage(self) -> bool:
+        """Whether the stream ends with the count of tokens."""
+        return self.stream_options is not None and self.stream_options.include_usage
+
+    @property
+    def wanted_tokens(self) -> int | None:
+        """The most tokens that the caller asks for."""
+        return self.max_tokens
+
     @property
     def sampling(self) -> dict[str, Any]:
         """Fields that only the engine understands."""
@@ -59,14 +78,14 @@
     model_config = ConfigDict(extra="allow", strict=True)
 
     role: str
-    content: str | list[TextPart]
+    content: str | list[TextPart] | None = None
 
     @property
     def text(self) -> str:
         """The content's text."""
         if isinstance(self.content, str):
             return self.content
-        return "".join(part.text for part in self.content)
+        return "".join(part.text for part in self.content or ())
 
 
 class ChatBody(Body):
@@ -75,6 +94,11 @@
     messages: Annotated[list[Message], Field(min_length=1)]
     max_completion_tokens: Annotated[int, Field(ge=1)] | None = None
 
+    @property
+    def wanted_tokens(self) -> int | None:
+        """The most tokens that the caller asks for, under the newer name first."""
+        return self.max_completion_tokens or self.max_tokens
+
     @property
     def text(self) -> str:
         """The conversation as one prompt."""
--- /dev/null
+++ b/src/siskinlever/_internal/callers/drafts.py
@@ -0,0 +1,93 @@
+"""Takes in deferred drafts and serves their results."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import Any
+
+from sanic import Request
+from sanic.response import HTTPResponse, json
+
+from ..exceptions import StoreUnavailableError
+from ..models.ids import RequestId, WorkspaceName
+from ..models.outcome import Answered, Failed, Outcome, Reason, Refused
+from ..models.work import ModelRequest
+from ..requests.draft_store import DraftBody, DraftResult
+from ..utils.clock import MS_PER_S
+from .context import host_of
+from .errors import OUTCOME_HEADER, ending_response, error_response
+from .requests import InvalidRequestError, find_caller, named
+from .sinks import AnswerShape
+
+POLL_AFTER_S = 1
+STORE_RETRY_S = 5.0
+STATUS_BY_HELD = {True: "running", False: "waiting"}
+
+
+def wants_draft(request: Request) -> bool:
+    """Tell whether the caller asks for a deferred answer (RFC 7240)."""
+    preferences = request.headers.get("Prefer", "").split(",")
+    return any(p.strip().lower() == "respond-async" for p in preferences)
+
+
+async def post_draft(request: Request, asked: ModelRequest, chat: bool) -> HTTPResponse:
+    """Take in a draft; the answer is sent after the draft is stored."""
+    due_in_s = asked.model.answer_within_s
+    body = DraftBody(
+        workspace=asked.workspace,
+        request_id=asked.request_id,
+        model=asked.model.name,
+        prompt=asked.prompt,
+        max_tokens=asked.max_tokens,
+        sampling=asked.sampling,
+        chat=chat,
+        body_digest=asked.body_digest,
+        due_at_ms=int((time.time() + due_in_s) * MS_PER_S),
+        nonce=uuid.uuid4().hex,
+    )
+    accepted = await host_of(request).drafts.accept(body)
+    if accepted.is_error():
+        return named(ending_response(accepted.error), asked.request_id)
+    headers = {
+        "Location": f"/v1/drafts/{asked.request_id}",
+        "Preference-Applied": "respond-async",
+    }
+    return _pending(asked.request_id, "accepted", headers)
+
+
+async def fetch_draft(request: Request, request_id: str) -> HTTPResponse:
+    """Serve a draft's result, or how far it is."""
+    caller = find_caller(request)
+    workspace = WorkspaceName(caller.workspace.name)
+    draft_id = RequestId(request_id)
+    try:
+        found = await host_of(request).drafts.fetch(workspace, draft_id)
+    except StoreUnavailableError as error:
+        failed = Failed(Reason.STORE_UNAVAILABLE, error.message, STORE_RETRY_S)
+        return named(ending_response(failed), draft_id)
+    if found is None:
+        message = f"no draft {request_id[:128]!r}"
+        raise InvalidRequestError(error_response(message, 404, "unknown_draft", "id"))
+    if isinstance(found, DraftResult):
+        return named(_result(found), draft_id)
+    return _pending(draft_id, STATUS_BY_HELD[found])
+
+
+def _pending(
+    request_id: RequestId, status: str, headers: dict[str, str] | None = None
+) -> HTTPResponse:
+    body = {"id": request_id, "object": "draft", "status": status}
+    more = {"Retry-After": str(POLL_AFTER_S), **(headers or {})}
+    return named(json(body, status=202, headers=more), request_id)
+
+
+def _result(result: DraftResult) -> HTTPResponse:
+    if result.outcome is not Outcome.ANSWERED:
+        reason = result.reason or Reason.INTERNAL
+        ending: Refused | Failed = Failed(reason, result.message)
+        return ending_response(ending)
+    shape = AnswerShape(RequestId(result.request_id), result.model, result.chat)
+    answered = Answered(result.text, result.prompt_tokens, result.completion_tokens)
+    body: dict[str, Any] = shape.whole(answered, result.finish_reason)
+    return json(body, headers={OUTCOME_HEADER: Outcome.ANSWERED.value})
--- a/src/siskinlever/_internal/callers/errors.py
+++ b/src/siskinlever/_internal/callers/errors.py
@@ -15,6 +15,7 @@
 STATUS_BY_REASON = {
     Reason.OVERLOADED: 503,
     Reason.TOO_LATE: 503,
+    Reason.TOO_LARGE: 413,
     Reason.NO_RUNNER: 503,
     Reason.NO_CONFIGURATION: 503,
     Reason.STALE_CONFIGURATION: 503,
--- /dev/null
+++ b/src/siskinlever/_internal/callers/forwarding.py
@@ -0,0 +1,174 @@
+"""Passes requests in full to a live peer while this host is leaving.
+
+Callers keep a lookup's answer for a while and still connect here. A request
+is passed on once only: a peer that is leaving too serves it itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import random
+from typing import Any
+
+import aiohttp
+from sanic import Request
+from sanic.response import HTTPResponse
+
+from ..membership.members import Member, MemberState, MemberTable
+from ..metrics.registry import Metrics
+from ..models.outcome import Failed, Reason
+from ..services.client import HOP_HEADERS
+from ..utils.digests import key_digest
+from .errors import ending_response
+
+HOP_HEADER = "X-Siskinlever-Forwarded"
+PEER_TRIES = 3
+PEER_CHECK_PERIOD_S = 0.5
+NOT_FORWARDED = (HOP_HEADERS - {"authorization"}) | {HOP_HEADER.lower()}
+
+
+class Forwarder:
+    """Forwards requests to peers.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Not pooled, so that a failed connect certainly means "not run".
+    members : MemberTable
+    peer_key : str
+        Proves that a request was forwarded by a host.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        members: MemberTable,
+        peer_key: str,
+        metrics: Metrics,
+    ) -> None:
+        self._session = session
+        self._members = members
+        self._proof = key_digest(f"forward/{peer_key}")
+        self._metrics = metrics
+        self.in_progress = 0
+
+    def is_due(self, request: Request) -> bool:
+        """Tell whether a request is to be passed on."""
+        if not self._members.own.leaving:
+            return False
+        proof = request.headers.get(HOP_HEADER, "")
+        return not hmac.compare_digest(
+            proof.encode(errors="replace"), self._proof.encode()
+        )
+
+    async def forward(self, request: Request) -> tuple[bool, HTTPResponse | None]:
+        """Pass a request on.
+
+        Returns
+        -------
+        forwarded : bool
+            False if no peer was reached: the request was not passed on.
+        response : HTTPResponse or None
+            None if the answer was streamed.
+        """
+        self.in_progress += 1
+        try:
+            for peer in self._peers()[:PEER_TRIES]:
+                try:
+                    answer = await self._open(request, peer)
+                except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+                    self._metrics.count("forwards_unreached")
+                    continue
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    return True, _broken(error)
+                self._metrics.count("requests_forwarded")
+                await self._relay(request, peer, answer)
+                return True, None
+            return False, None
+        finally:
+            self.in_progress -= 1
+
+    def _peers(self) -> list[Member]:
+        """Return the peers that take work, those of this zone first."""
+        own = self._members.own
+        peers = [
+            m
+            for m in self._members.alive()
+            if m.state is MemberState.ALIVE and not m.leaving and m.host != own.host
+        ]
+        random.shuffle(peers)
+        return sorted(peers, key=lambda m: m.zone != own.zone)
+
+    async def _open(self, request: Request, peer: Member) -> aiohttp.ClientResponse:
+        headers = [
+            (name, value)
+            for name, value in request.headers.items()
+            if name.lower() not in NOT_FORWARDED
+        ]
+        query = f"?{request.query_string}" if request.query_string else ""
+        call = self._session.request(
+            request.method,
+            f"http://{peer.callers_address}{request.path}{query}",
+            headers=[*headers, (HOP_HEADER, self._proof)],
+            data=request.body,
+            allow_redirects=False,
+        )
+        opening = asyncio.ensure_future(call)
+        watch = asyncio.ensure_future(self._dead(peer))
+        try:
+            await asyncio.wait({opening, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if not opening.done():
+                raise aiohttp.ClientConnectionError(f"host {peer.host} is dead")
+            return await opening
+        finally:
+            watch.cancel()
+            opening.cancel()
+
+    async def _relay(
+        self, request: Request, peer: Member, answer: aiohttp.ClientResponse
+    ) -> None:
+        """Hand over an answer as it comes; a cut one is shown as cut."""
+        headers = {
+            name: value
+            for name, value in answer.headers.items()
+            if name.lower() not in HOP_HEADERS and name.lower() != "content-type"
+        }
+        watch = asyncio.ensure_future(self._close_when_dead(peer, answer))
+        try:
+            response: Any = await request.respond(
+                status=answer.status,
+                headers=headers,
+                content_type=answer.headers.get("Content-Type", ""),
+            )
+            async for piece in answer.content.iter_any():
+                await response.send(piece)
+            await response.eof()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self._metrics.count("forwards_broken")
+            transport: Any = request.transport
+            if transport is not None:
+                transport.abort()
+        finally:
+            watch.cancel()
+            answer.close()
+
+    async def _dead(self, peer: Member) -> None:
+        """Wait until a peer is believed dead, or has started again."""
+        while True:
+            await asyncio.sleep(PEER_CHECK_PERIOD_S)
+            known = self._members.by_host.get(peer.host)
+            if known is None or known.state is MemberState.DEAD:
+                return
+
+    async def _close_when_dead(
+        self, peer: Member, answer: aiohttp.ClientResponse
+    ) -> None:
+        await self._dead(peer)
+        answer.close()
+
+
+def _broken(error: Exception) -> HTTPResponse:
+    message = f"the host that the request was passed to did not answer: {error!r}"
+    return ending_response(Failed(Reason.HOST_LEAVING, message))
--- /dev/null
+++ b/src/siskinlever/_internal/callers/services.py
@@ -0,0 +1,48 @@
+"""Passes calls to plain services."""
+
+from __future__ import annotations
+
+from sanic import Request
+from sanic.response import HTTPResponse, raw
+
+from ..models.ids import WorkspaceName
+from ..models.outcome import Outcome
+from ..requests.deliveries import ServiceRequest
+from ..services.client import ServiceCall
+from .context import host_of
+from .errors import OUTCOME_HEADER, ending_response, error_response
+from .requests import InvalidRequestError, find_caller, may_use, named
+
+
+async def service(request: Request, name: str, path: str = "") -> HTTPResponse:
+    """Pass a call to a plain service."""
+    host = host_of(request)
+    caller = find_caller(request)
+    declared = caller.declaration.service_by_name.get(name)
+    if declared is None or not may_use(caller.workspace.services, name):
+        raise InvalidRequestError(
+            error_response(f"no service {name!r}", 404, "unknown_service", "name")
+        )
+    query = f"?{request.query_string}" if request.query_string else ""
+    call = ServiceCall(
+        request.method, path + query, request.headers, request.body, caller.request_id
+    )
+    with host.access.admitted(caller.workspace) as admitted:
+        if admitted.is_error():
+            return named(ending_response(admitted.error), caller.request_id)
+        result = await host.deliveries.run(
+            ServiceRequest(
+                WorkspaceName(caller.workspace.name),
+                caller.request_id,
+                declared,
+                call,
+                caller.named,
+            )
+        )
+    if result.is_error():
+        return named(ending_response(result.error), caller.request_id)
+    answer = result.ok
+    # No content type of its own: that of the service is among the headers.
+    response = raw(answer.body, answer.status, answer.headers, content_type=None)  # type: ignore[arg-type]
+    response.headers[OUTCOME_HEADER] = Outcome.ANSWERED.value
+    return named(response, caller.request_id)
--- a/src/siskinlever/_internal/callers/sinks.py
+++ b/src/siskinlever/_internal/callers/sinks.py
@@ -50,28 +50,42 @@
         choice["delta"] = {"role": "assistant", "content": text} if text else {}
         return {**self._head, "object": "chat.completion.chunk", "choices": [choice]}
 
-    def whole(self, answered: Answered) -> dict[str, Any]:
+    def whole(self, answered: Answered, finish_reason: str = "stop") -> dict[str, Any]:
         """Return a whole answer."""
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
         if self._chat:
             choice["message"] = {"role": "assistant", "content": answered.text}
             kind = "chat.completion"
         else:
             choice |= {"text": answered.text, "logprobs": None}
             kind = "text_completion"
-        usage = {
-            "prompt_tokens": answered.prompt_tokens,
-            "completion_tokens": answered.completion_tokens,
-            "total_tokens": answered.prompt_tokens + answered.completion_tokens,
-        }
+        usage = _usage(answered)
         return {**self._head, "object": kind, "choices": [choice], "usage": usage}
 
+    def usage(self, answered: Answered) -> dict[str, Any]:
+        """Return the event that counts the tokens of a stream."""
+        kind = "chat.completion.chunk" if self._chat else "text_completion"
+        usage = _usage(answered)
+        return {**self._head, "object": kind, "choices": [], "usage": usage}
+
+
+def _usage(answered: Answered) -> dict[str, int]:
+    return {
+        "prompt_tokens": answered.prompt_tokens,
+        "completion_tokens": answered.completion_tokens,
+        "total_tokens": answered.prompt_tokens + answered.completion_tokens,
+    }
+
 
 class CollectingSink:
     """Takes an answer that is handed over whole, at its end."""
 
+    def __init__(self) -> None:
+        self.finish_reason = "stop"
+
     async def send(self, chunk: Chunk) -> None:
-        """Do nothing: the executor keeps the text."""
+        """Note why the answer ended: the executor keeps the text."""
+        self.finish_reason = chunk.finish_reason or self.finish_reason
 
 
 class StreamingSink:
@@ -92,6 +106,7 @@
         self._shape = shape
         self._headers = headers
         self._skip_through = skip_through
+        self._finish_reason = "stop"
         self._response: Any = None
         self._heartbeats: asyncio.Task[None] | None = None
 
@@ -101,15 +116,25 @@
 
     async def send(self, chunk: Chunk) -> None:
         """Send one piece; raises `CallerGoneError`."""
+        self._finish_reason = chunk.finish_reason or self._finish_reason
         if chunk.index <= self._skip_through:
             return
         data = json.dumps(self._shape.chunk(chunk.text, None))
         await self._write(f"id: {chunk.index}\ndata: {data}\n\n")
 
-    async def finish(self) -> None:
-        """Send the final marker, which alone makes an answer complete."""
-        data = json.dumps(self._shape.chunk("", "stop"))
-        await self._write(f"data: {data}\n\ndata: [DONE]\n\n")
+    async def finish(self, counted: Answered | None = None) -> None:
+        """Send the final marker, which alone makes an answer complete.
+
+        Parameters
+        ----------
+        counted : Answered, default=None
+            If given, an event with the count of its tokens goes before.
+        """
+        events = [self._shape.chunk("", self._finish_reason)]
+        if counted is not None:
+            events.append(self._shape.usage(counted))
+        data = "".join(f"data: {json.dumps(event)}\n\n" for event in events)
+        await self._write(f"{data}data: [DONE]\n\n")
         await self._close()
 
     async def fail(self, ending: Refused | Failed) -> None:
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -13,12 +13,16 @@
 from absl import logging
 
 from ..callers.access import Access
-from ..callers.app import CallerContext, callers_app
+from ..callers.app import LOOKUP_LIFETIME_S, callers_app
+from ..callers.arrivals import InProgress
+from ..callers.context import CallerContext
+from ..callers.forwarding import Forwarder
 from ..configuration.current import CurrentConfiguration
 from ..configuration.follower import ConfigurationFollower
 from ..configuration.store import ConfigurationStore
 from ..engines.registry import Engines
 from ..membership.detector import Detector, initial_incarnation
+from ..membership.leaving import DeclaredLeaving
 from ..membership.members import Member, MemberState, MemberTable
 from ..metrics.registry import Metrics
 from ..models.events import EventKind
@@ -32,20 +36,28 @@
 from ..peers.server import Handler, peer_server
 from ..platform.host_list import HostListClient
 from ..platform.key_value import KeyValueClient
+from ..platform.leases import RetentionLease
 from ..requests.aborts import AbortQueue
+from ..requests.claim_batches import ClaimBatches
 from ..requests.claims import Claims
 from ..requests.deliveries import Deliveries
+from ..requests.draft_recovery import DraftRecovery
+from ..requests.draft_store import DraftStore
+from ..requests.drafts import Drafts
 from ..requests.execution import Executor
 from ..requests.home import RequestHome
 from ..requests.registration import Registrar
 from ..routing.home import AdmissionHome
 from ..routing.reserving import ReservingPlacement
+from ..routing.runners import RunnerFollower
 from ..services.client import ServiceClient
 from ..timeline.recorder import Recorder
-from ..utils.clock import MS_PER_S, HybridClock
+from ..utils.clock import MS_PER_S, Deadline, HybridClock
 from ..utils.tasks import TaskSet, task_set
 
 DRAIN_POLL_S = 0.05
+# Callers that looked up just before use their answer for its lifetime.
+LINGER_S = LOOKUP_LIFETIME_S + 1.0
 
 
 @dataclass(slots=True)
@@ -62,17 +74,42 @@
     detector: Detector
     executor: Executor
     deliveries: Deliveries
+    drafts: Drafts
+    draft_recovery: DraftRecovery
     request_home: RequestHome
     admission_home: AdmissionHome
+    declared_leaving: DeclaredLeaving
+    forwarder: Forwarder
+    in_progress: InProgress
 
     async def drain(self) -> None:
-        """Take no new work and wait for all requests in progress."""
+        """Pass new work on and wait for all requests in progress.
+
+        The callers' interface stays open meanwhile; when it closes it waits
+        for the answers that are still being written.
+        """
+        self.declared_leaving.stopping = True
         self.members.set_leaving(self.members.own_host)
         self.recorder.record(EventKind.HOST_LEAVING)
+        logging.info("host leaving requests=%d", self.in_progress.count)
+        linger = Deadline(LINGER_S if self._has_peers() else 0.0)
         await self.detector.announce()
-        while self.executor.running_by_key:
+        await self.drafts.hand_back()
+        while self._is_busy() or not linger.passed:
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _is_busy(self) -> bool:
+        return bool(
+            self.in_progress.count
+            or self.executor.running_by_key
+            or self.deliveries.running
+        )
+
+    def _has_peers(self) -> bool:
+        return any(
+            host != self.members.own_host for host in self.members.zone_by_host()
+        )
+
 
 @asynccontextmanager
 async def running_host(settings: Settings) -> AsyncIterator[Host]:
@@ -91,6 +128,8 @@
         tasks.start(host.follower.run(), "configuration")
         tasks.start(host.request_home.run(), "request-home")
         tasks.start(host.admission_home.run(tasks), "admission-home")
+        tasks.start(host.draft_recovery.scan(), "draft-scan")
+        tasks.start(host.draft_recovery.sweep(), "draft-sweep")
         await stack.enter_async_context(
             http_server(_operators(host), settings.operators.address, tls)
         )
@@ -149,8 +188,23 @@
     executor = Executor(
         members, engines, placement, registrar, aborts, recorder, metrics
     )
-    claims = Claims(key_value, settings.platform.key_prefix, settings.host)
-    deliveries = Deliveries(ServiceClient(fresh), claims, recorder, metrics)
+    services = ServiceClient(fresh)
+    runners = RunnerFollower(
+        current, members, engines, services, recorder, metrics, tasks
+    )
+    runners.subscribe(admission.set_leaving_runners)
+    detector.on_ping(runners.heard)
+    detector.on_host_list(runners.listed)
+    detector.carry_runner_news(runners.news)
+    prefix = settings.platform.key_prefix
+    retention = RetentionLease(key_value, f"claims of {settings.host}")
+    batches = ClaimBatches(key_value, retention, tasks, metrics)
+    claims = Claims(key_value, batches, prefix, settings.host, tasks, metrics)
+    deliveries = Deliveries(
+        services, claims, registrar, recorder, metrics, tasks, runners.leaving
+    )
+    draft_store = DraftStore(key_value, prefix, settings.host)
+    drafts = Drafts(draft_store, key_value, executor, current, recorder, metrics, tasks)
     return Host(
         settings,
         metrics,
@@ -162,8 +216,13 @@
         detector,
         executor,
         deliveries,
+        drafts,
+        DraftRecovery(drafts, draft_store, members, metrics),
         request_home,
         admission,
+        DeclaredLeaving(members, current),
+        Forwarder(fresh, members, settings.peers.key, metrics),
+        InProgress(),
     )
 
 
@@ -227,7 +286,10 @@
             host.members,
             host.executor,
             host.deliveries,
+            host.drafts,
             Access(host.current),
+            host.forwarder,
+            host.in_progress,
             host.metrics,
         )
     )
--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -42,6 +42,10 @@
     """The answer to a write was lost; the write may have taken effect."""
 
 
+class LeaseLapsedError(PlatformError):
+    """A write was to be held by a lease that has lapsed; nothing was written."""
+
+
 class StoreConflictError(PlatformError):
     """A compare-and-swap found another version of the record."""
 
--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from absl import logging
@@ -20,7 +20,7 @@
 from ..models.ids import HostName, Incarnation
 from ..peers import peer_pb2
 from ..peers.link import Peers
-from ..platform.host_list import HostListClient
+from ..platform.host_list import HostListClient, ListedHost
 from ..timeline.recorder import Recorder
 from ..utils.clock import monotonic
 from ..utils.tasks import TaskSet
@@ -82,12 +82,24 @@
         self._dead_since: dict[HostName, float] = {}
         self._order: list[HostName] = []
         self._on_ping: list[Callable[[peer_pb2.Ping], None]] = []
+        self._runner_news: Callable[[], Iterable[peer_pb2.RunnerNews]] = tuple
+        self._on_listed: list[Callable[[list[ListedHost]], None]] = []
         table.subscribe(self._changed)
 
     def on_ping(self, listener: Callable[[peer_pb2.Ping], None]) -> None:
         """Call ``listener`` with each ping received, or received in reply."""
         self._on_ping.append(listener)
 
+    def carry_runner_news(
+        self, news: Callable[[], Iterable[peer_pb2.RunnerNews]]
+    ) -> None:
+        """Send what ``news`` returns with each ping."""
+        self._runner_news = news
+
+    def on_host_list(self, listener: Callable[[list[ListedHost]], None]) -> None:
+        """Call ``listener`` with each reading of the host list."""
+        self._on_listed.append(listener)
+
     async def join(self) -> None:
         """Meet the hosts of the host list before taking any work."""
         await self._read_host_list()
@@ -180,6 +192,7 @@
             stamp=peer_pb2.Stamp(wall_ms=stamp.wall_ms, counter=stamp.counter),
             updates=[to_message(member) for member in updates],
             full=len(self.table.by_host) == 1,
+            runners=self._runner_news(),
         )
 
     def _updates(self) -> list[Member]:
@@ -261,6 +274,8 @@
         for item in hosts:
             if item.leaving:
                 self.table.set_leaving(HostName(item.name))
+        for listener in self._on_listed:
+            listener(listed)
 
     async def _meet(self, name: str, address: str) -> None:
         host = HostName(name)
--- /dev/null
+++ b/src/siskinlever/_internal/membership/leaving.py
@@ -0,0 +1,45 @@
+"""Marks hosts that the declaration takes out of service."""
+
+from __future__ import annotations
+
+from ..configuration.current import Configuration, CurrentConfiguration
+from ..models.ids import HostName
+from .members import Member, MemberTable
+
+
+class DeclaredLeaving:
+    """Applies the declaration's ``leaving_hosts`` to the member table.
+
+    A host that leaves for another reason too stays leaving when its name is
+    taken out of the declaration.
+
+    Parameters
+    ----------
+    members : MemberTable
+    current : CurrentConfiguration
+    """
+
+    def __init__(self, members: MemberTable, current: CurrentConfiguration) -> None:
+        self._members = members
+        self._current = current
+        self._own_declared = False
+        self.stopping = False
+        current.subscribe(self._in_force)
+        members.subscribe(self._member_changed)
+
+    def _in_force(self, configuration: Configuration) -> None:
+        names = {host.name for host in configuration.declaration.leaving_hosts}
+        for name in names:
+            self._members.set_leaving(HostName(name))
+        declared = self._members.own_host in names
+        if self._own_declared and not declared and not self.stopping:
+            self._members.set_returned()
+        self._own_declared = declared
+
+    def _member_changed(self, before: Member | None, after: Member) -> None:
+        """Mark a host that is met for the first time after the declaration."""
+        declaration = self._current.declaration
+        if before is not None or declaration is None:
+            return
+        if any(host.name == after.host for host in declaration.leaving_hosts):
+            self._members.set_leaving(after.host)
--- a/src/siskinlever/_internal/membership/members.py
+++ b/src/siskinlever/_internal/membership/members.py
@@ -111,8 +111,21 @@
         """Return the zones of hosts that may hold shared state."""
         return {m.host: m.zone for m in self.alive() if not m.leaving}
 
+    def set_returned(self) -> bool:
+        """Let this host take work again; tell whether that was news."""
+        own = self.own
+        if not own.leaving:
+            return False
+        incarnation = Incarnation(own.incarnation + 1)
+        self._set(own, replace(own, incarnation=incarnation, leaving=False))
+        return True
+
     def _contradict(self, news: Member) -> bool:
         own = self.own
+        if news.leaving and news.incarnation == own.incarnation:
+            # A peer heard it first, from the host list or the declaration.
+            self.set_leaving(self.own_host)
+            own = self.own
         stale = news.incarnation > own.incarnation
         wrong = news.state is not MemberState.ALIVE
         if not stale and not (wrong and news.incarnation == own.incarnation):
--- a/src/siskinlever/_internal/models/outcome.py
+++ b/src/siskinlever/_internal/models/outcome.py
@@ -19,6 +19,7 @@
 
     OVERLOADED = "overloaded"
     TOO_LATE = "too_late"
+    TOO_LARGE = "too_large"
     NO_RUNNER = "no_runner"
     NO_CONFIGURATION = "no_configuration"
     STALE_CONFIGURATION = "stale_configuration"
--- a/src/siskinlever/_internal/network/http_server.py
+++ b/src/siskinlever/_internal/network/http_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -22,6 +23,7 @@
 IDLE_TIMEOUT_S = 30
 MAX_BODY_BYTES = 4 << 20
 MAX_HEAD_BYTES = 16 << 10
+CLOSE_POLL_S = 0.05
 
 
 @asynccontextmanager
@@ -40,6 +42,7 @@
             # Compiles the server's methods anew, which fails for a second app.
             "TOUCHUP": False,
             "GRACEFUL_SHUTDOWN_TIMEOUT": DAY_S,
+            "GRACEFUL_TCP_CLOSE_TIMEOUT": DAY_S,
             "RESPONSE_TIMEOUT": DAY_S,
             "REQUEST_TIMEOUT": RECEIVE_TIMEOUT_S,
             "KEEP_ALIVE_TIMEOUT": IDLE_TIMEOUT_S,
@@ -59,5 +62,14 @@
         yield
     finally:
         server.close()
+        await _finish_connections(server)
         await server.wait_closed()
         Sanic.unregister_app(app)
+
+
+async def _finish_connections(server: Any) -> None:
+    """Wait until the answers in progress are written in full."""
+    while server.connections:
+        for connection in list(server.connections):
+            connection.close_if_idle()
+        await asyncio.sleep(CLOSE_POLL_S)
--- a/src/siskinlever/_internal/platform/key_value.py
+++ b/src/siskinlever/_internal/platform/key_value.py
@@ -9,12 +9,14 @@
 import asyncio
 import base64
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 
 from ..exceptions import (
+    LeaseLapsedError,
     StoreConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -26,6 +28,7 @@
 MAX_VALUE_BYTES = 1_000_000
 MAX_TXN_OPERATIONS = 64
 MUST_NOT_EXIST = 0
+INVALID_SESSION = "invalid session"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,11 +53,57 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """One write of a batch, made only if the record has the version expected."""
+    """One write of a batch, made only if the record has the version expected.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes
+    expected_version : int
+    session : str
+        The lease that holds the record from then on, or "".
+    """
 
     key: str
     value: bytes
     expected_version: int
+    session: str = ""
+
+    @property
+    def operations(self) -> list[dict[str, Any]]:
+        """The write in the service's form; ``cas`` by itself binds to no lease."""
+        value = base64.b64encode(self.value).decode()
+        head = {"Key": self.key, "Value": value}
+        create: dict[str, Any] = {"Verb": "cas", "Index": self.expected_version}
+        operations: list[dict[str, Any]] = [{"KV": head | create}]
+        if self.session:
+            lock = {"Verb": "lock", "Session": self.session}
+            operations.append({"KV": head | lock})
+        return operations
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """A condition of a batch: there is no record with the key."""
+
+    key: str
+
+    @property
+    def operations(self) -> list[dict[str, Any]]:
+        """The condition in the service's form."""
+        return [{"KV": {"Verb": "check-not-exists", "Key": self.key}}]
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """One deletion of a batch, whatever the record's version."""
+
+    key: str
+
+    @property
+    def operations(self) -> list[dict[str, Any]]:
+        """The deletion in the service's form."""
+        return [{"KV": {"Verb": "delete", "Key": self.key}}]
 
 
 class KeyValueClient:
@@ -127,29 +176,35 @@
             )
         )
 
-    async def put_all(self, puts: list[Put]) -> set[str]:
-        """Write several records in one call, all or none.
+    async def put_all(self, puts: Sequence[Put | Delete | Absent]) -> set[str]:
+        """Make several writes in one call, all or none.
+
+        Parameters
+        ----------
+        puts : sequence of Put, Delete or Absent
+            At most `MAX_TXN_OPERATIONS` operations; a put that binds to a
+            lease counts as two.
 
         Returns
         -------
         conflicts : set of str
             Keys with another version than expected; if not empty, nothing
             was written.
+
+        Raises
+        ------
+        LeaseLapsedError
+            A lease named by a put has lapsed; nothing was written.
+        StoreUnavailableError
+        StoreOutcomeUnknownError
         """
-        operations = [
-            {
-                "KV": {
-                    "Verb": "cas",
-                    "Key": put.key,
-                    "Value": base64.b64encode(put.value).decode(),
-                    "Index": put.expected_version,
-                }
-            }
-            for put in puts
-        ]
+        keyed = [(put.key, step) for put in puts for step in put.operations]
+        operations = [step for _, step in keyed]
         answer = await self._write("PUT", "/v1/txn", json=operations, conflict_ok=True)
         errors = answer.get("Errors") or []
-        return {puts[error["OpIndex"]].key for error in errors}
+        if any(INVALID_SESSION in error.get("What", "") for error in errors):
+            raise LeaseLapsedError("the lease has lapsed")
+        return {keyed[error["OpIndex"]][0] for error in errors}
 
     async def delete(self, key: str, expected_version: int) -> None:
         """Delete a record if it has the version expected; raises as `put`."""
@@ -162,7 +217,12 @@
     async def open_lease(self, name: str, ttl_s: float, delete_records: bool) -> str:
         """Open a lease and return its id."""
         behavior = "delete" if delete_records else "release"
-        body = {"Name": name, "TTL": f"{ttl_s:g}s", "Behavior": behavior}
+        body = {
+            "Name": name,
+            "TTL": f"{ttl_s:g}s",
+            "Behavior": behavior,
+            "LockDelay": "0s",
+        }
         answer = await self._write("PUT", "/v1/session/create", json=body)
         return str(answer["ID"])
 
--- /dev/null
+++ b/src/siskinlever/_internal/requests/claim_batches.py
@@ -0,0 +1,154 @@
+"""Creates the records of several claims in one call.
+
+The key-value service takes several hundred writes a second in all, and one
+call with many writes counts as one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..exceptions import (
+    LeaseLapsedError,
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from ..metrics.registry import Metrics
+from ..platform.key_value import (
+    MAX_TXN_OPERATIONS,
+    MUST_NOT_EXIST,
+    KeyValueClient,
+    Put,
+)
+from ..platform.leases import RetentionLease
+from ..utils.tasks import TaskSet
+
+GATHER_S = 0.003
+# Each record takes one operation to create it and one to bind it to its lease.
+MAX_BATCH = MAX_TXN_OPERATIONS // 2
+LEASE_TRIES = 2
+
+
+class Creation(Enum):
+    """What became of a record to be created."""
+
+    CREATED = "created"
+    EXISTS = "exists"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A record to be created and who waits for it."""
+
+    key: str
+    value: bytes
+    created: asyncio.Future[Creation] = field(default_factory=asyncio.Future)
+
+
+class ClaimBatches:
+    """Gathers records for a few milliseconds and creates them together.
+
+    Parameters
+    ----------
+    key_value : KeyValueClient
+    lease : RetentionLease
+    tasks : TaskSet
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        key_value: KeyValueClient,
+        lease: RetentionLease,
+        tasks: TaskSet,
+        metrics: Metrics,
+    ) -> None:
+        self._key_value = key_value
+        self._lease = lease
+        self._tasks = tasks
+        self._metrics = metrics
+        self._waiting_by_key: dict[str, _Waiting] = {}
+        self._gathering = False
+
+    async def create(self, key: str, value: bytes) -> Creation:
+        """Create a record if there is none with its key.
+
+        Raises
+        ------
+        StoreUnavailableError
+            Nothing was written.
+        """
+        while key in self._waiting_by_key:
+            # Another request with the same key is about to be written.
+            await asyncio.wait([self._waiting_by_key[key].created])
+        waiting = _Waiting(key, value)
+        self._waiting_by_key[key] = waiting
+        if not self._gathering:
+            self._gathering = True
+            self._tasks.start(self._gather(), "claim-batch")
+        return await waiting.created
+
+    async def _gather(self) -> None:
+        await asyncio.sleep(GATHER_S)
+        self._gathering = False
+        everything = list(self._waiting_by_key.values())
+        self._waiting_by_key.clear()
+        await asyncio.gather(
+            *(
+                self._write(everything[start : start + MAX_BATCH])
+                for start in range(0, len(everything), MAX_BATCH)
+            )
+        )
+
+    async def _write(self, batch: list[_Waiting]) -> None:
+        """Create a batch; records in conflict are left out of another try."""
+        while batch:
+            try:
+                conflicts = await self._put(batch)
+            except StoreOutcomeUnknownError:
+                # Each requester reads back whether its record was created.
+                _settle(batch, Creation.UNKNOWN)
+                return
+            except PlatformError as error:
+                for waiting in batch:
+                    _fail(waiting, StoreUnavailableError(error.message))
+                return
+            if not conflicts:
+                _settle(batch, Creation.CREATED)
+                return
+            _settle([w for w in batch if w.key in conflicts], Creation.EXISTS)
+            batch = [w for w in batch if w.key not in conflicts]
+
+    async def _put(self, batch: list[_Waiting]) -> set[str]:
+        self._metrics.count("claim_batches")
+        self._metrics.count("claims", len(batch))
+        for _ in range(LEASE_TRIES):
+            lease = await self._open_lease()
+            puts = [Put(w.key, w.value, MUST_NOT_EXIST, lease) for w in batch]
+            try:
+                return await self._key_value.put_all(puts)
+            except LeaseLapsedError:
+                self._lease.lapsed(lease)
+        raise StoreUnavailableError("the key-value service drops new leases")
+
+    async def _open_lease(self) -> str:
+        try:
+            return await self._lease.current()
+        except StoreOutcomeUnknownError as error:
+            # No record was written; a lease left over ends by itself.
+            raise StoreUnavailableError(error.message) from error
+
+
+def _settle(batch: list[_Waiting], creation: Creation) -> None:
+    for waiting in batch:
+        if not waiting.created.done():
+            waiting.created.set_result(creation)
+
+
+def _fail(waiting: _Waiting, error: PlatformError) -> None:
+    if not waiting.created.done():
+        waiting.created.set_exception(error)
--- a/src/siskinlever/_internal/requests/claims.py
+++ b/src/siskinlever/_internal/requests/claims.py
@@ -1,7 +1,9 @@
 """Permissions to run a request that may run at most once.
 
 A claim is a record of the key-value service, created before the dispatch and
-carrying a nonce. It is never taken over: its holder may only be paused.
+carrying a nonce. It is never taken over: its holder may only be paused. It is
+deleted by its holder alone, if that certainly did not dispatch, or by the end
+of its lease.
 """
 
 from __future__ import annotations
@@ -13,20 +15,27 @@
 from expression import Error, Ok, Result
 from pydantic import Field
 
-from ..exceptions import (
-    StoreConflictError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
+from ..exceptions import PlatformError
+from ..metrics.registry import Metrics
 from ..models.declaration import Strict
 from ..models.outcome import Failed, Reason, Refused
-from ..platform.key_value import MUST_NOT_EXIST, KeyValueClient
+from ..platform.key_value import KeyValueClient
+from ..utils.clock import Deadline
 from ..utils.digests import content_digest
+from ..utils.tasks import TaskSet
 from ..utils.validation import parse_json
+from .claim_batches import ClaimBatches, Creation
 
+CLAIM_TIMEOUT_S = 1.5
 STORE_RETRY_S = 5.0
-READ_BACK_TRIES = 3
-READ_BACK_PAUSE_S = 0.2
+CREATE_PAUSE_S = 0.05
+RELEASE_PAUSE_S = 0.5
+LONGEST_RELEASE_PAUSE_S = 16.0
+RELEASE_WITHIN_S = 600.0
+# A write whose answer was lost may still arrive for this long.
+LATE_WRITE_S = 10.0
+
+ClaimResult = Result[str, Refused | Failed]
 
 
 class ClaimRecord(Strict):
@@ -39,16 +48,37 @@
 
 
 class Claims:
-    """Makes and releases claims."""
-
-    def __init__(self, key_value: KeyValueClient, prefix: str, host: str) -> None:
+    """Makes and releases claims.
+
+    Parameters
+    ----------
+    key_value : KeyValueClient
+    batches : ClaimBatches
+    prefix, host : str
+    tasks : TaskSet
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        key_value: KeyValueClient,
+        batches: ClaimBatches,
+        prefix: str,
+        host: str,
+        tasks: TaskSet,
+        metrics: Metrics,
+    ) -> None:
         self._key_value = key_value
+        self._batches = batches
         self._prefix = f"{prefix}/claims"
         self._host = host
+        self._tasks = tasks
+        self._metrics = metrics
+        self._slow_until = Deadline(0.0)
+        # Claims of which one write had no answer: it may have taken effect.
+        self._doubtful_nonces: set[str] = set()
 
-    async def claim(
-        self, request_key: str, body_digest: str
-    ) -> Result[str, Refused | Failed]:
+    async def claim(self, request_key: str, body_digest: str) -> ClaimResult:
         """Create the claim of a request.
 
         Returns
@@ -56,64 +86,102 @@
         nonce : Result
             The nonce under which this host may dispatch, once.
         """
-        key = self._key(request_key)
-        nonce = uuid.uuid4().hex
-        record = ClaimRecord(nonce=nonce, host=self._host, body_digest=body_digest)
+        if not self._slow_until.passed:
+            return _store_refusal("the key-value service is slow")
+        record = ClaimRecord(
+            nonce=uuid.uuid4().hex, host=self._host, body_digest=body_digest
+        )
+        settled = False
         try:
-            await self._key_value.put(
-                key, record.model_dump_json().encode(), MUST_NOT_EXIST
-            )
-        except StoreUnavailableError as error:
-            return Error(
-                Refused(Reason.STORE_UNAVAILABLE, STORE_RETRY_S, error.message)
-            )
-        except (StoreConflictError, StoreOutcomeUnknownError):
-            return await self._read_back(key, nonce)
-        return Ok(nonce)
-
-    async def release(self, request_key: str, nonce: str) -> bool:
-        """Delete this host's claim of a request it certainly did not dispatch."""
-        key = self._key(request_key)
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                result = await self._create(self._key(request_key), record)
+            settled = True
+        except TimeoutError:
+            self._slow_until = Deadline(CLAIM_TIMEOUT_S)
+            result = _store_refusal("the key-value service did not answer in time")
+        except PlatformError as error:
+            settled = record.nonce not in self._doubtful_nonces
+            result = _store_refusal(error.message)
+        finally:
+            self._doubtful_nonces.discard(record.nonce)
+            if not settled:
+                self._release_later(request_key, record.nonce)
+        return result
+
+    async def release(self, request_key: str, nonce: str) -> None:
+        """Delete this host's claim of a request it certainly did not dispatch.
+
+        Tries once, so that a caller told "not run" can come back, and goes on
+        in the background until the deletion is confirmed.
+        """
         try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                if await self._delete_own(self._key(request_key), nonce):
+                    return
+        except (TimeoutError, PlatformError):
+            self._metrics.count("claim_release_retries")
+        self._release_later(request_key, nonce)
+
+    def _release_later(self, request_key: str, nonce: str) -> None:
+        self._tasks.start(self._release(request_key, nonce), "release-claim")
+
+    async def _create(self, key: str, record: ClaimRecord) -> ClaimResult:
+        """Create a record; a lost answer is resolved by the same write again.
+
+        The write is made again only under its own nonce and only if there is
+        no record, so it takes effect at most once.
+        """
+        value = record.model_dump_json().encode()
+        while True:
+            creation = await self._batches.create(key, value)
+            if creation is Creation.CREATED:
+                return Ok(record.nonce)
+            if creation is Creation.UNKNOWN:
+                self._doubtful_nonces.add(record.nonce)
             found = await self._key_value.get(key)
-            if found is None:
-                return True
-            record, _ = parse_json(ClaimRecord, found.value)
-            if record is None or record.nonce != nonce:
-                return False
-            await self._key_value.delete(key, found.version)
-        except (
-            StoreConflictError,
-            StoreOutcomeUnknownError,
-            StoreUnavailableError,
-        ):
-            return False
-        return True
+            if found is not None:
+                return self._found(found.value, record)
+            await asyncio.sleep(CREATE_PAUSE_S)
 
-    async def _read_back(self, key: str, nonce: str) -> Result[str, Refused | Failed]:
+    def _found(self, value: bytes, own: ClaimRecord) -> ClaimResult:
         """Learn whose claim the record holds."""
-        for _ in range(READ_BACK_TRIES):
+        found, _ = parse_json(ClaimRecord, value)
+        if found is not None and found.nonce == own.nonce:
+            return Ok(own.nonce)
+        if found is not None and found.body_digest != own.body_digest:
+            message = "this request id was used for another request"
+            return Error(Failed(Reason.DUPLICATE, message))
+        return Error(Failed(Reason.CLAIM_EXISTS, "this request ran, or may have run"))
+
+    async def _release(self, request_key: str, nonce: str) -> None:
+        key = self._key(request_key)
+        limit = Deadline(RELEASE_WITHIN_S)
+        late = Deadline(LATE_WRITE_S)
+        pause_s = RELEASE_PAUSE_S
+        while not limit.passed:
             try:
-                found = await self._key_value.get(key)
-            except StoreUnavailableError:
-                await asyncio.sleep(READ_BACK_PAUSE_S)
-                continue
-            if found is None:
-                # The lost write may still arrive; this host never dispatches.
-                break
-            record, _ = parse_json(ClaimRecord, found.value)
-            if record is not None and record.nonce == nonce:
-                return Ok(nonce)
-            return Error(
-                Failed(Reason.CLAIM_EXISTS, "this request id ran, or may have run")
-            )
-        return Error(
-            Refused(
-                Reason.STORE_UNAVAILABLE,
-                STORE_RETRY_S,
-                "the key-value service did not confirm the claim",
-            )
-        )
+                if await self._delete_own(key, nonce) or late.passed:
+                    return
+            except PlatformError:
+                self._metrics.count("claim_release_retries")
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_RELEASE_PAUSE_S)
+        self._metrics.count("claims_left")
+
+    async def _delete_own(self, key: str, nonce: str) -> bool:
+        """Delete the record if it is this claim; tell whether that is settled."""
+        found = await self._key_value.get(key)
+        if found is None:
+            return False
+        record, _ = parse_json(ClaimRecord, found.value)
+        if record is None or record.nonce != nonce:
+            return True
+        await self._key_value.delete(key, found.version)
+        return True
 
     def _key(self, request_key: str) -> str:
         return f"{self._prefix}/{content_digest(request_key.encode())}"
+
+
+def _store_refusal(message: str) -> ClaimResult:
+    return Error(Refused(Reason.STORE_UNAVAILABLE, STORE_RETRY_S, message))
--- a/src/siskinlever/_internal/requests/deliveries.py
+++ b/src/siskinlever/_internal/requests/deliveries.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Set
+from contextlib import contextmanager
 from dataclasses import dataclass
+from typing import Any, Protocol
 
 from expression import Error, Ok, Result
 
@@ -12,25 +16,41 @@
 from ..metrics.registry import Metrics
 from ..models.declaration import Service, ServiceRunner
 from ..models.events import EventKind
-from ..models.ids import RequestId, WorkspaceName
+from ..models.ids import Attempt, RequestId, WorkspaceName
 from ..models.outcome import Failed, Reason, Refused
+from ..routing.retry_budget import RetryBudget
 from ..services.client import ServiceAnswer, ServiceCall, ServiceClient
 from ..timeline.recorder import Recorder
+from ..utils.clock import Deadline
 from ..utils.digests import content_digest
+from ..utils.tasks import TaskSet
 from .claims import Claims
+from .registration import Registered
 
 IDEMPOTENT_TRIES = 2
 BUSY_RETRY_S = 0.5
+# A host that was frozen for longer wakes to callers that have given it up.
+DISPATCH_WITHIN_S = 3.0
+
+ServiceResult = Result[ServiceAnswer, Refused | Failed]
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceRequest:
-    """A caller's request for a plain service."""
+    """A caller's request for a plain service.
+
+    Parameters
+    ----------
+    named : bool
+        Whether the caller named the request, and so may repeat it.
+    """
 
     workspace: WorkspaceName
     request_id: RequestId
     service: Service
     call: ServiceCall
+    named: bool = True
+    resume_after: int | None = None
 
     @property
     def key(self) -> str:
@@ -44,31 +64,71 @@
         return content_digest(head + self.call.body)
 
 
+class AttemptRegistrar(Protocol):
+    """What idempotent services need of `Registrar`."""
+
+    async def register(self, request: Any) -> Result[Registered, Refused | Failed]:
+        """Ask the request's home for a new attempt."""
+        ...
+
+    async def complete(self, request: Any, attempt: Attempt) -> bool:
+        """Ask the home whether this attempt may complete the answer."""
+        ...
+
+    def abandon(self, request: Any, attempt: Attempt) -> None:
+        """Tell the home that the attempt ended with no answer."""
+        ...
+
+
 class Deliveries:
-    """Runs calls to plain services."""
+    """Runs calls to plain services.
+
+    Parameters
+    ----------
+    client : ServiceClient
+    claims : Claims
+    registrar : AttemptRegistrar
+    recorder : Recorder
+    metrics : Metrics
+    tasks : TaskSet
+        Owns calls that go on when their caller is gone.
+    leaving_runners : set of str
+        Runners that take no new work; kept up to date by its owner.
+    """
 
     def __init__(
         self,
         client: ServiceClient,
         claims: Claims,
+        registrar: AttemptRegistrar,
         recorder: Recorder,
         metrics: Metrics,
+        tasks: TaskSet,
+        leaving_runners: Set[str],
     ) -> None:
         self._client = client
         self._claims = claims
+        self._registrar = registrar
         self._recorder = recorder
         self._metrics = metrics
+        self._tasks = tasks
+        self._leaving_runners = leaving_runners
         self._running_by_runner: Counter[str] = Counter()
-        self.leaving_runners: set[str] = set()
+        self._budget_by_service: dict[str, RetryBudget] = defaultdict(RetryBudget)
 
-    async def run(
-        self, request: ServiceRequest
-    ) -> Result[ServiceAnswer, Refused | Failed]:
+    @property
+    def running(self) -> int:
+        """Calls in progress, also those whose caller is gone."""
+        return self._running_by_runner.total()
+
+    async def run(self, request: ServiceRequest) -> ServiceResult:
         """Serve a request to its end."""
-        if request.service.idempotent:
-            result = await self._run_idempotent(request)
-        else:
+        if not request.service.idempotent:
             result = await self._run_once(request)
+        elif request.named:
+            result = await self._run_registered(request)
+        else:
+            result = await self._run_idempotent(request)
         outcome = "answered" if result.is_ok() else result.error.outcome.value
         self._metrics.count("requests", service=request.service.name, outcome=outcome)
         self._recorder.record(
@@ -76,14 +136,33 @@
         )
         return result
 
-    async def _run_idempotent(
-        self, request: ServiceRequest
-    ) -> Result[ServiceAnswer, Refused | Failed]:
+    async def _run_registered(self, request: ServiceRequest) -> ServiceResult:
+        """Run an idempotent request that is answered at most once."""
+        registration = await self._registrar.register(request)
+        if registration.is_error():
+            return Error(registration.error)
+        attempt = registration.ok.attempt
+        completed = False
+        try:
+            result = await self._run_idempotent(request)
+            if result.is_ok():
+                completed = await self._registrar.complete(request, attempt)
+        finally:
+            if not completed:
+                self._registrar.abandon(request, attempt)
+        if result.is_ok() and not completed:
+            message = "another attempt replaced this one"
+            return Error(Failed(Reason.TAKEN_OVER, message))
+        return result
+
+    async def _run_idempotent(self, request: ServiceRequest) -> ServiceResult:
+        budget = self._budget_by_service[request.service.name]
+        budget.earn()
         tried: set[str] = set()
         started = False
-        for _ in range(IDEMPOTENT_TRIES):
+        for number in range(IDEMPOTENT_TRIES):
             runner = self._choose(request.service, tried)
-            if runner is None:
+            if runner is None or (number > 0 and not budget.spend()):
                 break
             tried.add(runner.name)
             try:
@@ -92,44 +171,60 @@
                 started |= error.started
         if started:
             return Error(Failed(Reason.SERVICE_FAILED, "the service failed"))
-        return Error(Refused(Reason.NO_RUNNER, BUSY_RETRY_S, "no runner was reached"))
-
-    async def _run_once(
-        self, request: ServiceRequest
-    ) -> Result[ServiceAnswer, Refused | Failed]:
-        runner = self._choose(request.service, set())
-        if runner is None:
-            return Error(
-                Refused(Reason.NO_RUNNER, BUSY_RETRY_S, "no runner takes new work")
-            )
+        return _no_runner("no runner was reached")
+
+    async def _run_once(self, request: ServiceRequest) -> ServiceResult:
+        """Run a request that may not be repeated."""
+        dispatch_before = Deadline(DISPATCH_WITHIN_S)
+        if self._choose(request.service, set()) is None:
+            return _no_runner("no runner takes new work")
         claim = await self._claims.claim(request.key, request.body_digest)
         if claim.is_error():
             return Error(claim.error)
         self._recorder.record(EventKind.CLAIMED, request.request_id)
-        try:
-            return Ok(await self._call(request, runner))
-        except ServiceCallError as error:
-            if error.started:
-                return Error(Failed(Reason.SERVICE_FAILED, error.message))
-            return await self._not_dispatched(request, claim.ok, error)
-
-    async def _not_dispatched(
-        self, request: ServiceRequest, nonce: str, error: ServiceCallError
-    ) -> Result[ServiceAnswer, Refused | Failed]:
-        """Release the claim; a claim that stays would make a retry fail."""
-        released = await self._claims.release(request.key, nonce)
-        if not released:
-            self._metrics.count("claims_left")
-        return Error(Refused(Reason.NO_RUNNER, BUSY_RETRY_S, error.message))
+        # The call goes on when the caller leaves: it can't be taken back.
+        call = self._tasks.start(
+            self._dispatch(request, claim.ok, dispatch_before), "delivery"
+        )
+        result: ServiceResult = await asyncio.shield(call)
+        return result
+
+    async def _dispatch(
+        self, request: ServiceRequest, nonce: str, dispatch_before: Deadline
+    ) -> ServiceResult:
+        """Try runners until one was reached; only an unreached one is passed by."""
+        tried: set[str] = set()
+        message = "no runner takes new work"
+        while not dispatch_before.passed:
+            runner = self._choose(request.service, tried)
+            if runner is None:
+                break
+            tried.add(runner.name)
+            try:
+                return Ok(await self._call(request, runner))
+            except ServiceCallError as error:
+                if error.started:
+                    return Error(Failed(Reason.SERVICE_FAILED, error.message))
+                message = error.message
+        if dispatch_before.passed:
+            self._metrics.count("dispatches_too_late")
+            message = "the host was held up for too long before the dispatch"
+        await self._claims.release(request.key, nonce)
+        return _no_runner(message)
 
     async def _call(
         self, request: ServiceRequest, runner: ServiceRunner
     ) -> ServiceAnswer:
-        self._running_by_runner[runner.name] += 1
-        try:
+        with self._counted(runner):
             return await self._client.call(
                 runner.address, request.call, request.service.timeout_s
             )
+
+    @contextmanager
+    def _counted(self, runner: ServiceRunner) -> Iterator[None]:
+        self._running_by_runner[runner.name] += 1
+        try:
+            yield
         finally:
             self._running_by_runner[runner.name] -= 1
 
@@ -139,9 +234,13 @@
             r
             for r in service.runners
             if not r.leaving
-            and r.name not in self.leaving_runners
+            and r.name not in self._leaving_runners
             and r.name not in tried
             and self._running_by_runner[r.name] < r.concurrency
         ]
         chosen = random.sample(runners, min(2, len(runners)))
         return min(chosen, key=lambda r: self._running_by_runner[r.name], default=None)
+
+
+def _no_runner(message: str) -> ServiceResult:
+    return Error(Refused(Reason.NO_RUNNER, BUSY_RETRY_S, message))
--- /dev/null
+++ b/src/siskinlever/_internal/requests/draft_recovery.py
@@ -0,0 +1,85 @@
+"""Finds drafts without a worker, and results that were kept long enough.
+
+Each shard of the drafts is looked after by one host, the first in the
+rendezvous order of the shard: the calls of all hosts together do not grow
+with their number. A wrong belief about who is alive costs a call, no more:
+a draft is taken by its lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from ..exceptions import PlatformError
+from ..membership.members import MemberTable
+from ..metrics.registry import Metrics
+from ..utils.clock import MS_PER_S
+from ..utils.rendezvous import is_among_best
+from .draft_store import DraftStore
+from .drafts import Drafts
+
+SCAN_PERIOD_S = 5.0
+SWEEP_PERIOD_S = 3600.0
+# Shards are named by the first digits of their drafts' digests.
+WORK_SHARDS = [f"{number:x}" for number in range(16)]
+RESULT_SHARDS = [f"{number:02x}" for number in range(256)]
+
+
+class DraftRecovery:
+    """Looks after this host's shards.
+
+    Parameters
+    ----------
+    drafts : Drafts
+    store : DraftStore
+    members : MemberTable
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        drafts: Drafts,
+        store: DraftStore,
+        members: MemberTable,
+        metrics: Metrics,
+    ) -> None:
+        self._drafts = drafts
+        self._store = store
+        self._members = members
+        self._metrics = metrics
+
+    async def scan(self) -> None:
+        """Resume drafts without a worker until cancelled."""
+        while True:
+            await asyncio.sleep(SCAN_PERIOD_S)
+            for shard in self._own(WORK_SHARDS):
+                try:
+                    await self._resume(shard)
+                except PlatformError:
+                    self._metrics.count("draft_scan_failures")
+
+    async def sweep(self) -> None:
+        """Delete old results until cancelled, one shard at a time."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            for shard in self._own(RESULT_SHARDS):
+                try:
+                    now_ms = int(time.time() * MS_PER_S)
+                    deleted = await self._store.delete_expired(shard, now_ms)
+                    self._metrics.count("draft_results_deleted", deleted)
+                except PlatformError:
+                    self._metrics.count("draft_sweep_failures")
+
+    async def _resume(self, shard: str) -> None:
+        if not self._drafts.has_room:
+            return
+        for digest in await self._store.without_worker(shard):
+            if not self._drafts.has_room:
+                return
+            await self._drafts.resume(digest)
+
+    def _own(self, shards: list[str]) -> list[str]:
+        hosts = list(self._members.zone_by_host())
+        own = self._members.own_host
+        return [s for s in shards if is_among_best(f"drafts/{s}", own, hosts, 1)]
--- /dev/null
+++ b/src/siskinlever/_internal/requests/draft_store.py
@@ -0,0 +1,216 @@
+"""Keeps deferred drafts and their results in the key-value service.
+
+A draft has two records: its body, and a small one that a worker holds by a
+lease and that is listed to find drafts without a worker. Its result replaces
+both in one call and is created only if there is none, so a second execution
+cannot become a second answer.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated, Any, TypeVar
+
+from pydantic import Field
+
+from ..exceptions import StoreUnavailableError
+from ..models.declaration import Strict
+from ..models.ids import WorkspaceName
+from ..models.outcome import Outcome, Reason
+from ..platform.key_value import (
+    MAX_TXN_OPERATIONS,
+    MUST_NOT_EXIST,
+    Absent,
+    Delete,
+    KeyValueClient,
+    Put,
+    Record,
+)
+from ..utils.digests import content_digest
+from ..utils.validation import parse_json
+
+M = TypeVar("M", bound=Strict)
+
+
+class DraftBody(Strict):
+    """What a draft asks for."""
+
+    workspace: str
+    request_id: str
+    model: str
+    prompt: str
+    max_tokens: int
+    sampling: dict[str, Any]
+    chat: bool
+    body_digest: str
+    due_at_ms: int
+    nonce: str
+    version: Annotated[int, Field(ge=1)] = 1
+
+    @property
+    def digest(self) -> str:
+        """Name of the draft's records."""
+        return draft_digest(WorkspaceName(self.workspace), self.request_id)
+
+
+class DraftHolder(Strict):
+    """Who works, or last worked, on a draft."""
+
+    host: str
+    version: Annotated[int, Field(ge=1)] = 1
+
+
+class DraftResult(Strict):
+    """The one result of a draft; ``reason`` tells why there is no answer."""
+
+    request_id: str
+    model: str
+    chat: bool
+    body_digest: str
+    expires_at_ms: int
+    outcome: Annotated[Outcome, Field(strict=False)]
+    text: str = ""
+    finish_reason: str = "stop"
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    reason: Annotated[Reason | None, Field(strict=False)] = None
+    message: str = ""
+    version: Annotated[int, Field(ge=1)] = 1
+
+
+class Stored(Enum):
+    """What came of storing a draft."""
+
+    STORED = "stored"
+    SAME = "same"
+    OTHER_BODY = "other_body"
+    UNKNOWN = "unknown"
+
+
+def draft_digest(workspace: WorkspaceName, request_id: str) -> str:
+    """Return the name of a draft's records, which tells nothing of the draft."""
+    return content_digest(f"{workspace}/{request_id}".encode())
+
+
+class DraftStore:
+    """Reads and writes the records of drafts.
+
+    Parameters
+    ----------
+    key_value : KeyValueClient
+    prefix, host : str
+    """
+
+    def __init__(self, key_value: KeyValueClient, prefix: str, host: str) -> None:
+        self._key_value = key_value
+        self._prefix = f"{prefix}/drafts"
+        self._holder = DraftHolder(host=host).model_dump_json().encode()
+
+    async def store(self, body: DraftBody, lease: str) -> Stored:
+        """Create a draft, held by a lease, or by none if that is "".
+
+        Raises
+        ------
+        LeaseLapsedError
+        StoreUnavailableError
+            Nothing was written.
+        StoreOutcomeUnknownError
+        """
+        digest = body.digest
+        conflicts = await self._key_value.put_all(
+            [
+                Absent(self._result_key(digest)),
+                Put(
+                    self._body_key(digest),
+                    body.model_dump_json().encode(),
+                    MUST_NOT_EXIST,
+                ),
+                Put(self._held_key(digest), self._holder, MUST_NOT_EXIST, lease),
+            ]
+        )
+        return Stored.STORED if not conflicts else await self.find(body)
+
+    async def find(self, body: DraftBody) -> Stored:
+        """Compare a draft with the one stored under its name."""
+        found = await self.read_body(body.digest)
+        if found is not None and found.nonce == body.nonce:
+            return Stored.STORED
+        known = found or await self.read_result(body.digest)
+        if known is None:
+            return Stored.UNKNOWN
+        same = known.body_digest == body.body_digest
+        return Stored.SAME if same else Stored.OTHER_BODY
+
+    async def finish(self, digest: str, result: DraftResult) -> bool:
+        """Put the result in place of the draft; False if there is one already."""
+        value = result.model_dump_json().encode()
+        conflicts = await self._key_value.put_all(
+            [
+                Put(self._result_key(digest), value, MUST_NOT_EXIST),
+                Delete(self._held_key(digest)),
+                Delete(self._body_key(digest)),
+            ]
+        )
+        return not conflicts
+
+    async def read_body(self, digest: str) -> DraftBody | None:
+        """Read what a draft asks for; raises `StoreUnavailableError`."""
+        record = await self._key_value.get(self._body_key(digest))
+        return _parsed(DraftBody, record)
+
+    async def read_result(self, digest: str) -> DraftResult | None:
+        """Read a draft's result; raises `StoreUnavailableError`."""
+        record = await self._key_value.get(self._result_key(digest))
+        return _parsed(DraftResult, record)
+
+    async def is_held(self, digest: str) -> bool | None:
+        """Tell whether a worker holds a draft; None if there is no such draft."""
+        record = await self._key_value.get(self._held_key(digest))
+        return bool(record.session) if record else None
+
+    async def without_worker(self, shard: str) -> list[str]:
+        """List the drafts of a shard that no worker holds."""
+        prefix = f"{self._prefix}/held/"
+        records = await self._key_value.list_prefix(prefix + shard)
+        return [r.key.removeprefix(prefix) for r in records if not r.session]
+
+    async def take(self, digest: str, lease: str) -> bool:
+        """Hold a draft; False if another worker does."""
+        return await self._key_value.put_if_held(
+            self._held_key(digest), self._holder, lease
+        )
+
+    async def drop(self, digest: str) -> None:
+        """Delete the record that says a draft without a body is to be worked on."""
+        await self._key_value.put_all([Delete(self._held_key(digest))])
+
+    async def delete_expired(self, shard: str, now_ms: int) -> int:
+        """Delete the results of a shard that were kept long enough."""
+        records = await self._key_value.list_prefix(f"{self._prefix}/results/{shard}")
+        expired = [
+            Delete(record.key)
+            for record in records
+            if (result := _parsed(DraftResult, record)) is not None
+            and result.expires_at_ms <= now_ms
+        ]
+        for start in range(0, len(expired), MAX_TXN_OPERATIONS):
+            await self._key_value.put_all(expired[start : start + MAX_TXN_OPERATIONS])
+        return len(expired)
+
+    def _body_key(self, digest: str) -> str:
+        return f"{self._prefix}/bodies/{digest}"
+
+    def _held_key(self, digest: str) -> str:
+        return f"{self._prefix}/held/{digest}"
+
+    def _result_key(self, digest: str) -> str:
+        return f"{self._prefix}/results/{digest}"
+
+
+def _parsed(model: type[M], record: Record | None) -> M | None:
+    if record is None:
+        return None
+    value, faults = parse_json(model, record.value)
+    if value is None:
+        raise StoreUnavailableError(f"{record.key} is damaged: {faults}")
+    return value
--- /dev/null
+++ b/src/siskinlever/_internal/requests/drafts.py
@@ -0,0 +1,334 @@
+"""Deferred drafts: requests that are worked on with nobody waiting.
+
+A draft is acknowledged only after the key-value service holds it. The host
+that took it in works on it and holds it by a lease; if the lease lapses,
+another host finds the draft and goes on (see `draft_recovery`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from contextlib import suppress
+
+from absl import logging
+from expression import Error, Ok, Result
+
+from ..configuration.current import CurrentConfiguration
+from ..engines.base import Chunk
+from ..exceptions import (
+    LeaseLapsedError,
+    PlatformError,
+    StoreOutcomeUnknownError,
+)
+from ..metrics.registry import Metrics
+from ..models.events import EventKind
+from ..models.ids import RequestId, WorkspaceName
+from ..models.outcome import Answered, Ending, Failed, Outcome, Reason, Refused
+from ..models.work import ModelRequest
+from ..platform.key_value import MAX_VALUE_BYTES, KeyValueClient
+from ..platform.leases import RenewedLease
+from ..timeline.recorder import Recorder
+from ..utils.clock import MS_PER_S, Deadline
+from ..utils.tasks import TaskSet
+from .draft_store import DraftBody, DraftResult, DraftStore, Stored, draft_digest
+from .execution import Executor
+
+MAX_RUNNING = 32
+STORE_TIMEOUT_S = 4.0
+STORE_RETRY_S = 5.0
+STORE_PAUSE_S = 0.2
+RESOLVE_TRIES = 3
+FINISH_PAUSE_S = 1.0
+SHORTEST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 60.0
+HAND_BACK_TIMEOUT_S = 10.0
+RESULT_KEPT_S = 72 * 3600.0
+# A value holds the body as JSON, which escapes some characters.
+MAX_BODY_BYTES = MAX_VALUE_BYTES - 10_000
+
+
+class DraftSink:
+    """Takes the answer of a draft; the executor keeps the text."""
+
+    def __init__(self) -> None:
+        self.finish_reason = "stop"
+
+    async def send(self, chunk: Chunk) -> None:
+        """Note why the engine ended the answer."""
+        self.finish_reason = chunk.finish_reason or self.finish_reason
+
+
+class Drafts:
+    """Takes in drafts, works on them and serves their results.
+
+    Parameters
+    ----------
+    store : DraftStore
+    key_value : KeyValueClient
+    executor : Executor
+    current : CurrentConfiguration
+    recorder : Recorder
+    metrics : Metrics
+    tasks : TaskSet
+    """
+
+    def __init__(
+        self,
+        store: DraftStore,
+        key_value: KeyValueClient,
+        executor: Executor,
+        current: CurrentConfiguration,
+        recorder: Recorder,
+        metrics: Metrics,
+        tasks: TaskSet,
+    ) -> None:
+        self._store = store
+        self._executor = executor
+        self._current = current
+        self._recorder = recorder
+        self._metrics = metrics
+        self._tasks = tasks
+        self._running_by_digest: dict[str, asyncio.Task[None]] = {}
+        self._finishing: set[str] = set()
+        self._stopping = False
+        self.lease = RenewedLease(
+            key_value,
+            f"drafts of {recorder.host}",
+            lambda: bool(self._running_by_digest or self._finishing),
+            self._lapsed,
+            tasks,
+        )
+
+    @property
+    def has_room(self) -> bool:
+        """Whether this host may work on one more draft."""
+        return not self._stopping and len(self._running_by_digest) < MAX_RUNNING
+
+    async def accept(self, body: DraftBody) -> Result[None, Refused | Failed]:
+        """Store a draft; once this is `Ok` the draft survives all hosts.
+
+        Goes on if the caller leaves, so that a stored draft has its worker.
+        """
+        accepting = self._tasks.start(self._accept(body), "accept-draft")
+        result: Result[None, Refused | Failed] = await asyncio.shield(accepting)
+        return result
+
+    async def _accept(self, body: DraftBody) -> Result[None, Refused | Failed]:
+        if len(body.model_dump_json().encode()) > MAX_BODY_BYTES:
+            message = "the draft is larger than the key-value service holds"
+            return Error(Refused(Reason.TOO_LARGE, STORE_RETRY_S, message))
+        stored = Stored.UNKNOWN
+        doubtful = False
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                while stored is Stored.UNKNOWN:
+                    try:
+                        stored = await self._store_once(body)
+                    except StoreOutcomeUnknownError:
+                        doubtful = True
+                        await asyncio.sleep(STORE_PAUSE_S)
+        except TimeoutError:
+            doubtful = True
+        except PlatformError as error:
+            if not doubtful:
+                refused = Refused(
+                    Reason.STORE_UNAVAILABLE, STORE_RETRY_S, error.message
+                )
+                return Error(refused)
+        if stored is Stored.UNKNOWN:
+            self._tasks.start(self._resolve(body), "resolve-draft")
+        return self._accepted(body, stored)
+
+    async def fetch(
+        self, workspace: WorkspaceName, request_id: str
+    ) -> DraftResult | bool | None:
+        """Return a draft's result, whether it is worked on, or None if unknown."""
+        digest = draft_digest(workspace, request_id)
+        if digest in self._running_by_digest:
+            return True
+        result = await self._store.read_result(digest)
+        if result is not None:
+            return result
+        held = await self._store.is_held(digest)
+        # It may have ended between the two calls.
+        return held if held is not None else await self._store.read_result(digest)
+
+    async def resume(self, digest: str) -> None:
+        """Take over a draft that no worker holds; raises `PlatformError`."""
+        if digest in self._running_by_digest or digest in self._finishing:
+            return
+        if not await self._store.take(digest, await self.lease.current()):
+            return
+        body = await self._store.read_body(digest)
+        if body is None:
+            await self._store.drop(digest)
+            return
+        self._metrics.count("drafts_resumed")
+        self._start(body)
+
+    async def hand_back(self) -> None:
+        """Stop all work on drafts and free them for other hosts."""
+        self._stopping = True
+        running = list(self._running_by_digest.values())
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(HAND_BACK_TIMEOUT_S):
+                while self._finishing:
+                    await asyncio.sleep(STORE_PAUSE_S)
+        with suppress(PlatformError):
+            await self.lease.close()
+
+    async def _store_once(self, body: DraftBody) -> Stored:
+        lease = await self.lease.current() if self.has_room else ""
+        try:
+            return await self._store.store(body, lease)
+        except LeaseLapsedError:
+            await self.lease.close()
+            return Stored.UNKNOWN
+
+    def _accepted(
+        self, body: DraftBody, stored: Stored
+    ) -> Result[None, Refused | Failed]:
+        if stored is Stored.OTHER_BODY:
+            message = "this request id was used for another draft"
+            return Error(Failed(Reason.DUPLICATE, message))
+        if stored is Stored.UNKNOWN:
+            message = "the key-value service did not confirm the draft"
+            return Error(Failed(Reason.STORE_UNAVAILABLE, message, STORE_RETRY_S))
+        if stored is Stored.STORED:
+            self._metrics.count("drafts_stored")
+            self._recorder.record(EventKind.DRAFT_STORED, body.request_id)
+            self._start(body)
+        return Ok(None)
+
+    async def _resolve(self, body: DraftBody) -> None:
+        """Work on a draft whose caller was not told whether it is stored."""
+        for _ in range(RESOLVE_TRIES):
+            await asyncio.sleep(STORE_RETRY_S)
+            with suppress(PlatformError):
+                if await self._store.find(body) is Stored.STORED:
+                    self._start(body)
+                    return
+
+    def _start(self, body: DraftBody) -> None:
+        digest = body.digest
+        if not self.has_room or digest in self._running_by_digest:
+            return
+        task = self._tasks.start(self._run(body), f"draft-{digest[:8]}")
+        self._running_by_digest[digest] = task
+        task.add_done_callback(lambda ended: self._ended(digest, ended))
+
+    def _ended(self, digest: str, task: asyncio.Task[None]) -> None:
+        if self._running_by_digest.get(digest) is task:
+            del self._running_by_digest[digest]
+
+    def _lapsed(self) -> None:
+        """Stop work on drafts that others may hold now."""
+        self._metrics.count("draft_leases_lapsed")
+        for task in self._running_by_digest.values():
+            task.cancel()
+
+    async def _run(self, body: DraftBody) -> None:
+        """Try a draft until it is answered or its deadline has passed."""
+        pause_s = SHORTEST_PAUSE_S
+        while True:
+            due = Deadline(body.due_at_ms / MS_PER_S - time.time())
+            if due.passed:
+                self._finish(body, _overdue(body))
+                return
+            sink = DraftSink()
+            ending = await self._try(body, due, sink)
+            if isinstance(ending, Answered):
+                self._finish(body, _answer(body, ending, sink.finish_reason))
+                return
+            self._metrics.count("draft_retries", reason=ending.reason.value)
+            await asyncio.sleep(
+                max(pause_s, min(ending.retry_after_s, LONGEST_PAUSE_S))
+            )
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    async def _try(self, body: DraftBody, due: Deadline, sink: DraftSink) -> Ending:
+        declaration = self._current.declaration
+        model = declaration.model_by_name.get(body.model) if declaration else None
+        if model is None:
+            return Refused(Reason.NO_RUNNER, LONGEST_PAUSE_S, "model not declared")
+        request = ModelRequest(
+            workspace=WorkspaceName(body.workspace),
+            # A name of its own: an earlier worker may have run the draft to
+            # the end without storing the result.
+            request_id=RequestId(f"{body.request_id}~{uuid.uuid4().hex[:12]}"),
+            model=model,
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            sampling=body.sampling,
+            body_digest=body.body_digest,
+            first_token_due=due,
+        )
+        try:
+            return await self._executor.run(request, sink)
+        except Exception as error:  # The draft must not be left without a worker.
+            logging.exception("draft failed request=%s", body.request_id)
+            return Failed(Reason.INTERNAL, repr(error), SHORTEST_PAUSE_S)
+
+    def _finish(self, body: DraftBody, result: DraftResult) -> None:
+        self._finishing.add(body.digest)
+        self._tasks.start(self._put_result(body, result), "draft-result")
+
+    async def _put_result(self, body: DraftBody, result: DraftResult) -> None:
+        """Put the result, again until it is known that there is one."""
+        doubtful = False
+        try:
+            while True:
+                try:
+                    first = await self._store.finish(body.digest, result)
+                    break
+                except PlatformError:
+                    doubtful = True
+                    self._metrics.count("draft_result_retries")
+                    await asyncio.sleep(FINISH_PAUSE_S)
+        finally:
+            self._finishing.discard(body.digest)
+        if not first and not doubtful:
+            self._metrics.count("draft_results_dropped")
+            return
+        self._recorder.record(
+            EventKind.DRAFT_RESULT, body.request_id, outcome=result.outcome.value
+        )
+
+
+def _answer(body: DraftBody, answered: Answered, finish_reason: str) -> DraftResult:
+    if len(answered.text.encode()) > MAX_BODY_BYTES:
+        message = "the answer is larger than the key-value service holds"
+        return _result(body, Outcome.MAY_HAVE_RUN).model_copy(
+            update={"reason": Reason.TOO_LARGE, "message": message}
+        )
+    return _result(body, Outcome.ANSWERED).model_copy(
+        update={
+            "text": answered.text,
+            "finish_reason": finish_reason,
+            "prompt_tokens": answered.prompt_tokens,
+            "completion_tokens": answered.completion_tokens,
+        }
+    )
+
+
+def _overdue(body: DraftBody) -> DraftResult:
+    message = "the draft was not answered by its deadline"
+    return _result(body, Outcome.MAY_HAVE_RUN).model_copy(
+        update={"reason": Reason.TOO_LATE, "message": message}
+    )
+
+
+def _result(body: DraftBody, outcome: Outcome) -> DraftResult:
+    return DraftResult(
+        request_id=body.request_id,
+        model=body.model,
+        chat=body.chat,
+        body_digest=body.body_digest,
+        expires_at_ms=int((time.time() + RESULT_KEPT_S) * MS_PER_S),
+        outcome=outcome,
+    )
--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -52,10 +52,17 @@
         self._recorder = recorder
         self._metrics = metrics
         self._book_by_pool: dict[PoolName, PoolBook] = {}
+        self._leaving_runners: frozenset[str] = frozenset()
         self._changed = asyncio.Condition()
         current.subscribe(self._configure)
         members.subscribe(self._member_changed)
 
+    def set_leaving_runners(self, names: frozenset[str]) -> None:
+        """Give no new work to some runners."""
+        self._leaving_runners = names
+        for book in self._book_by_pool.values():
+            book.leaving = set(names)
+
     async def run(self, tasks: TaskSet) -> None:
         """Decide again at short intervals until cancelled."""
         while True:
@@ -133,6 +140,7 @@
                 book = PoolBook(pool)
             else:
                 book.configure(pool)
+            book.leaving = set(self._leaving_runners)
             self._book_by_pool[name] = book
 
     def _member_changed(self, before: Member | None, after: Member) -> None:
--- a/src/siskinlever/_internal/services/client.py
+++ b/src/siskinlever/_internal/services/client.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import aiohttp
+from multidict import CIMultiDict
 
 from ..exceptions import ServiceCallError
 
 MAX_ANSWER_BYTES = 8 << 20
+PROBE_TIMEOUT_S = 1.0
 HOP_HEADERS = frozenset(
     {
         "authorization",
@@ -23,15 +26,19 @@
         "upgrade",
     }
 )
+# The router names the request itself, and its client unpacks answers.
+OWN_HEADERS = frozenset(
+    {"accept-encoding", "content-encoding", "expect", "idempotency-key", "x-request-id"}
+)
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
-    """One call to a plain service."""
+    """One call to a plain service; ``path`` may have a query."""
 
     method: str
     path: str
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
     request_id: str
 
@@ -41,7 +48,7 @@
     """A service's whole answer."""
 
     status: int
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
 
 
@@ -61,11 +68,7 @@
         self, address: str, call: ServiceCall, timeout_s: float
     ) -> ServiceAnswer:
         """Make a call; raises `ServiceCallError`."""
-        headers = {
-            name: value
-            for name, value in call.headers.items()
-            if name.lower() not in HOP_HEADERS
-        }
+        headers = _passed(call.headers)
         headers["X-Request-Id"] = call.request_id
         headers["Idempotency-Key"] = call.request_id
         try:
@@ -77,18 +80,48 @@
                     data=call.body,
                     allow_redirects=False,
                 ) as response:
-                    body = await response.content.read(MAX_ANSWER_BYTES + 1)
-        except aiohttp.ClientConnectorError as error:
+                    body = await _read(response)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             raise ServiceCallError(
                 f"service not reached: {error!r}", started=False
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise ServiceCallError(f"service call broke: {error!r}") from error
-        if len(body) > MAX_ANSWER_BYTES:
+        return ServiceAnswer(response.status, _passed(response.headers), body)
+
+    async def leaving(self, address: str) -> bool:
+        """Ask a runner's health route whether it leaves.
+
+        A runner says so by ``{"leaving": true}``; any other answer does not.
+        Raises `ServiceCallError` if it cannot be asked.
+        """
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                async with self._session.get(f"http://{address}/health") as response:
+                    body = await response.json(content_type=None)
+        except ValueError:
+            return False
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise ServiceCallError(f"health not read: {error!r}") from error
+        return isinstance(body, dict) and body.get("leaving") is True
+
+
+def _passed(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers that are passed on, repeated ones included."""
+    dropped = HOP_HEADERS | OWN_HEADERS
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in dropped
+    )
+
+
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    """Read a whole body, but not one that is too large to keep."""
+    pieces = bytearray()
+    async for piece in response.content.iter_any():
+        pieces += piece
+        if len(pieces) > MAX_ANSWER_BYTES:
             raise ServiceCallError("the service's answer is too large")
-        answered = {
-            name: value
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
-        }
-        return ServiceAnswer(response.status, answered, body)
+    return bytes(pieces)
--- a/src/siskinlever/_internal/utils/rendezvous.py
+++ b/src/siskinlever/_internal/utils/rendezvous.py
@@ -17,6 +17,21 @@
     return sorted(candidates, key=lambda c: (score(key, c), c), reverse=True)
 
 
+def is_among_best(key: str, own: str, candidates: Iterable[str], count: int) -> bool:
+    """Tell whether a candidate is among the ``count`` best of a key.
+
+    Ends at the ``count``-th better one: a handful of scores, however many
+    candidates there are.
+    """
+    mine = (score(key, own), own)
+    better = 0
+    for candidate in candidates:
+        better += candidate != own and (score(key, candidate), candidate) > mine
+        if better == count:
+            return False
+    return True
+
+
 def primary_and_backup(
     key: str, zone_by_name: Mapping[str, str]
 ) -> tuple[str | None, str | None]:
--- a/src/siskinlever_testbed/standins/key_value.py
+++ b/src/siskinlever_testbed/standins/key_value.py
@@ -20,6 +20,7 @@
 from .record import Record
 
 EXPIRE_PERIOD_S = 0.05
+MAX_TXN_OPERATIONS = 64
 
 
 @dataclass(slots=True)
@@ -122,18 +123,37 @@
 
     async def _txn(self, request: web.Request) -> web.Response:
         operations = [operation["KV"] for operation in await request.json()]
+        if len(operations) > MAX_TXN_OPERATIONS:
+            return web.Response(status=413, text="too many operations")
         errors = [
-            {"OpIndex": position, "What": "index is stale"}
+            {"OpIndex": position, "What": fault}
             for position, kv in enumerate(operations)
-            if kv["Verb"] == "cas" and self._modified(kv["Key"]) != kv["Index"]
+            if (fault := self._fault(kv))
         ]
+        self._record.add("txn", operations=len(operations), errors=len(errors))
         if errors:
             return web.json_response({"Results": None, "Errors": errors}, status=409)
         for kv in operations:
+            if kv["Verb"] == "delete":
+                await self._drop(kv["Key"])
+            if kv["Verb"] not in ("cas", "lock"):
+                continue
             value = base64.b64decode(kv["Value"])
             await self._set(kv["Key"], value, kv.get("Session", ""))
         return web.json_response({"Results": [], "Errors": None})
 
+    def _fault(self, kv: dict[str, Any]) -> str:
+        """Tell why an operation cannot be made, or ""."""
+        if kv["Verb"] == "cas" and self._modified(kv["Key"]) != kv["Index"]:
+            return "index is stale"
+        if kv["Verb"] == "check-not-exists" and kv["Key"] in self._item_by_key:
+            return "key exists"
+        if kv["Verb"] == "lock" and kv["Session"] not in self._lease_by_id:
+            return "invalid session"
+        if kv["Verb"] == "lock" and not self._may_acquire(kv["Key"], kv["Session"]):
+            return "lock is already held"
+        return ""
+
     async def _create_session(self, request: web.Request) -> web.Response:
         body = json.loads(await request.read() or b"{}")
         ttl_s = float(body.get("TTL", "15s").removesuffix("s"))
--- a/src/siskinlever_testbed/standins/service.py
+++ b/src/siskinlever_testbed/standins/service.py
@@ -31,9 +31,14 @@
         """Return the application."""
         app = web.Application(client_max_size=8 << 20)
         self.faults.add_route(app)
+        app.router.add_get("/health", self._health)
         app.router.add_route("*", "/{path:.*}", self._run)
         return app
 
+    async def _health(self, request: web.Request) -> web.Response:
+        leaving = bool(self.faults.values.get("leaving", False))
+        return web.json_response({"leaving": leaving})
+
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
@@ -44,6 +49,7 @@
             "request_id": request_id,
             "path": request.path,
             "bytes": len(body),
+            "padding": "x" * int(request.query.get("padding", "0")),
         }
         return web.json_response(answer)
 
