--- a/src/siskinlever_testbed/standins/service.py
+++ b/src/siskinlever_testbed/standins/service.py
@@ -43,7 +43,7 @@
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
         self._record.add("ran", runner=self._name, request_id=request_id)
-        await asyncio.sleep(self._delay_s)
+        await asyncio.sleep(float(self.faults.values.get("run_s", self._delay_s)))
         answer = {
             "runner": self._name,
             "request_id": request_id,
--- /dev/null
+++ b/tests/functional/test_deliveries.py
@@ -0,0 +1,258 @@
+"""Steps of the deliveries' feature; the oracle is the portal's own record."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from collections import Counter
+
+import pytest
+from lib.world import World, running_world
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from siskinlever_testbed.fleet import KEY_VALUE
+from siskinlever_testbed.plans import ATELIER_ZONES, EnginePlan, FleetPlan, ServicePlan
+
+pytestmark = pytest.mark.system
+scenarios("features/deliveries.feature")
+
+PLAN = FleetPlan(
+    hosts=4,
+    zones=ATELIER_ZONES,
+    engines=(EnginePlan("critique-models", prefill=1, decode=1),),
+    services=(ServicePlan("client-portal", runners=2),),
+)
+PORTALS = ("client-portal-1", "client-portal-2")
+AT_ONCE_S = 2.0
+WAKE_S = 4.0
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    with running_world(PLAN, tmp_path_factory.mktemp("deliveries")) as world:
+        yield world
+
+
+@pytest.fixture
+def world(shared: World):
+    shared.replies.clear()
+    shared.notes = {"id": uuid.uuid4().hex}
+    yield shared
+    for name in (KEY_VALUE, *PORTALS):
+        shared.faults(name)
+    for place in shared.fleet.place_by_host.values():
+        process = shared.fleet.process_by_name[place.name]
+        process.thaw()
+        if process.returncode is not None:
+            shared.run(shared.fleet.start_host(place).ready())
+    shared.until(lambda: lists_all(shared), within_s=20)
+
+
+def lists_all(world: World) -> bool:
+    """Tell whether every host serves, with a configuration."""
+    hosts = world.fleet.place_by_host
+    answers = [world.get(host, "/v1/models")[0] for host in hosts]
+    return answers == [200] * len(hosts)
+
+
+def runs(world: World) -> int:
+    facts = world.fleet.records("client-portal")
+    return sum(
+        f["fact"] == "ran" and f["request_id"] == world.notes["id"] for f in facts
+    )
+
+
+def ask(world: World, host: str, body: object = "proof", request_id: str = ""):
+    return world.caller().call_service(
+        world.address(host), "client-portal", body, request_id or world.notes["id"]
+    )
+
+
+@given("a client portal whose deliveries may not be repeated")
+def portal(world):
+    assert not world.fleet.declaration()["services"][0]["idempotent"]
+
+
+@given("a portal that takes 3 s")
+def slow_portal(world):
+    for name in PORTALS:
+        world.faults(name, run_s=3.0)
+
+
+@given("a key-value service that loses its answers")
+def losing_store(world):
+    world.faults(lose_answers=True)
+
+
+@given("a key-value service that is out")
+def store_out(world):
+    world.faults(down=True)
+
+
+@given("a key-value service that is slow")
+def store_slow(world):
+    world.faults(delay_s=30)
+
+
+@given("a portal whose connections are cut after the run")
+def cutting_portal(world):
+    for name in PORTALS:
+        world.faults(name, lose_answers=True)
+
+
+@when("a delivery is asked at host-1")
+def ask_first(world):
+    world.replies.append(world.run(ask(world, "host-1")))
+
+
+@when("it is asked again at host-2")
+def ask_second(world):
+    world.replies.append(world.run(ask(world, "host-2")))
+
+
+@when("a delivery is asked at host-1 and at host-2 at the same time")
+def ask_both(world):
+    async def both():
+        return await asyncio.gather(ask(world, "host-1"), ask(world, "host-2"))
+
+    world.replies += world.run(both())
+
+
+@when(
+    parsers.parse("a delivery is asked at host-1 and host-1 is {failure} while it runs")
+)
+def fail_while_running(world, failure):
+    process = world.fleet.process_by_name["host-1"]
+    world.begin(ask(world, "host-1"))
+    world.until(lambda: runs(world) == 1, within_s=5)
+    {"killed": process.kill, "frozen": process.freeze}[failure]()
+
+
+@when("a delivery is asked at host-1, which is frozen once its claim is written")
+def freeze_after_claim(world):
+    # The first delivery opens the lease, which is a call of its own.
+    world.run(ask(world, "host-1", request_id=uuid.uuid4().hex))
+    written = len(world.fleet.record(KEY_VALUE))
+    world.faults(delay_s=0.4)
+    world.begin(ask(world, "host-1"))
+    world.run(asyncio.sleep(0.2))
+    world.fleet.process_by_name["host-1"].freeze()
+    world.until(
+        lambda: any(
+            fact["fact"] == "written" and "/claims/" in fact["key"]
+            for fact in world.fleet.record(KEY_VALUE)[written:]
+        ),
+        within_s=5,
+    )
+    world.faults()
+
+
+@when("the key-value service is well again")
+def store_well(world):
+    world.faults()
+
+
+@when("it is asked again after that time")
+def ask_after(world):
+    world.run(asyncio.sleep(world.replies[-1].retry_after_s))
+    ask_first(world)
+
+
+@when("another delivery is asked with its id")
+def ask_other(world):
+    world.replies.append(world.run(ask(world, "host-2", body="another proof")))
+
+
+@when("200 deliveries are asked at host-1 at once")
+def ask_many(world):
+    async def many():
+        return await asyncio.gather(
+            *(ask(world, "host-1", request_id=name) for name in world.notes["many"])
+        )
+
+    ask_first(world)
+    world.notes["many"] = [uuid.uuid4().hex for _ in range(200)]
+    world.notes["before"] = store_writes(world)
+    world.replies = world.run(many())
+
+
+@when(parsers.parse("a delivery is asked whose answer has {count:d} characters"))
+def ask_large(world, count):
+    path = f"/v1/services/client-portal/deliver?padding={count}"
+    world.notes["large"] = world.request("POST", "host-1", path, json="proof")
+    world.notes["count"] = count
+
+
+def store_writes(world: World) -> int:
+    return sum(fact["fact"] == "txn" for fact in world.fleet.record(KEY_VALUE))
+
+
+@then("it ran once")
+def ran_once(world):
+    assert runs(world) == 1
+
+
+@then("each ran once")
+def each_ran_once(world):
+    facts = world.fleet.records("client-portal")
+    counts = Counter(fact["request_id"] for fact in facts if fact["fact"] == "ran")
+    assert [counts[name] for name in world.notes["many"]] == [1] * 200
+    assert {reply.outcome for reply in world.replies} == {"answered"}
+
+
+@then("the key-value service took at most 40 writes for them")
+def few_writes(world):
+    assert store_writes(world) - world.notes["before"] <= 40
+
+
+@then("one of the answers is the portal's")
+def one_answered(world):
+    assert sorted(r.outcome for r in world.replies) == ["answered", "may_have_run"]
+
+
+@then("the answer is the portal's")
+def answered(world):
+    assert world.replies[-1].outcome == "answered"
+    assert world.replies[-1].body["request_id"] == world.notes["id"]
+
+
+@then("the answer says that it may have run")
+def may_have_run(world):
+    assert world.replies[-1].outcome == "may_have_run"
+
+
+@then("the answer is a clear conflict")
+def conflict(world):
+    assert (world.replies[-1].status, world.replies[-1].code) == (409, "duplicate")
+
+
+@then("the answer came at once, says not run and when to come back")
+def refused(world):
+    reply = world.replies[-1]
+    assert (reply.outcome, reply.status) == ("not_run", 503)
+    assert reply.elapsed_s < AT_ONCE_S and reply.retry_after_s > 0
+    assert runs(world) == 0
+
+
+@then("the answer is whole")
+def large_answer(world):
+    status, body, _ = world.notes["large"]
+    assert (status, len(body["padding"])) == (200, world.notes["count"])
+
+
+@then("it ran once, also after host-1 is back")
+def ran_once_after_wake(world):
+    world.fleet.process_by_name["host-1"].thaw()
+    world.run(asyncio.sleep(WAKE_S))
+    assert runs(world) == 1
+
+
+@then("it does not run when host-1 is back")
+def not_run_after_wake(world):
+    time.sleep(WAKE_S)  # The host wakes later than it may dispatch.
+    world.fleet.process_by_name["host-1"].thaw()
+    world.run(asyncio.sleep(WAKE_S))
+    assert runs(world) == 0
+    # Its claim is released, so the delivery is not lost.
+    assert world.run(ask(world, "host-3")).outcome == "answered"
--- /dev/null
+++ b/tests/lib/world.py
@@ -0,0 +1,119 @@
+"""A fleet and an event loop that the steps of a feature share."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AsyncExitStack, contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from siskinlever_testbed.client import Caller, Reply
+from siskinlever_testbed.fleet import KEY_VALUE, Fleet, caller_key, running_fleet
+from siskinlever_testbed.plans import FleetPlan
+
+POLL_S = 0.05
+
+
+@dataclass
+class World:
+    """What the steps of one scenario act on."""
+
+    runner: asyncio.Runner
+    fleet: Fleet
+    replies: list[Reply] = field(default_factory=list)
+    tasks: list[asyncio.Task[Any]] = field(default_factory=list)
+    notes: dict[str, Any] = field(default_factory=dict)
+
+    def run(self, work: Awaitable[Any]) -> Any:
+        """Run a step's work; tasks begun by earlier steps go on meanwhile."""
+
+        async def wrapped() -> Any:
+            return await work
+
+        return self.runner.run(wrapped())
+
+    def begin(self, work: Any) -> None:
+        """Start work that goes on over the steps that follow."""
+
+        async def start() -> None:
+            self.tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(0)
+
+        self.runner.run(start())
+
+    def finish(self) -> list[Any]:
+        """Wait for all work that was begun."""
+
+        async def wait() -> list[Any]:
+            return await asyncio.gather(*self.tasks)
+
+        results = self.runner.run(wait())
+        self.tasks.clear()
+        return results
+
+    def until(self, condition: Callable[[], Any], within_s: float) -> Any:
+        """Wait for a condition, or fail after a bound taken from a target."""
+
+        limit = time.monotonic() + within_s
+        while not (found := condition()):
+            assert time.monotonic() < limit, f"not within {within_s} s"
+            self.run(asyncio.sleep(POLL_S))
+        return found
+
+    def caller(self, workspace: str = "atelier") -> Caller:
+        """Return a caller of a workspace."""
+        return Caller(self.fleet.session, caller_key(workspace))
+
+    def address(self, host: str) -> str:
+        """Return where callers reach a host."""
+        return self.fleet.place_by_host[host].callers
+
+    def faults(self, name: str = KEY_VALUE, **faults: Any) -> None:
+        """Have a stand-in show faults."""
+        self.run(self.fleet.set_faults(name, **faults))
+
+    def get(self, host: str, path: str, **kwargs: Any) -> tuple[int, Any]:
+        """Read a path of a host's callers' interface as the atelier."""
+        return self.request("GET", host, path, **kwargs)[:2]
+
+    def request(
+        self, method: str, host: str, path: str, workspace: str = "atelier", **more: Any
+    ) -> tuple[int, Any, Any]:
+        """Send one request; return status, body and headers."""
+        headers = {"Authorization": f"Bearer {caller_key(workspace)}"}
+        headers |= more.pop("headers", {})
+
+        async def send() -> tuple[int, Any, Any]:
+            async with self.fleet.session.request(
+                method, f"http://{self.address(host)}{path}", headers=headers, **more
+            ) as response:
+                return (
+                    response.status,
+                    await response.json(content_type=None),
+                    response.headers,
+                )
+
+        return self.run(send())
+
+
+@contextmanager
+def running_world(plan: FleetPlan, directory: Path) -> Iterator[World]:
+    """Run a fleet with its declaration in force."""
+    with asyncio.Runner() as runner:
+        stack = AsyncExitStack()
+
+        async def start() -> Fleet:
+            fleet = await stack.enter_async_context(running_fleet(plan, directory))
+            assert await fleet.apply() == 0
+            return fleet
+
+        world = World(runner, runner.run(start()))
+        try:
+            yield world
+        finally:
+            for task in world.tasks:
+                task.cancel()
+            runner.run(stack.aclose())
