--- a/src/siskinlever_testbed/fleet.py
+++ b/src/siskinlever_testbed/fleet.py
@@ -82,19 +82,21 @@
             response.raise_for_status()
 
     async def list_hosts(self, leaving: set[str] | None = None) -> None:
-        """Publish the host list."""
+        """Publish the host list: hosts and runners, some of them leaving."""
         body = [
-            {
-                "targets": [place.peers],
-                "labels": {
-                    "host": place.name,
-                    "zone": place.zone,
-                    "peer_address": place.peers,
-                    "callers_address": place.callers,
-                    "state": "leaving" if place.name in (leaving or ()) else "live",
-                },
-            }
+            _listed(
+                place.name,
+                place.zone,
+                place.peers,
+                leaving,
+                peer_address=place.peers,
+                callers_address=place.callers,
+            )
             for place in self.place_by_host.values()
+        ] + [
+            _listed(runner["name"], runner["zone"], runner["address"], leaving)
+            for runners in self.runners_by_pool.values()
+            for runner in runners
         ]
         url = f"http://{self.process_by_name[HOST_LIST].address}/hosts"
         async with self.session.put(url, json=body) as response:
@@ -291,6 +293,14 @@
         return self.directory / f"{name}.record"
 
 
+def _listed(
+    name: str, zone: str, target: str, leaving: set[str] | None, **labels: str
+) -> dict[str, Any]:
+    state = "leaving" if name in (leaving or ()) else "live"
+    labels = {"host": name, "zone": zone, "state": state, **labels}
+    return {"targets": [target], "labels": labels}
+
+
 def caller_key(workspace: str) -> str:
     """Return the key of a workspace of the testbed."""
     return f"caller-key-of-{workspace}"
--- /dev/null
+++ b/tests/functional/test_leaving.py
@@ -0,0 +1,172 @@
+"""Steps of the leaving feature; the oracle is the runners' own records."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+import pytest
+from lib.world import World, running_world
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from siskinlever_testbed.plans import ATELIER_ZONES, EnginePlan, FleetPlan, ServicePlan
+from siskinlever_testbed.standins.answers import answer_text
+
+pytestmark = pytest.mark.system
+scenarios("features/leaving.feature")
+
+PLAN = FleetPlan(
+    hosts=4,
+    zones=ATELIER_ZONES,
+    engines=(EnginePlan("critique-models", prefill=2, decode=3, token_time_s=0.005),),
+    services=(
+        ServicePlan("client-portal", runners=2),
+        ServicePlan("stock-list", runners=2, idempotent=True),
+    ),
+    models=({"name": "lookup", "pool": "critique-models"},),
+)
+TARGET_S = 5.0
+OBSERVED_S = 2.5
+NEW_WORK = {"prefill_started", "queued", "ran"}
+PAUSE_S = 0.05
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    with running_world(PLAN, tmp_path_factory.mktemp("leaving")) as world:
+        yield world
+
+
+@pytest.fixture
+def world(shared: World):
+    shared.notes = {"stop": False, "at": 0.0}
+    yield shared
+    shared.notes["stop"] = True
+    shared.finish()
+    for name in ("critique-models-5", "stock-list-1"):
+        shared.faults(name)
+    shared.run(shared.fleet.list_hosts())
+    assert shared.run(shared.fleet.apply()) == 0
+
+
+async def load(world: World, replies: list) -> None:
+    """Ask all hosts in turn, as callers that never look up again."""
+    caller = world.caller()
+    for number, host in enumerate(itertools.cycle(world.fleet.place_by_host)):
+        if world.notes["stop"]:
+            return
+        address = world.address(host)
+        prompt = f"Which stock suits flyer {number}?"
+        reply = await caller.complete(address, "lookup", prompt, 10)
+        replies.append(reply.text == answer_text(prompt, 10) and reply.complete)
+        for service in ("client-portal", "stock-list"):
+            request_id = f"{service}:{world.notes['start']}:{number}"
+            answer = await caller.call_service(address, service, "proof", request_id)
+            replies.append(answer.outcome)
+        await asyncio.sleep(PAUSE_S)
+
+
+@given("callers that keep asking every host")
+def callers(world):
+    world.notes["replies"] = []
+    world.notes["start"] = time.time()
+    world.begin(load(world, world.notes["replies"]))
+    world.until(lambda: len(world.notes["replies"]) > 24, within_s=10)
+
+
+@when(parsers.parse("the host list says that {name} is leaving"))
+def listed(world, name):
+    world.notes["at"] = time.time()
+    world.run(world.fleet.list_hosts({name}))
+
+
+@when(parsers.parse("the declaration says that {name} is leaving"))
+def declared(world, name):
+    declaration = world.fleet.declaration()
+    if name in world.fleet.place_by_host:
+        declaration["leaving_hosts"] = [{"name": name}]
+    runners = [r for p in declaration["engine_pools"] for r in p["runners"]]
+    declaration["engine_pools"][0]["runners"] = [
+        runner | ({"leaving": True} if runner["name"] == name else {})
+        for runner in runners
+    ]
+    assert world.run(world.fleet.apply(declaration)) == 0
+    world.notes["at"] = time.time()
+
+
+@when(parsers.parse("the runner says that {name} is leaving"))
+def said(world, name):
+    world.notes["at"] = time.time()
+    world.faults(name, leaving=True)
+
+
+@when("the declaration no longer says so")
+def undeclared(world):
+    assert world.run(world.fleet.apply()) == 0
+
+
+@then(parsers.parse("from 5 s later on {name} receives no new work"))
+def no_new_work(world, name):
+    late = observe(world)
+    facts = [f for f in world.fleet.record(name) if f["fact"] in NEW_WORK]
+    assert any(world.notes["start"] < f["at"] <= late for f in facts), "no load before"
+    assert [f for f in facts if f["at"] > late] == []
+
+
+@then(parsers.parse("from 5 s later on no request is served by {host}"))
+def not_served(world, host):
+    late = observe(world)
+    served = [
+        fact["at"]
+        for fact in world.fleet.records("critique-models")
+        if fact["fact"] == "prefill_started"
+        and fact["request_id"].startswith(f"{host}~")
+    ]
+    assert any(world.notes["start"] < at <= late for at in served), "no load before"
+    assert [at for at in served if at > late] == []
+
+
+def observe(world: World) -> float:
+    """Let the load go on past the target; return when the target ends."""
+    late = float(world.notes["at"]) + TARGET_S
+    world.run(asyncio.sleep(late + OBSERVED_S - time.time()))
+    return late
+
+
+@then("every caller is answered")
+def all_answered(world):
+    replies = world.notes["replies"]
+    wrong = [reply for reply in replies if reply not in (True, "answered")]
+    assert len(replies) > 50 and wrong == []
+
+
+@then(parsers.parse("within {bound:d} s no lookup names {host}"))
+def not_named(world, bound, host):
+    left_s = world.notes["at"] + bound - time.time()
+    world.until(lambda: not any(host in names for names in lookups(world)), left_s)
+
+
+@then(parsers.parse("within {bound:d} s every lookup names {host}"))
+def named(world, bound, host):
+    world.until(lambda: all(host in names for names in lookups(world)), bound)
+
+
+def lookups(world: World) -> list[list[str]]:
+    bodies = [world.get(host, "/v1/hosts")[1] for host in world.fleet.place_by_host]
+    return [[entry["host"] for entry in body["hosts"]] for body in bodies]
+
+
+@then(parsers.parse("callers that still use {host} are answered in full"))
+def still_served(world, host):
+    caller, address = world.caller(), world.address(host)
+    streamed = world.run(caller.complete(address, "lookup", "Long stream?", 200))
+    whole = world.run(caller.complete(address, "lookup", "Whole?", 50, stream=False))
+    delivery = world.run(
+        caller.call_service(address, "client-portal", "p", f"d-{host}")
+    )
+    assert streamed.complete and streamed.text == answer_text("Long stream?", 200)
+    assert whole.text == answer_text("Whole?", 50)
+    assert delivery.outcome == "answered"
+    refused = world.run(caller.complete(address, "no-such-model", "x", 5))
+    assert refused.code == "model_not_found"
