--- a/src/siskinlever/_internal/callers/app.py
+++ b/src/siskinlever/_internal/callers/app.py
@@ -36,6 +36,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
 LOOKUP_LIFETIME_S = 5
+SERVER_ERROR = 500
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 
 
@@ -88,7 +89,7 @@
     """Turn an exception into an error of the interface."""
     if isinstance(error, InvalidRequestError):
         return error.response
-    if isinstance(error, SanicException):
+    if isinstance(error, SanicException) and error.status_code < SERVER_ERROR:
         return error_response(str(error), error.status_code, "invalid_request")
     _host(request).metrics.count("internal_errors")
     return ending_response(Failed(Reason.INTERNAL, f"internal error: {error!r}"))
@@ -219,6 +220,7 @@
         body_digest=content_digest(request.path.encode() + request.body),
         first_token_due=Deadline(_first_token_within_s(model)),
         resume_after=_resume_after(request),
+        generated_id=_named_id(request) is None,
     )
 
 
@@ -281,8 +283,7 @@
 
 
 def _request_id(request: Request) -> RequestId:
-    value = request.headers.get(REQUEST_ID_HEADER)
-    value = value or request.headers.get("Idempotency-Key")
+    value = _named_id(request)
     if value is None:
         return RequestId(uuid.uuid4().hex)
     if not REQUEST_ID_PATTERN.match(value):
@@ -296,6 +297,11 @@
     return RequestId(value)
 
 
+def _named_id(request: Request) -> str | None:
+    value = request.headers.get(REQUEST_ID_HEADER)
+    return value or request.headers.get("Idempotency-Key")
+
+
 def _may_use(allowed: tuple[str, ...] | None, name: str) -> bool:
     return allowed is None or name in allowed
 
--- a/src/siskinlever/_internal/callers/errors.py
+++ b/src/siskinlever/_internal/callers/errors.py
@@ -24,6 +24,7 @@
     Reason.DUPLICATE: 409,
     Reason.TAKEN_OVER: 409,
     Reason.ALREADY_ANSWERED: 409,
+    Reason.NOT_RESUMABLE: 409,
     Reason.CLAIM_EXISTS: 409,
     Reason.ENGINE_FAILED: 502,
     Reason.SERVICE_FAILED: 502,
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -138,16 +138,16 @@
         current_age_ms=lambda: current.current_age_ms,
     )
     detector.on_ping(follower.heard)
-    engines = Engines(pooled)
+    engines = Engines(pooled, fresh)
     aborts = AbortQueue(engines, tasks, metrics)
     admission = AdmissionHome(current, members, engines, aborts, recorder, metrics)
-    request_home = RequestHome(members, aborts, recorder, metrics)
+    request_home = RequestHome(members, peers, aborts, recorder, metrics, tasks)
     placement = _placement(
         settings, current, members, peers, admission, recorder, metrics, tasks
     )
     registrar = Registrar(members, peers, request_home, recorder, metrics, tasks)
     executor = Executor(
-        members, engines, placement, registrar, aborts, recorder, metrics
+        members, engines, placement, registrar, aborts, recorder, metrics, tasks
     )
     claims = Claims(key_value, settings.platform.key_prefix, settings.host)
     deliveries = Deliveries(ServiceClient(fresh), claims, recorder, metrics)
@@ -199,6 +199,8 @@
         "Hold": host.request_home.hold,
         "Complete": host.request_home.complete,
         "Abandon": host.request_home.abandon,
+        "FetchEntry": host.request_home.fetch_entry,
+        "HandOver": host.request_home.hand_over,
         "StopAttempt": stop_attempt,
         "Reserve": host.admission_home.reserve,
         "Progress": host.admission_home.progress,
@@ -234,13 +236,15 @@
 
 
 def _own_member(settings: Settings) -> Member:
+    started = initial_incarnation(int(time.time() * MS_PER_S))
     return Member(
         host=HostName(settings.host),
         zone=settings.zone,
-        incarnation=initial_incarnation(int(time.time() * MS_PER_S)),
+        incarnation=started,
         state=MemberState.ALIVE,
         peer_address=settings.peers.address,
         callers_address=settings.callers.address,
+        started=started,
     )
 
 
--- a/src/siskinlever/_internal/engines/base.py
+++ b/src/siskinlever/_internal/engines/base.py
@@ -21,6 +21,9 @@
         The lowest is served first.
     sampling : dict
         Further parameters of the caller, passed on unchanged.
+    first_index : int
+        Index that the generation's first chunk has in the whole answer; more
+        than 0 if the prompt ends with what another engine produced.
     """
 
     engine_request_id: str
@@ -29,6 +32,7 @@
     max_tokens: int
     priority: int
     sampling: dict[str, Any]
+    first_index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +94,19 @@
         """Import a KV cache and generate; raises `EngineError`."""
         ...
 
-    def resume(self, engine_request_id: str, after: int) -> AsyncIterator[Chunk]:
-        """Read on a running generation after the chunk with an index."""
+    def resume(
+        self, engine_request_id: str, after: int, first_index: int = 0
+    ) -> AsyncIterator[Chunk]:
+        """Read on a running generation, on a new connection.
+
+        Parameters
+        ----------
+        engine_request_id : str
+        after : int
+            Index in the whole answer of the last chunk held, or -1.
+        first_index : int
+            Index of the generation's first chunk in the whole answer.
+        """
         ...
 
     async def abort(self, engine_request_id: str) -> None:
--- /dev/null
+++ b/src/siskinlever/_internal/engines/events.py
@@ -0,0 +1,105 @@
+"""Reads the chunks of one generation from a stream of server sent events."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+from ..exceptions import StreamBrokenError
+from ..utils.clock import Deadline
+from .base import Chunk
+
+DONE = "[DONE]"
+MAX_EARLY_CHUNKS = 256
+
+
+class Event(NamedTuple):
+    """One event: its id, or -1, and its data."""
+
+    number: int
+    data: str
+
+
+async def chunks(
+    lines: asyncio.StreamReader | Any,
+    engine_request_id: str,
+    after: int,
+    first_index: int,
+    first_timeout_s: float,
+    silence_timeout_s: float,
+) -> AsyncIterator[Chunk]:
+    """Yield the chunks of a generation in order, with no gap and no overlap.
+
+    Doubled chunks, and those of other generations, are dropped; chunks that
+    come too early wait for those before them.
+
+    Parameters
+    ----------
+    lines : aiohttp.StreamReader
+    engine_request_id : str
+        A chunk must name it as part of its id.
+    after : int
+        Index in the whole answer of the last chunk held, or -1.
+    first_index : int
+        Index of the generation's first chunk in the whole answer.
+    first_timeout_s, silence_timeout_s : float
+        Seconds to wait for the first chunk and for each other; what is
+        dropped does not count.
+
+    Raises
+    ------
+    StreamBrokenError
+        The stream skipped a chunk, fell silent, was damaged or ended with no
+        final marker.
+    """
+    expected = after + 1
+    early: dict[int, Chunk] = {}
+    deadline = Deadline(first_timeout_s)
+    while True:
+        async with asyncio.timeout(deadline.remaining_s):
+            event = await _event(lines)
+        if event.data == DONE:
+            if early:
+                raise StreamBrokenError(f"chunk {expected} is missing")
+            yield Chunk(expected, "", last=True)
+            return
+        chunk = _chunk(event, engine_request_id, first_index)
+        if chunk is None or chunk.index < expected:
+            continue
+        early[chunk.index] = chunk
+        if len(early) > MAX_EARLY_CHUNKS:
+            raise StreamBrokenError(f"chunk {expected} is missing")
+        while expected in early:
+            yield early.pop(expected)
+            expected += 1
+            deadline = Deadline(silence_timeout_s)
+
+
+async def _event(lines: asyncio.StreamReader | Any) -> Event:
+    """Read one event; comments and other fields are passed over."""
+    number = -1
+    while True:
+        line = await lines.readline()
+        if not line:
+            raise StreamBrokenError("the stream ended with no final marker")
+        name, _, value = line.decode().rstrip("\r\n").partition(":")
+        if name == "id":
+            number = int(value)
+        if name == "data":
+            return Event(number, value.strip())
+
+
+def _chunk(event: Event, engine_request_id: str, first_index: int) -> Chunk | None:
+    """Return the chunk of an event, or None if it is of another generation."""
+    try:
+        body = json.loads(event.data)
+        if engine_request_id not in body["id"]:
+            return None
+        choice = body["choices"][0]
+        text = str(choice["text"])
+        reason = str(choice.get("finish_reason") or "")
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+        raise StreamBrokenError(f"a chunk is damaged: {error!r}") from error
+    return Chunk(event.number + first_index, text, False, reason)
--- a/src/siskinlever/_internal/engines/registry.py
+++ b/src/siskinlever/_internal/engines/registry.py
@@ -8,16 +8,25 @@
 
 
 class Engines:
-    """Adapters to engines, made when first used."""
+    """Adapters to engines, made when first used.
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    Parameters
+    ----------
+    pooled, fresh : aiohttp.ClientSession
+        Sessions that use connections again, and that never do.
+    """
+
+    def __init__(
+        self, pooled: aiohttp.ClientSession, fresh: aiohttp.ClientSession
+    ) -> None:
+        self._pooled = pooled
+        self._fresh = fresh
         self._by_address: dict[str, VllmEngine] = {}
 
     def at(self, address: str) -> VllmEngine:
         """Return the adapter to the engine at an address."""
         engine = self._by_address.get(address)
         if engine is None:
-            engine = VllmEngine(self._session, address)
+            engine = VllmEngine(self._pooled, self._fresh, address)
             self._by_address[address] = engine
         return engine
--- a/src/siskinlever/_internal/engines/vllm.py
+++ b/src/siskinlever/_internal/engines/vllm.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -18,20 +17,22 @@
 from ..exceptions import (
     EngineBusyError,
     EngineError,
+    GenerationLostError,
     KVCacheLostError,
     StreamBrokenError,
 )
 from .base import Chunk, EngineCall, LoadReport, Prefilled
+from .events import chunks
 
+FIRST_CHUNK_TIMEOUT_S = 5.0
 SILENCE_TIMEOUT_S = 2.0
-FIRST_CHUNK_TIMEOUT_S = 10.0
 ABORT_TIMEOUT_S = 0.5
 LOAD_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 2.0
-MAX_EVENT_BYTES = 1 << 20
-DONE = "[DONE]"
 
 ERROR_BY_STATUS: dict[int, type[EngineError]] = {
+    404: GenerationLostError,
+    409: GenerationLostError,
     410: KVCacheLostError,
     429: EngineBusyError,
     503: EngineBusyError,
@@ -43,13 +44,22 @@
 
     Parameters
     ----------
-    session : aiohttp.ClientSession
+    session, fresh : aiohttp.ClientSession
+        Sessions that use connections again, and that never do: a stream is
+        resumed, and a cancel sent, on a new connection, since the old ones
+        may have fallen silent.
     address : str
         IP number and port.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+        address: str,
+    ) -> None:
         self._session = session
+        self._fresh = fresh
         self._url = f"http://{address}"
 
     async def prefill(self, call: EngineCall, timeout_s: float) -> Prefilled:
@@ -75,25 +85,44 @@
         """Import a KV cache and generate; raises `EngineError`."""
         body = _body(call, max_tokens=call.max_tokens, stream=True)
         body["kv_transfer_params"] = prefilled.transfer
-        async with self._post("/v1/completions", body, call, None) as response:
-            async for chunk in _chunks(response, first=0):
+        async with self._post(
+            "/v1/completions", body, call, FIRST_CHUNK_TIMEOUT_S, head_only=True
+        ) as response:
+            stream = chunks(
+                response.content,
+                call.engine_request_id,
+                after=call.first_index - 1,
+                first_index=call.first_index,
+                first_timeout_s=FIRST_CHUNK_TIMEOUT_S,
+                silence_timeout_s=SILENCE_TIMEOUT_S,
+            )
+            async for chunk in stream:
                 yield chunk
 
-    async def resume(self, engine_request_id: str, after: int) -> AsyncIterator[Chunk]:
-        """Read on a running generation after the chunk with an index."""
+    async def resume(
+        self, engine_request_id: str, after: int, first_index: int = 0
+    ) -> AsyncIterator[Chunk]:
+        """Read on a running generation, on a new connection."""
         url = f"{self._url}/v1/completions/{engine_request_id}/stream"
-        headers = {"Last-Event-ID": str(after)}
+        headers = {"Last-Event-ID": str(after - first_index)}
         async with _translated():
-            async with self._session.get(url, headers=headers) as response:
-                await _check(response)
-                async for chunk in _chunks(response, first=after + 1):
+            async with self._opened(url, headers) as response:
+                stream = chunks(
+                    response.content,
+                    engine_request_id,
+                    after=after,
+                    first_index=first_index,
+                    first_timeout_s=SILENCE_TIMEOUT_S,
+                    silence_timeout_s=SILENCE_TIMEOUT_S,
+                )
+                async for chunk in stream:
                     yield chunk
 
     async def abort(self, engine_request_id: str) -> None:
         """Release all that the engine holds for a generation."""
         body = {"rid": engine_request_id}
         async with _translated(), asyncio.timeout(ABORT_TIMEOUT_S):
-            async with self._session.post(
+            async with self._fresh.post(
                 f"{self._url}/abort_request", json=body
             ) as response:
                 await _check(response)
@@ -126,16 +155,34 @@
             ) as response:
                 await _check(response)
 
+    @asynccontextmanager
+    async def _opened(
+        self, url: str, headers: dict[str, str]
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Open a stream; its head must come before a silent engine's would."""
+        async with asyncio.timeout(SILENCE_TIMEOUT_S):
+            response = await self._fresh.get(url, headers=headers)
+        async with response:
+            await _check(response)
+            yield response
+
     @asynccontextmanager
     async def _post(
-        self, path: str, body: dict[str, Any], call: EngineCall, timeout_s: float | None
+        self,
+        path: str,
+        body: dict[str, Any],
+        call: EngineCall,
+        timeout_s: float,
+        head_only: bool = False,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         headers = {"X-Request-Id": call.engine_request_id}
-        async with _translated(), asyncio.timeout(timeout_s):
+        async with _translated(), asyncio.timeout(timeout_s) as limit:
             async with self._session.post(
                 self._url + path, json=body, headers=headers
             ) as response:
                 await _check(response)
+                if head_only:
+                    limit.reschedule(None)
                 yield response
 
 
@@ -167,38 +214,3 @@
     text = (await response.text())[:200]
     error = ERROR_BY_STATUS.get(response.status, EngineError)
     raise error(f"engine answered {response.status}: {text}")
-
-
-async def _chunks(response: aiohttp.ClientResponse, first: int) -> AsyncIterator[Chunk]:
-    """Yield the chunks of a stream in order; drop doubled ones.
-
-    Raises
-    ------
-    StreamBrokenError
-        The stream skipped a chunk, fell silent or ended with no final marker.
-    """
-    expected = first
-    timeout_s = FIRST_CHUNK_TIMEOUT_S
-    lines = response.content
-    event_id = -1
-    while True:
-        async with asyncio.timeout(timeout_s):
-            line = (await lines.readline()).decode().rstrip("\r\n")
-        if not line and lines.at_eof():
-            raise StreamBrokenError("the stream ended with no final marker")
-        if line.startswith("id:"):
-            event_id = int(line[3:])
-        if not line.startswith("data:"):
-            continue
-        data = line[5:].strip()
-        if data == DONE:
-            yield Chunk(expected, "", last=True)
-            return
-        timeout_s = SILENCE_TIMEOUT_S
-        if event_id < expected:
-            continue
-        if event_id > expected:
-            raise StreamBrokenError(f"chunk {expected} is missing")
-        choice = json.loads(data)["choices"][0]
-        yield Chunk(expected, choice["text"], False, choice.get("finish_reason") or "")
-        expected += 1
--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -73,6 +73,10 @@
     """The exported KV cache was evicted before it was imported."""
 
 
+class GenerationLostError(EngineError):
+    """The engine does not know the generation, or no longer."""
+
+
 class StreamBrokenError(EngineError):
     """An engine's stream ended, or fell silent, before its final marker."""
 
--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -257,6 +257,9 @@
             self._metrics.count("host_list_failures")
             return
         hosts = [item for item in listed if item.peer_address]
+        self.table.listed = frozenset(
+            HostName(item.name) for item in hosts if not item.leaving
+        )
         await asyncio.gather(*(self._meet(h.name, h.peer_address) for h in hosts))
         for item in hosts:
             if item.leaving:
--- a/src/siskinlever/_internal/membership/members.py
+++ b/src/siskinlever/_internal/membership/members.py
@@ -32,6 +32,8 @@
     peer_address, callers_address : str
     leaving : bool
         Whether the host gets no new work.
+    started : int
+        The incarnation with which the process began.
     """
 
     host: HostName
@@ -41,6 +43,7 @@
     peer_address: str
     callers_address: str
     leaving: bool = False
+    started: Incarnation = Incarnation(0)
 
     @property
     def rank(self) -> tuple[int, int, bool]:
@@ -63,8 +66,22 @@
     def __init__(self, own: Member) -> None:
         self.own_host = own.host
         self.by_host: dict[HostName, Member] = {own.host: own}
+        self.listed: frozenset[HostName] = frozenset()
         self._listeners: list[Listener] = []
 
+    @property
+    def has_majority(self) -> bool:
+        """Whether this host is in contact with most of the listed hosts.
+
+        Of two equal halves, the one with the first name of all counts.
+        """
+        leaving = {m.host for m in self.by_host.values() if m.leaving}
+        counted = (self.listed or frozenset(self.by_host)) - leaving
+        alive = counted & {m.host for m in self.alive()}
+        if 2 * len(alive) == len(counted):
+            return not counted or min(counted) in alive
+        return 2 * len(alive) > len(counted)
+
     @property
     def own(self) -> Member:
         return self.by_host[self.own_host]
@@ -117,10 +134,30 @@
         wrong = news.state is not MemberState.ALIVE
         if not stale and not (wrong and news.incarnation == own.incarnation):
             return False
-        self._set(own, replace(own, incarnation=Incarnation(news.incarnation + 1)))
+        incarnation = Incarnation(news.incarnation + 1)
+        # News of a higher incarnation is of an earlier process of this host.
+        started = incarnation if stale else own.started
+        self._set(own, replace(own, incarnation=incarnation, started=started))
         return True
 
     def _set(self, before: Member | None, after: Member) -> None:
         self.by_host[after.host] = after
         for listener in self._listeners:
             listener(before, after)
+
+
+def departed_incarnation(before: Member | None, after: Member) -> Incarnation | None:
+    """Return the last incarnation of a process that a change shows to be gone.
+
+    Returns
+    -------
+    incarnation : int or None
+        None if the change shows no process to be gone. A process that is
+        started again under the same name before its death was noticed is
+        gone as well.
+    """
+    if after.state is MemberState.DEAD:
+        return after.incarnation
+    if before is not None and after.started > before.started:
+        return Incarnation(after.started - 1)
+    return None
--- a/src/siskinlever/_internal/membership/messages.py
+++ b/src/siskinlever/_internal/membership/messages.py
@@ -17,6 +17,7 @@
         peer_address=member.peer_address,
         callers_address=member.callers_address,
         leaving=member.leaving,
+        started=member.started,
     )
 
 
@@ -30,4 +31,5 @@
         peer_address=message.peer_address,
         callers_address=message.callers_address,
         leaving=message.leaving,
+        started=Incarnation(message.started),
     )
--- a/src/siskinlever/_internal/models/outcome.py
+++ b/src/siskinlever/_internal/models/outcome.py
@@ -28,6 +28,7 @@
     DUPLICATE = "duplicate"
     TAKEN_OVER = "taken_over"
     ALREADY_ANSWERED = "already_answered"
+    NOT_RESUMABLE = "not_resumable"
     CLAIM_EXISTS = "claim_exists"
     ENGINE_FAILED = "engine_failed"
     SERVICE_FAILED = "service_failed"
@@ -70,7 +71,12 @@
     message: str
     retry_after_s: float = 1.0
 
-    outcome = Outcome.MAY_HAVE_RUN
+    @property
+    def outcome(self) -> Outcome:
+        """Answered, if an earlier attempt gave the answer."""
+        if self.reason is Reason.ALREADY_ANSWERED:
+            return Outcome.ANSWERED
+        return Outcome.MAY_HAVE_RUN
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinlever/_internal/models/work.py
+++ b/src/siskinlever/_internal/models/work.py
@@ -30,6 +30,8 @@
         When the first token is due.
     resume_after : int or None
         Index of the last chunk that the caller already holds.
+    generated_id : bool
+        Whether the caller named no id, so that no other attempt exists.
     """
 
     workspace: WorkspaceName
@@ -41,6 +43,7 @@
     body_digest: str
     first_token_due: Deadline
     resume_after: int | None = None
+    generated_id: bool = False
 
     @property
     def key(self) -> str:
--- a/src/siskinlever/_internal/peers/peer_grpc.py
+++ b/src/siskinlever/_internal/peers/peer_grpc.py
@@ -39,7 +39,11 @@
         pass
 
     @abc.abstractmethod
-    async def Abandon(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.AbandonRequest, siskinlever._internal.peers.peer_pb2.Nothing]') -> None:
+    async def Abandon(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.AbandonRequest, siskinlever._internal.peers.peer_pb2.AbandonReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def FetchEntry(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FetchEntryRequest, siskinlever._internal.peers.peer_pb2.FetchEntryReply]') -> None:
         pass
 
     @abc.abstractmethod
@@ -104,7 +108,13 @@
                 self.Abandon,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 siskinlever._internal.peers.peer_pb2.AbandonRequest,
-                siskinlever._internal.peers.peer_pb2.Nothing,
+                siskinlever._internal.peers.peer_pb2.AbandonReply,
+            ),
+            '/siskinlever.peers.Peer/FetchEntry': grpclib.const.Handler(
+                self.FetchEntry,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.FetchEntryRequest,
+                siskinlever._internal.peers.peer_pb2.FetchEntryReply,
             ),
             '/siskinlever.peers.Peer/HandOver': grpclib.const.Handler(
                 self.HandOver,
@@ -182,7 +192,13 @@
             channel,
             '/siskinlever.peers.Peer/Abandon',
             siskinlever._internal.peers.peer_pb2.AbandonRequest,
-            siskinlever._internal.peers.peer_pb2.Nothing,
+            siskinlever._internal.peers.peer_pb2.AbandonReply,
+        )
+        self.FetchEntry = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/FetchEntry',
+            siskinlever._internal.peers.peer_pb2.FetchEntryRequest,
+            siskinlever._internal.peers.peer_pb2.FetchEntryReply,
         )
         self.HandOver = grpclib.client.UnaryUnaryMethod(
             channel,
--- a/src/siskinlever/_internal/requests/aborts.py
+++ b/src/siskinlever/_internal/requests/aborts.py
@@ -10,8 +10,9 @@
 from ..utils.clock import Deadline
 from ..utils.tasks import TaskSet
 
-RETRY_PAUSE_S = 0.2
-GIVE_UP_AFTER_S = 60.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 2.0
+GIVE_UP_AFTER_S = 600.0
 
 
 class AbortQueue:
@@ -38,6 +39,7 @@
 
     async def _abort(self, address: str, engine_request_id: str) -> None:
         deadline = Deadline(GIVE_UP_AFTER_S)
+        pause_s = FIRST_PAUSE_S
         try:
             while not deadline.passed:
                 try:
@@ -45,6 +47,7 @@
                     return
                 except EngineError:
                     self._metrics.count("abort_retries")
-                    await asyncio.sleep(RETRY_PAUSE_S)
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
         finally:
             self._pending.discard((address, engine_request_id))
--- a/src/siskinlever/_internal/requests/attempts.py
+++ b/src/siskinlever/_internal/requests/attempts.py
@@ -14,7 +14,7 @@
 from ..utils.clock import monotonic
 
 ENDED_KEPT_S = 600.0
-MAX_ENTRIES = 200_000
+RUNNING_KEPT_S = 3600.0
 
 
 class AttemptState(Enum):
@@ -45,7 +45,15 @@
 
 @dataclass(slots=True)
 class Entry:
-    """One request, as its home and the home's backup know it."""
+    """One request, as its home, the home's backup and its server know it.
+
+    Parameters
+    ----------
+    ran : bool
+        Whether an engine may have run an attempt that has ended.
+    previous_host : str or None
+        The host of the attempt that this one took over.
+    """
 
     host: HostName
     incarnation: Incarnation
@@ -54,8 +62,22 @@
     body_digest: str
     state: AttemptState = AttemptState.RUNNING
     handles: tuple[EngineHandle, ...] = ()
+    ran: bool = False
+    previous_host: HostName | None = None
     changed_at: float = field(default_factory=monotonic)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether "not run" would be uncertain of this request."""
+        return self.ran or self.state is not AttemptState.ENDED
+
+    @property
+    def rank(self) -> tuple[bool, int, str, bool]:
+        """Order of two entries of one request: an answer is never forgotten."""
+        answered = self.state is AttemptState.ANSWERED
+        ended = self.state is AttemptState.ENDED
+        return (answered, self.attempt, self.nonce, ended)
+
 
 @dataclass(frozen=True, slots=True)
 class Registration:
@@ -64,14 +86,13 @@
     Parameters
     ----------
     decision : Decision
-    attempt : int
-    previous : Entry or None
-        The attempt that was taken over.
+    entry : Entry
+        The request after the decision. Its handles are those of an attempt
+        that was taken over, for which the new attempt answers from now on.
     """
 
     decision: Decision
-    attempt: Attempt
-    previous: Entry | None = None
+    entry: Entry
 
 
 DECISION_BY_STATE = {
@@ -79,51 +100,48 @@
     AttemptState.ENDED: Decision.START,
     AttemptState.ANSWERED: Decision.ALREADY_ANSWERED,
 }
+KEPT_S_BY_STATE = {
+    AttemptState.RUNNING: RUNNING_KEPT_S,
+    AttemptState.ENDED: ENDED_KEPT_S,
+    AttemptState.ANSWERED: ENDED_KEPT_S,
+}
 
 
 class AttemptTable:
-    """The requests that this host is home, or backup, of."""
+    """The requests that this host is home, backup or server of."""
 
     def __init__(self) -> None:
         self.by_key: dict[str, Entry] = {}
 
-    def register(
-        self,
-        key: str,
-        host: HostName,
-        incarnation: Incarnation,
-        nonce: str,
-        body_digest: str,
-        attempt: Attempt,
-    ) -> Registration:
+    def register(self, key: str, wanted: Entry) -> Registration:
         """Decide about a new attempt.
 
         Parameters
         ----------
-        attempt : int
-            Number for the new attempt, higher than all before.
+        wanted : Entry
+            The new attempt, with a number higher than all before.
         """
         known = self.by_key.get(key)
         if known is None:
-            return self._start(
-                key, host, incarnation, nonce, body_digest, attempt, Decision.START
-            )
-        if known.nonce == nonce:
-            return Registration(Decision.START, known.attempt)
-        if known.body_digest != body_digest:
-            return Registration(Decision.OTHER_BODY, known.attempt)
+            self.by_key[key] = wanted
+            return Registration(Decision.START, wanted)
+        if known.nonce == wanted.nonce:
+            return Registration(Decision.START, known)
+        if known.body_digest != wanted.body_digest:
+            return Registration(Decision.OTHER_BODY, known)
         decision = DECISION_BY_STATE[known.state]
         if decision is Decision.ALREADY_ANSWERED:
-            return Registration(decision, known.attempt)
-        number = Attempt(max(attempt, known.attempt + 1))
-        started = self._start(
-            key, host, incarnation, nonce, body_digest, number, decision
-        )
-        previous = known if decision is Decision.TAKE_OVER else None
-        return Registration(decision, started.attempt, previous)
+            return Registration(decision, known)
+        wanted.attempt = Attempt(max(wanted.attempt, known.attempt + 1))
+        wanted.ran = known.may_have_run
+        if decision is Decision.TAKE_OVER:
+            wanted.handles = known.handles
+            wanted.previous_host = known.host
+        self.by_key[key] = wanted
+        return Registration(decision, wanted)
 
     def hold(self, key: str, news: Entry) -> bool:
-        """Take in what a serving host says of its attempt.
+        """Take in what a serving host, or the home, says of an attempt.
 
         Returns
         -------
@@ -131,34 +149,49 @@
             False if a later attempt has replaced it.
         """
         known = self.by_key.get(key)
-        if known is not None and known.attempt > news.attempt:
-            return False
-        if known is not None and known.state is AttemptState.ANSWERED:
-            return known.attempt == news.attempt
+        if known is not None and known.nonce == news.nonce:
+            if known.state is not AttemptState.ANSWERED:
+                news.ran |= known.ran
+                self.by_key[key] = news
+            return True
+        return self.merge(key, news)
+
+    def merge(self, key: str, news: Entry) -> bool:
+        """Take in an entry that another host kept; tell whether it is the latest."""
+        known = self.by_key.get(key)
+        if known is not None and known.rank >= news.rank:
+            known.ran |= news.ran
+            return known.nonce == news.nonce
+        if known is not None:
+            news.ran |= known.ran
         self.by_key[key] = news
         return True
 
-    def complete(self, key: str, attempt: Attempt) -> bool:
+    def complete(self, key: str, nonce: str) -> bool:
         """Grant the completion of an answer to the current attempt only."""
         known = self.by_key.get(key)
-        if known is None or known.attempt != attempt:
-            return False
-        if known.state is AttemptState.ENDED:
+        if known is None or known.nonce != nonce:
             return False
-        known.state = AttemptState.ANSWERED
-        known.handles = ()
-        known.changed_at = monotonic()
+        self._change(known, AttemptState.ANSWERED)
         return True
 
-    def abandon(self, key: str, attempt: Attempt) -> None:
-        """Note that an attempt ended with no answer."""
+    def abandon(self, key: str, nonce: str, ran: bool) -> bool:
+        """Note that an attempt ended with no answer.
+
+        Returns
+        -------
+        replaced : bool
+            Whether a later attempt answers for the handles.
+        """
         known = self.by_key.get(key)
-        if known is None or known.attempt != attempt:
-            return
+        if known is None:
+            return False
+        if known.nonce != nonce:
+            return True
         if known.state is AttemptState.RUNNING:
-            known.state = AttemptState.ENDED
-            known.handles = ()
-            known.changed_at = monotonic()
+            self._change(known, AttemptState.ENDED)
+            known.ran |= ran
+        return False
 
     def of_host(self, host: HostName, up_to: Incarnation) -> list[tuple[str, Entry]]:
         """Return the running attempts of a host's incarnations."""
@@ -171,25 +204,17 @@
         ]
 
     def expire(self) -> None:
-        """Forget requests that ended long ago."""
-        oldest = monotonic() - ENDED_KEPT_S
-        ended = [
+        """Forget requests that ended, or were last heard of, long ago."""
+        now = monotonic()
+        old = [
             key
             for key, entry in self.by_key.items()
-            if entry.state is not AttemptState.RUNNING and entry.changed_at < oldest
+            if now - entry.changed_at > KEPT_S_BY_STATE[entry.state]
         ]
-        for key in ended:
+        for key in old:
             del self.by_key[key]
 
-    def _start(
-        self,
-        key: str,
-        host: HostName,
-        incarnation: Incarnation,
-        nonce: str,
-        body_digest: str,
-        attempt: Attempt,
-        decision: Decision,
-    ) -> Registration:
-        self.by_key[key] = Entry(host, incarnation, attempt, nonce, body_digest)
-        return Registration(decision, attempt)
+    def _change(self, entry: Entry, state: AttemptState) -> None:
+        entry.state = state
+        entry.handles = ()
+        entry.changed_at = monotonic()
--- a/src/siskinlever/_internal/requests/execution.py
+++ b/src/siskinlever/_internal/requests/execution.py
@@ -1,66 +1,34 @@
-"""Runs one model request: reserve, prefill, transfer, decode, hand over."""
+"""Runs one model request: register, reserve, generate, hand over."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
-from typing import Protocol
+from collections.abc import Iterator
+from contextlib import contextmanager
 
-from ..engines.base import Chunk, EngineCall
 from ..engines.registry import Engines
-from ..exceptions import EngineError, StreamBrokenError
+from ..exceptions import EngineError, KVCacheLostError
 from ..membership.members import MemberTable
 from ..metrics.registry import Metrics
-from ..models.declaration import Runner, Urgency
 from ..models.events import EventKind
 from ..models.ids import Attempt, ReservationId
-from ..models.outcome import Answered, Ending, Failed, Outcome, Reason, Refused
-from ..models.work import Grant, ModelRequest, PlacementRequest
-from ..routing.placement import Placement, Reservation
+from ..models.outcome import Answered, Ending, Failed, Reason
+from ..models.work import ModelRequest, PlacementRequest
+from ..routing.placement import AdoptingPlacement, Placement, Reservation
 from ..timeline.recorder import Recorder
-from ..utils.clock import monotonic
+from ..utils.clock import Deadline, monotonic
 from ..utils.digests import content_digest
 from ..utils.prompts import estimated_tokens, prefix_hashes
+from ..utils.tasks import TaskSet
 from .aborts import AbortQueue
-from .attempts import EngineHandle
-from .registration import Registered, Registrar
+from .generation import Generator
+from .registration import Registrar, Standing
+from .running import AttemptEndedError, Running, Sink, Stage, taken_over
 
-PLACEMENT_TRIES = 2
-RESUME_TRIES = 3
-PREFILL_TIMEOUT_S = 30.0
-PRIORITY_BY_URGENCY = {Urgency.INTERACTIVE: 0, Urgency.DEFERRABLE: 10}
-
-
-class Sink(Protocol):
-    """Where an answer goes."""
-
-    async def send(self, chunk: Chunk) -> None:
-        """Hand over a piece of the answer."""
-        ...
-
-
-@dataclass(slots=True)
-class Running:
-    """A request that this host is serving.
-
-    Parameters
-    ----------
-    request : ModelRequest
-    task : asyncio.Task
-    attempt : int
-    taken_over : bool
-        Whether a later attempt has replaced this one.
-    """
-
-    request: ModelRequest
-    task: asyncio.Task[object] | None
-    attempt: Attempt
-    taken_over: bool = False
-    text: list[str] = field(default_factory=list)
-    started: bool = False
-    prompt_tokens: int = 0
+PLACEMENT_TRIES = 3
+# A broken answer is continued within this time, or given up.
+CONTINUE_WITHIN_S = 5.0
+RELEASE_LIMIT_S = 1.0
 
 
 class Executor:
@@ -75,14 +43,16 @@
         aborts: AbortQueue,
         recorder: Recorder,
         metrics: Metrics,
+        tasks: TaskSet,
     ) -> None:
         self._members = members
-        self._engines = engines
         self._placement = placement
         self._registrar = registrar
         self._aborts = aborts
         self._recorder = recorder
         self._metrics = metrics
+        self._tasks = tasks
+        self._generator = Generator(engines, registrar, recorder, metrics)
         self.running_by_key: dict[str, Running] = {}
 
     async def run(self, request: ModelRequest, sink: Sink) -> Ending:
@@ -94,150 +64,171 @@
         registration = await self._registrar.register(request)
         if registration.is_error():
             return self._ended(request, registration.error, began)
-        async with self._attempt(request, registration.ok) as running:
-            ending = await self._serve(running, sink)
-        return self._ended(request, ending, began)
+        registered = registration.ok
+        running = Running(
+            request,
+            registered,
+            asyncio.current_task(),
+            started=registered.ran,
+            handles=registered.previous_handles,
+        )
+        return self._ended(request, await self._run(running, sink), began)
 
     def stop(self, workspace: str, request_id: str, newer: Attempt) -> bool:
         """Stop an attempt that a newer one has replaced."""
         running = self.running_by_key.get(f"{workspace}/{request_id}")
-        if running is None or running.attempt >= newer:
+        if running is None or running.registered.attempt >= newer:
             return False
-        running.taken_over = True
-        if running.task is not None:
-            running.task.cancel()
+        running.take_over()
         return True
 
-    @asynccontextmanager
-    async def _attempt(
-        self, request: ModelRequest, registered: Registered
-    ) -> AsyncIterator[Running]:
-        running = Running(request, asyncio.current_task(), registered.attempt)
+    async def _run(self, running: Running, sink: Sink) -> Ending:
+        try:
+            with self._attempt(running):
+                return await self._serve(running, sink)
+        except AttemptEndedError as error:
+            return error.ending
+        except asyncio.CancelledError:
+            if not running.taken_over or running.task is None:
+                raise
+            # Not the caller but the newer attempt cancelled this task, which
+            # still has to tell its caller.
+            running.task.uncancel()
+            return taken_over()
+
+    @contextmanager
+    def _attempt(self, running: Running) -> Iterator[None]:
+        request = running.request
         earlier = self.running_by_key.get(request.key)
         if earlier is not None:
-            self.stop(request.workspace, request.request_id, registered.attempt)
+            if earlier.registered.attempt > running.registered.attempt:
+                raise AttemptEndedError(taken_over())
+            earlier.take_over()
         self.running_by_key[request.key] = running
         try:
-            await self._registrar.stop_previous(request, registered)
-            for handle in registered.previous_handles:
-                self._aborts.add(handle.address, handle.engine_request_id)
-            yield running
+            yield
         finally:
             if self.running_by_key.get(request.key) is running:
                 del self.running_by_key[request.key]
-            if not running.taken_over:
-                self._registrar.abandon(request, running.attempt)
+            if running.stage is not Stage.COMPLETED:
+                self._tasks.start(self._release(running), "release")
+
+    async def _release(self, running: Running) -> None:
+        """Release what the attempt holds, unless a newer one reads on it."""
+        abandoned = self._tasks.start(
+            self._registrar.abandon(
+                running.request, running.registered, running.started
+            ),
+            "abandon",
+        )
+        if running.stage is Stage.DECODING:
+            # A keeper that is silent must not keep the engine's memory held.
+            await asyncio.wait({abandoned}, timeout=RELEASE_LIMIT_S)
+            if running.taken_over or (abandoned.done() and abandoned.result()):
+                return
+        self._abort(running)
+
+    def _abort(self, running: Running) -> None:
+        for handle in running.handles:
+            self._aborts.add(handle.address, handle.engine_request_id)
+        running.handles = ()
 
     async def _serve(self, running: Running, sink: Sink) -> Ending:
+        if await self._adopted(running, sink):
+            return await self._complete(running)
+        self._check_resumable(running)
         excluded: set[str] = set()
+        failure: EngineError | None = None
         for number in range(PLACEMENT_TRIES):
-            placement = self._placement_request(running, number, frozenset(excluded))
-            async with self._placement.place(placement) as placed:
+            wish = self._placement_request(running, number, frozenset(excluded))
+            async with self._placement.place(wish) as placed:
                 if placed.is_error():
-                    return self._refusal(running, placed.error)
-                reservation = placed.ok
-                try:
-                    return await self._run_placed(running, reservation, sink)
-                except EngineError as error:
-                    self._metrics.count("engine_failures")
-                    running.started |= error.started
-                    failed = error
-                    excluded.add(reservation.grant.decode.name)
-        return Failed(Reason.ENGINE_FAILED, f"the engines failed: {failed.message}")
+                    return running.refusal(placed.error)
+                failure = await self._try(running, placed.ok, sink, excluded)
+            if failure is None:
+                return await self._complete(running)
+        message = failure.message if failure else ""
+        return Failed(Reason.ENGINE_FAILED, f"the engines failed: {message}")
 
-    def _refusal(self, running: Running, refused: Refused) -> Ending:
-        """A refusal after a try that ran is no longer a certain "not run"."""
-        if not running.started:
-            return refused
-        return Failed(Reason.ENGINE_FAILED, refused.message, refused.retry_after_s)
+    async def _adopted(self, running: Running, sink: Sink) -> bool:
+        """Read on the generation of the attempt taken over, if it still runs."""
+        await self._registrar.stop_previous(running.request, running.registered)
+        handles = running.handles
+        placement = self._placement
+        if not handles:
+            return False
+        if not isinstance(placement, AdoptingPlacement):
+            self._abort(running)
+            return False
+        wish = self._placement_request(running, 0, frozenset())
+        moved = ReservationId(handles[-1].engine_request_id)
+        async with placement.adopt(
+            wish, moved, handles[0].runner, handles[-1].runner
+        ) as reservation:
+            if reservation is not None and _is_whole(moved):
+                failure = await self._try_resume(running, reservation, sink)
+                if failure is None:
+                    self._metrics.count("generations_adopted")
+                    return True
+        self._abort(running)
+        return False
 
-    async def _run_placed(
+    async def _try_resume(
         self, running: Running, reservation: Reservation, sink: Sink
-    ) -> Ending:
-        grant = reservation.grant
-        call = self._call(running, grant)
-        handles = (
-            _handle(grant.prefill, call),
-            _handle(grant.decode, call),
-        )
-        self._registrar.hold(running.request, running.attempt, handles)
-        finished = False
+    ) -> EngineError | None:
+        running.stage = Stage.DECODING
+        running.reservation = reservation
         try:
-            await self._generate(running, reservation, call, sink)
-            finished = True
-        finally:
-            if not finished:
-                for handle in handles:
-                    self._aborts.add(handle.address, handle.engine_request_id)
-        if not await self._registrar.complete(running.request, running.attempt):
-            return Failed(Reason.TAKEN_OVER, "another attempt replaced this one")
-        text = "".join(running.text)
-        return Answered(text, running.prompt_tokens, len(running.text))
+            await self._generator.resume(running, 0, sink)
+        except EngineError as error:
+            running.stage = Stage.PLACING
+            return error
+        return None
 
-    async def _generate(
-        self, running: Running, reservation: Reservation, call: EngineCall, sink: Sink
-    ) -> None:
-        grant = reservation.grant
-        request_id = running.request.request_id
-        self._recorder.record(
-            EventKind.PREFILL_STARTED, request_id, runner=grant.prefill.name
-        )
-        engine = self._engines.at(grant.prefill.address)
-        running.started = True
-        prefilled = await engine.prefill(call, PREFILL_TIMEOUT_S)
-        reservation.prefill_ended()
-        running.prompt_tokens = prefilled.prompt_tokens
-        self._recorder.record(
-            EventKind.PREFILL_ENDED,
-            request_id,
-            runner=grant.prefill.name,
-            cached_tokens=prefilled.cached_tokens,
-        )
-        self._recorder.record(
-            EventKind.DECODE_STARTED, request_id, runner=grant.decode.name
-        )
-        stream = self._engines.at(grant.decode.address).decode(call, prefilled)
+    async def _try(
+        self,
+        running: Running,
+        reservation: Reservation,
+        sink: Sink,
+        excluded: set[str],
+    ) -> EngineError | None:
+        """Generate on one placement; a runner that failed is then excluded."""
         try:
-            await self._relay(running, stream, sink)
-        except StreamBrokenError:
-            await self._resume(running, grant, call, sink)
+            await self._generator.generate(running, reservation, sink)
+        except EngineError as error:
+            self._metrics.count("engine_failures")
+            grant = reservation.grant
+            decoding = running.stage is Stage.DECODING
+            failed = grant.decode if decoding else grant.prefill
+            if not isinstance(error, KVCacheLostError):
+                excluded.add(failed.name)
+            self._abort(running)
+            running.stage = Stage.PLACING
+            return error
+        return None
 
-    async def _resume(
-        self, running: Running, grant: Grant, call: EngineCall, sink: Sink
-    ) -> None:
-        engine = self._engines.at(grant.decode.address)
-        for left in reversed(range(RESUME_TRIES)):
-            self._metrics.count("streams_resumed")
-            stream = engine.resume(call.engine_request_id, len(running.text) - 1)
-            try:
-                await self._relay(running, stream, sink)
-                return
-            except EngineError:
-                if left == 0:
-                    raise
-
-    async def _relay(
-        self, running: Running, stream: AsyncIterator[Chunk], sink: Sink
-    ) -> None:
-        async for chunk in stream:
-            if chunk.last:
-                return
-            if chunk.index < len(running.text):
-                continue
-            if not running.text:
-                self._recorder.record(EventKind.FIRST_TOKEN, running.request.request_id)
-            running.text.append(chunk.text)
-            await sink.send(chunk)
+    async def _complete(self, running: Running) -> Ending:
+        standing = await self._registrar.complete(running.request, running.registered)
+        if standing is Standing.REPLACED:
+            return taken_over()
+        if standing is Standing.UNKNOWN:
+            return Failed(Reason.OVERLOADED, "the request's home did not answer")
+        running.stage = Stage.COMPLETED
+        text = "".join(running.text)
+        return Answered(text, running.prompt_tokens, len(running.text))
 
-    def _call(self, running: Running, grant: Grant) -> EngineCall:
+    def _check_resumable(self, running: Running) -> None:
+        """A caller must not get the end of another answer than it holds."""
         request = running.request
-        return EngineCall(
-            engine_request_id=grant.reservation_id,
-            model=request.model.name,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            priority=PRIORITY_BY_URGENCY[request.model.urgency],
-            sampling=request.sampling,
+        certain = request.sampling.get("temperature") == 0 or "seed" in request.sampling
+        if request.resume_after is None or certain or running.text:
+            return
+        raise AttemptEndedError(
+            Failed(
+                Reason.NOT_RESUMABLE,
+                "the earlier answer is lost: ask again without Last-Event-ID",
+                0.0,
+            )
         )
 
     def _placement_request(
@@ -245,25 +236,27 @@
     ) -> PlacementRequest:
         request = running.request
         own = self._members.own
+        produced = len(running.text)
+        prompt = request.prompt + "".join(running.text)
         digest = content_digest(request.key.encode())[:16]
-        reservation_id = f"{own.host}~{own.incarnation}~{digest}"
+        attempt = running.registered.attempt
+        name = f"{own.host}~{own.incarnation}~{digest}~{attempt}~{number}~{produced}"
+        due = request.first_token_due
         return PlacementRequest(
-            reservation_id=ReservationId(
-                f"{reservation_id}~{running.attempt}~{number}"
-            ),
+            reservation_id=ReservationId(name),
             request_id=request.request_id,
             model=request.model,
-            prompt_tokens=estimated_tokens(request.prompt),
-            max_tokens=request.max_tokens,
-            prefix_hashes=prefix_hashes(request.prompt),
-            first_token_due=request.first_token_due,
+            prompt_tokens=estimated_tokens(prompt),
+            max_tokens=request.max_tokens - produced,
+            prefix_hashes=prefix_hashes(prompt),
+            first_token_due=Deadline(CONTINUE_WITHIN_S) if produced else due,
             excluded_runners=excluded,
         )
 
     def _ended(self, request: ModelRequest, ending: Ending, began: float) -> Ending:
         outcome = ending.outcome
         self._metrics.count("requests", model=request.model.name, outcome=outcome.value)
-        if outcome is Outcome.ANSWERED:
+        if isinstance(ending, Answered):
             self._metrics.observe("answer", monotonic() - began)
         self._recorder.record(
             EventKind.REQUEST_ENDED, request.request_id, outcome=outcome.value
@@ -271,5 +264,6 @@
         return ending
 
 
-def _handle(runner: Runner, call: EngineCall) -> EngineHandle:
-    return EngineHandle(runner.name, runner.address, call.engine_request_id)
+def _is_whole(reservation_id: ReservationId) -> bool:
+    """Tell whether a generation began with the first chunk of its answer."""
+    return reservation_id.rpartition("~")[2] == "0"
--- a/src/siskinlever/_internal/requests/home.py
+++ b/src/siskinlever/_internal/requests/home.py
@@ -3,25 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
+from dataclasses import replace
 
-from ..membership.members import Member, MemberState, MemberTable
+from ..exceptions import PeerError
+from ..membership.members import (
+    Member,
+    MemberState,
+    MemberTable,
+    departed_incarnation,
+)
 from ..metrics.registry import Metrics
 from ..models.events import EventKind, Stamp
 from ..models.ids import Attempt, HostName, Incarnation, RequestId
 from ..peers import peer_pb2
+from ..peers.link import Peers
 from ..timeline.recorder import Recorder
+from ..utils.tasks import TaskSet
 from .aborts import AbortQueue
-from .attempts import (
-    AttemptState,
-    AttemptTable,
-    Decision,
-    EngineHandle,
-    Entry,
-    Registration,
-)
+from .attempts import AttemptState, AttemptTable, Decision, Entry, Registration
+from .homes import Homes, Pair
+from .locks import KeyedLocks
+from .messages import from_message, request_key, to_handles, to_message
 
 EXPIRE_PERIOD_S = 30.0
 COUNTER_BITS = 16
+HAND_OVER_TRIES = 5
+HAND_OVER_PAUSE_S = 0.3
+ENTRIES_PER_MESSAGE = 500
+# Two tries at a keeper end before the caller of this home loses patience.
+KEEPER_TIMEOUT_S = 0.2
 
 MESSAGE_BY_DECISION = {
     Decision.START: peer_pb2.START,
@@ -42,22 +53,32 @@
     Parameters
     ----------
     members : MemberTable
+    peers : Peers
     aborts : AbortQueue
     recorder : Recorder
     metrics : Metrics
+    tasks : TaskSet
     """
 
     def __init__(
         self,
         members: MemberTable,
+        peers: Peers,
         aborts: AbortQueue,
         recorder: Recorder,
         metrics: Metrics,
+        tasks: TaskSet,
     ) -> None:
         self.table = AttemptTable()
+        self.homes = Homes(members)
+        self._members = members
+        self._peers = peers
         self._aborts = aborts
         self._recorder = recorder
         self._metrics = metrics
+        self._tasks = tasks
+        self._locks = KeyedLocks()
+        self._pair_by_key: dict[str, Pair] = {}
         members.subscribe(self._member_changed)
 
     async def run(self) -> None:
@@ -65,7 +86,11 @@
         while True:
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self.table.expire()
-            self._metrics.gauge("home_entries", len(self.table.by_key))
+            kept = self.table.by_key
+            self._pair_by_key = {
+                key: pair for key, pair in self._pair_by_key.items() if key in kept
+            }
+            self._metrics.gauge("home_entries", len(kept))
 
     async def register(
         self, request: peer_pb2.RegisterRequest
@@ -73,85 +98,232 @@
         """Decide about a new attempt."""
         clock = self._recorder.clock
         clock.observe(request.stamp.wall_ms, request.stamp.counter)
-        stamp = clock.tick()
-        registration = self.table.register(
-            _key(request.workspace, request.request_id),
-            HostName(request.host),
-            Incarnation(request.incarnation),
-            request.nonce,
-            request.body_digest,
-            attempt_number(stamp),
-        )
+        key = request_key(request.workspace, request.request_id)
+        async with self._locks.locked(key):
+            if not self._members.has_majority or not self.homes.is_own(key):
+                return peer_pb2.RegisterReply(decision=peer_pb2.NOT_HOME)
+            if not await self._learn(key):
+                return peer_pb2.RegisterReply(decision=peer_pb2.RETRY)
+            stamp = clock.tick()
+            wanted = Entry(
+                HostName(request.host),
+                Incarnation(request.incarnation),
+                attempt_number(stamp),
+                request.nonce,
+                request.body_digest,
+            )
+            registration = self.table.register(key, wanted)
+            await self._replicate_registration(key, registration)
         if registration.decision is Decision.TAKE_OVER:
             self._recorder.record(
-                EventKind.TAKEN_OVER, request.request_id, by=request.host
+                EventKind.TAKEN_OVER, RequestId(request.request_id), by=request.host
             )
         return _register_reply(registration, stamp)
 
     async def hold(self, request: peer_pb2.HoldRequest) -> peer_pb2.HoldReply:
-        """Take in what an attempt holds at engines."""
-        state = AttemptState.ANSWERED if request.answered else AttemptState.RUNNING
-        entry = Entry(
-            HostName(request.host),
-            Incarnation(request.incarnation),
-            Attempt(request.attempt),
-            f"{request.host}/{request.attempt}",
-            request.body_digest,
-            state,
-            tuple(
-                EngineHandle(h.runner, h.address, h.engine_request_id)
-                for h in request.handles
-            ),
-        )
-        key = _key(request.workspace, request.request_id)
-        return peer_pb2.HoldReply(current=self.table.hold(key, entry))
+        """Take in an entry from the attempt's host or from the request's home."""
+        key, entry = from_message(request.entry)
+        if request.home and self.homes.of(key).home != request.home:
+            return peer_pb2.HoldReply(current=False)
+        current = self.table.hold(key, entry)
+        self._kept(key)
+        return peer_pb2.HoldReply(current=current)
 
     async def complete(
         self, request: peer_pb2.CompleteRequest
     ) -> peer_pb2.CompleteReply:
-        """Grant the completion of an answer to the current attempt."""
+        """Grant the completion of an answer to the current attempt.
+
+        The backup notes the answer before the grant. A backup that knows
+        another home refuses, so a home that was paused, or is cut off, grants
+        nothing on the state it had.
+        """
         self._recorder.clock.observe(request.stamp.wall_ms, request.stamp.counter)
-        key = _key(request.workspace, request.request_id)
-        known = key in self.table.by_key
-        granted = self.table.complete(key, Attempt(request.attempt))
-        return peer_pb2.CompleteReply(granted=granted, known=known)
+        key = request_key(request.workspace, request.request_id)
+        async with self._locks.locked(key):
+            if not self._members.has_majority or not self.homes.is_own(key):
+                return peer_pb2.CompleteReply(retry=True, known=True)
+            if not await self._learn(key):
+                return peer_pb2.CompleteReply(retry=True, known=True)
+            known = self.table.by_key.get(key)
+            if known is None:
+                return peer_pb2.CompleteReply(known=False)
+            if known.nonce != request.nonce:
+                return peer_pb2.CompleteReply(known=True)
+            answered = replace(known, state=AttemptState.ANSWERED, handles=())
+            if not await self._replicate(key, answered):
+                return peer_pb2.CompleteReply(retry=True, known=True)
+            granted = self.table.complete(key, request.nonce)
+        return peer_pb2.CompleteReply(granted=granted, known=True)
 
-    async def abandon(self, request: peer_pb2.AbandonRequest) -> peer_pb2.Nothing:
+    async def abandon(self, request: peer_pb2.AbandonRequest) -> peer_pb2.AbandonReply:
         """Note that an attempt ended with no answer."""
-        key = _key(request.workspace, request.request_id)
-        self.table.abandon(key, Attempt(request.attempt))
+        key = request_key(request.workspace, request.request_id)
+        replaced = self.table.abandon(key, request.nonce, request.ran)
+        return peer_pb2.AbandonReply(replaced=replaced)
+
+    async def fetch_entry(
+        self, request: peer_pb2.FetchEntryRequest
+    ) -> peer_pb2.FetchEntryReply:
+        """Tell a request's new home what is known of the request."""
+        key = request_key(request.workspace, request.request_id)
+        known = self.table.by_key.get(key)
+        if known is None:
+            return peer_pb2.FetchEntryReply(found=False)
+        return peer_pb2.FetchEntryReply(found=True, entry=to_message(key, known))
+
+    async def hand_over(self, request: peer_pb2.HandOverRequest) -> peer_pb2.Nothing:
+        """Take in entries that another host kept."""
+        for message in request.entries:
+            key, entry = from_message(message)
+            self.table.merge(key, entry)
+            self._kept(key)
         return peer_pb2.Nothing()
 
+    def keep_own(self, key: str, entry: Entry) -> None:
+        """Keep the entry of an attempt that this host serves itself."""
+        self.table.hold(key, entry)
+        self._kept(key)
+
+    def _kept(self, key: str) -> None:
+        """Note who else keeps a request, and cancel it if its host is gone."""
+        self._pair_by_key.setdefault(key, self.homes.of(key))
+        entry = self.table.by_key[key]
+        if entry.state is not AttemptState.RUNNING:
+            return
+        member = self._members.by_host.get(entry.host)
+        dead = member is not None and member.state is MemberState.DEAD
+        if dead and member is not None and entry.incarnation <= member.incarnation:
+            self._cancel(key, entry)
+
+    async def _learn(self, key: str) -> bool:
+        """Ask the request's former home and backup, if they changed of late.
+
+        Returns
+        -------
+        known : bool
+            Whether all that was known of the request is known here now.
+        """
+        own = self._members.own_host
+        former = self.homes.former(key)
+        if former.home == own:
+            return True
+        alive = {m.host for m in self._members.alive()}
+        asked = [h for h in former if h is not None and h != own and h in alive]
+        if not asked:
+            return own in former or self.homes.settled
+        replies = await asyncio.gather(*(self._fetch(host, key) for host in asked))
+        return all(replies)
+
+    async def _fetch(self, host: HostName, key: str) -> bool:
+        workspace, _, request_id = key.partition("/")
+        message = peer_pb2.FetchEntryRequest(workspace=workspace, request_id=request_id)
+        try:
+            reply = await self._peers.call(
+                host, "FetchEntry", message, KEEPER_TIMEOUT_S
+            )
+        except PeerError:
+            return False
+        if reply.found:
+            _, entry = from_message(reply.entry)
+            self.table.merge(key, entry)
+        return True
+
+    async def _replicate_registration(
+        self, key: str, registration: Registration
+    ) -> None:
+        """Tell the backup, and the former keepers too, of a new attempt."""
+        self._pair_by_key[key] = self.homes.of(key)
+        if registration.decision not in (Decision.START, Decision.TAKE_OVER):
+            return
+        copy = replace(registration.entry)
+        if registration.decision is Decision.START and not registration.entry.ran:
+            self._tasks.start(self._replicate(key, copy), "replicate")
+            return
+        await self._replicate(key, copy)
+
+    async def _replicate(self, key: str, entry: Entry) -> bool:
+        """Have the backup keep an entry; tell whether it does."""
+        backup = self.homes.of(key).backup
+        if backup is None:
+            return True
+        message = peer_pb2.HoldRequest(
+            entry=to_message(key, entry), home=self._members.own_host
+        )
+        try:
+            reply = await self._peers.call(backup, "Hold", message, KEEPER_TIMEOUT_S)
+        except PeerError:
+            self._metrics.count("home_messages_lost", rpc="Hold")
+            return False
+        return bool(reply.current)
+
     def _member_changed(self, before: Member | None, after: Member) -> None:
-        if after.state is not MemberState.DEAD:
+        gone = departed_incarnation(before, after)
+        if gone is not None and self._members.has_majority:
+            for key, entry in self.table.of_host(after.host, gone):
+                self._cancel(key, entry)
+        restarted = before is not None and after.started > before.started
+        if restarted or _keeps(before) != _keeps(after):
+            self._hand_over(after.host)
+
+    def _cancel(self, key: str, entry: Entry) -> None:
+        """Release what an attempt of a host that is gone holds at engines."""
+        if not self._members.has_majority:
             return
-        for key, entry in self.table.of_host(after.host, after.incarnation):
-            for handle in entry.handles:
-                self._aborts.add(handle.address, handle.engine_request_id)
-            self._recorder.record(
-                EventKind.CANCELLED, RequestId(key.partition("/")[2]), host=after.host
+        for handle in entry.handles:
+            self._aborts.add(handle.address, handle.engine_request_id)
+        self._recorder.record(
+            EventKind.CANCELLED, RequestId(key.partition("/")[2]), host=entry.host
+        )
+        self.table.abandon(key, entry.nonce, ran=True)
+
+    def _hand_over(self, changed: HostName) -> None:
+        """Give entries to the hosts that a change made their home or backup."""
+        own = self._members.own_host
+        messages: dict[HostName, list[peer_pb2.Entry]] = defaultdict(list)
+        for key, old in list(self._pair_by_key.items()):
+            new = self.homes.moved(key, old, changed)
+            entry = self.table.by_key.get(key)
+            if entry is None or (new == old and changed not in new):
+                continue
+            self._pair_by_key[key] = new
+            for host in new:
+                if host is not None and host != own:
+                    messages[host].append(to_message(key, entry))
+        for host, entries in messages.items():
+            self._tasks.start(self._send_entries(host, entries), "hand-over")
+
+    async def _send_entries(
+        self, host: HostName, entries: list[peer_pb2.Entry]
+    ) -> None:
+        for first in range(0, len(entries), ENTRIES_PER_MESSAGE):
+            message = peer_pb2.HandOverRequest(
+                host=self._members.own_host,
+                entries=entries[first : first + ENTRIES_PER_MESSAGE],
             )
-            self.table.abandon(key, entry.attempt)
+            for _ in range(HAND_OVER_TRIES):
+                try:
+                    await self._peers.call(host, "HandOver", message)
+                    self._metrics.count("entries_handed_over", len(message.entries))
+                    break
+                except PeerError:
+                    await asyncio.sleep(HAND_OVER_PAUSE_S)
 
 
-def _key(workspace: str, request_id: str) -> str:
-    return f"{workspace}/{request_id}"
+def _keeps(member: Member | None) -> bool:
+    """Tell whether a host may be the home of requests."""
+    if member is None or member.leaving:
+        return False
+    return member.state is not MemberState.DEAD
 
 
 def _register_reply(registration: Registration, stamp: Stamp) -> peer_pb2.RegisterReply:
-    previous = registration.previous
-    handles = previous.handles if previous else ()
+    entry = registration.entry
     return peer_pb2.RegisterReply(
         decision=MESSAGE_BY_DECISION[registration.decision],
-        attempt=registration.attempt,
-        previous_host=previous.host if previous else "",
-        handles=[
-            peer_pb2.Handle(
-                runner=h.runner,
-                address=h.address,
-                engine_request_id=h.engine_request_id,
-            )
-            for h in handles
-        ],
+        attempt=entry.attempt,
+        previous_host=entry.previous_host or "",
+        handles=to_handles(entry.handles),
         stamp=peer_pb2.Stamp(wall_ms=stamp.wall_ms, counter=stamp.counter),
+        ran=entry.ran,
     )
--- /dev/null
+++ b/src/siskinlever/_internal/requests/homes.py
@@ -0,0 +1,106 @@
+"""Which hosts keep a request: its home, and a backup in another zone."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..membership.members import Member, MemberTable
+from ..models.ids import HostName
+from ..utils.clock import monotonic
+from ..utils.rendezvous import primary_and_backup, score
+
+RECENT_S = 10.0
+SETTLE_S = 2.0
+INTRODUCTION_S = 5.0
+
+
+class Pair(NamedTuple):
+    """The home of a request and its backup."""
+
+    home: HostName | None
+    backup: HostName | None
+
+
+class Homes:
+    """Finds homes and backups, now and before the latest changes of members.
+
+    Parameters
+    ----------
+    members : MemberTable
+    """
+
+    def __init__(self, members: MemberTable) -> None:
+        self._members = members
+        self._began = monotonic()
+        self._zone_by_host = members.zone_by_host()
+        self._joined_at = {members.own_host: self._began}
+        self._left_at: dict[HostName, tuple[str, float]] = {}
+        members.subscribe(self._member_changed)
+
+    @property
+    def settled(self) -> bool:
+        """Whether hosts had time to hand over since the last change."""
+        moments = [*self._joined_at.values(), *(at for _, at in self._left_at.values())]
+        return monotonic() - max(moments, default=0.0) > SETTLE_S
+
+    def of(self, key: str) -> Pair:
+        """Return the home and the backup of a request."""
+        return _pair(key, self._zone_by_host)
+
+    def is_own(self, key: str) -> bool:
+        """Tell whether this host is the home of a request."""
+        return self.of(key).home == self._members.own_host
+
+    def former(self, key: str) -> Pair:
+        """Return the home and the backup before the changes of late."""
+        self._expire()
+        if not self._joined_at and not self._left_at:
+            return self.of(key)
+        zones = {
+            h: z for h, z in self._zone_by_host.items() if h not in self._joined_at
+        }
+        zones |= {host: zone for host, (zone, _) in self._left_at.items()}
+        return _pair(key, zones)
+
+    def moved(self, key: str, pair: Pair, changed: HostName) -> Pair:
+        """Return a request's pair after a change of one host.
+
+        Most requests keep their pair, which one hash tells.
+        """
+        if changed in pair:
+            return self.of(key)
+        if changed not in self._zone_by_host:
+            return pair
+        name = f"request/{key}"
+        new = score(name, changed)
+        if all(host and score(name, host) > new for host in pair):
+            return pair
+        return self.of(key)
+
+    def _member_changed(self, before: Member | None, after: Member) -> None:
+        zones = self._members.zone_by_host()
+        now = monotonic()
+        for host in zones.keys() - self._zone_by_host.keys():
+            self._left_at.pop(host, None)
+            if now - self._began > INTRODUCTION_S:
+                self._joined_at[host] = now
+        for host in self._zone_by_host.keys() - zones.keys():
+            self._joined_at.pop(host, None)
+            self._left_at[host] = (self._zone_by_host[host], now)
+        if before is not None and after.started > before.started:
+            self._joined_at[after.host] = now
+        self._zone_by_host = zones
+
+    def _expire(self) -> None:
+        oldest = monotonic() - RECENT_S
+        self._joined_at = {h: at for h, at in self._joined_at.items() if at > oldest}
+        self._left_at = {h: v for h, v in self._left_at.items() if v[1] > oldest}
+
+
+def _pair(key: str, zone_by_host: dict[HostName, str]) -> Pair:
+    zones = {str(host): zone for host, zone in zone_by_host.items()}
+    home, backup = primary_and_backup(f"request/{key}", zones)
+    return Pair(
+        HostName(home) if home else None,
+        HostName(backup) if backup else None,
+    )
--- a/src/siskinlever/_internal/requests/registration.py
+++ b/src/siskinlever/_internal/requests/registration.py
@@ -5,6 +5,7 @@
 import asyncio
 import uuid
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -18,22 +19,52 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..timeline.recorder import Recorder
-from ..utils.rendezvous import primary_and_backup
+from ..utils.clock import Deadline
 from ..utils.tasks import TaskSet
-from .attempts import EngineHandle
+from .attempts import AttemptState, EngineHandle, Entry
 from .home import RequestHome
+from .messages import from_handles, to_message
 
-REGISTER_TRIES = 4
-RETRY_PAUSE_S = 0.2
+RETRY_PAUSE_S = 0.1
+REGISTER_LIMIT_S = 6.0
+COMPLETE_LIMIT_S = 10.0
+HOLD_TRIES = 5
+ABANDON_TRIES = 3
 HOME_SILENT_RETRY_S = 1.0
 
+METHOD_BY_RPC = {
+    "Register": "register",
+    "Hold": "hold",
+    "Complete": "complete",
+    "Abandon": "abandon",
+}
+
+
+class Standing(Enum):
+    """What the keepers of a request say of an attempt."""
+
+    CURRENT = "current"
+    REPLACED = "replaced"
+    UNKNOWN = "unknown"
+
 
 @dataclass(frozen=True, slots=True)
 class Registered:
-    """An attempt that its home lets run."""
+    """An attempt that its home lets run.
+
+    Parameters
+    ----------
+    ran : bool
+        Whether an engine may have run an earlier attempt.
+    previous_host : str or None
+        The host of the attempt taken over.
+    previous_handles : tuple of EngineHandle
+        What that attempt holds; this one answers for it from now on.
+    """
 
     attempt: Attempt
     nonce: str
+    ran: bool
     previous_host: HostName | None
     previous_handles: tuple[EngineHandle, ...]
 
@@ -63,99 +94,88 @@
         """Ask the request's home for a new attempt."""
         nonce = uuid.uuid4().hex
         message = self._register_message(request, nonce)
-        for _ in range(REGISTER_TRIES):
-            home, _backup = self._homes(request.key)
-            try:
-                reply = await self._call(home, "Register", message)
-            except PeerError:
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
-            self._recorder.clock.observe(reply.stamp.wall_ms, reply.stamp.counter)
-            return _registered(reply, nonce)
-        return Error(
-            Refused(
-                Reason.OVERLOADED,
-                HOME_SILENT_RETRY_S,
-                "the request's home did not answer",
-            )
-        )
+        limit = Deadline(min(request.first_token_due.remaining_s, REGISTER_LIMIT_S))
+        try:
+            while self._members.has_majority and not limit.passed:
+                reply = await self._ask_home(request.key, "Register", message)
+                if reply is None or reply.decision in (
+                    peer_pb2.NOT_HOME,
+                    peer_pb2.RETRY,
+                ):
+                    await asyncio.sleep(RETRY_PAUSE_S)
+                    continue
+                self._recorder.clock.observe(reply.stamp.wall_ms, reply.stamp.counter)
+                return self._registered(request, reply, nonce)
+        except asyncio.CancelledError:
+            # The home may have registered the attempt all the same.
+            self._abandon_later(request, nonce, ran=False)
+            raise
+        self._abandon_later(request, nonce, ran=False)
+        return Error(self.home_silent(request))
 
-    def hold(
+    async def confirm(
         self,
         request: ModelRequest,
-        attempt: Attempt,
+        registered: Registered,
         handles: tuple[EngineHandle, ...],
-        answered: bool = False,
-    ) -> None:
-        """Tell home and backup what the attempt holds; returns at once."""
-        message = self._hold_message(request, attempt, handles, answered)
-        for host in self._homes(request.key):
-            if host is not None:
-                self._tasks.start(self._send(host, "Hold", message), "hold")
+    ) -> Standing:
+        """Have a keeper note what the attempt is about to hold.
 
-    def _hold_message(
-        self,
-        request: ModelRequest,
-        attempt: Attempt,
-        handles: tuple[EngineHandle, ...] = (),
-        answered: bool = False,
-    ) -> peer_pb2.HoldRequest:
-        own = self._members.own
-        return peer_pb2.HoldRequest(
-            workspace=request.workspace,
-            request_id=request.request_id,
-            host=own.host,
-            incarnation=own.incarnation,
-            attempt=attempt,
-            handles=[
-                peer_pb2.Handle(
-                    runner=h.runner,
-                    address=h.address,
-                    engine_request_id=h.engine_request_id,
-                )
-                for h in handles
-            ],
-            body_digest=request.body_digest,
-            answered=answered,
-        )
+        Home and backup are told at once; the first that answers decides.
+        """
+        entry = self._own_entry(request, registered)
+        entry.handles = handles
+        self._own_home.keep_own(request.key, entry)
+        message = peer_pb2.HoldRequest(entry=to_message(request.key, entry))
+        limit = Deadline(min(request.first_token_due.remaining_s, REGISTER_LIMIT_S))
+        while True:
+            reply = await self._first_hold(request.key, message)
+            if reply is not None:
+                return Standing.CURRENT if reply.current else Standing.REPLACED
+            if limit.passed or not self._members.has_majority:
+                return Standing.UNKNOWN
+            await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def complete(self, request: ModelRequest, attempt: Attempt) -> bool:
+    async def complete(self, request: ModelRequest, registered: Registered) -> Standing:
         """Ask the home whether this attempt may complete the answer."""
         stamp = self._recorder.clock.tick()
         message = peer_pb2.CompleteRequest(
             workspace=request.workspace,
             request_id=request.request_id,
             host=self._members.own_host,
-            attempt=attempt,
+            attempt=registered.attempt,
+            nonce=registered.nonce,
             stamp=peer_pb2.Stamp(wall_ms=stamp.wall_ms, counter=stamp.counter),
         )
-        for _ in range(REGISTER_TRIES):
-            home, _backup = self._homes(request.key)
-            try:
-                reply = await self._call(home, "Complete", message)
-            except PeerError:
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
-            if not reply.known:
+        limit = Deadline(COMPLETE_LIMIT_S)
+        while not limit.passed:
+            reply = await self._ask_home(request.key, "Complete", message)
+            if reply is not None and not reply.known:
                 # The home has changed since the attempt began.
-                await self._send(home, "Hold", self._hold_message(request, attempt))
+                await self.confirm(request, registered, ())
+            if reply is None or reply.retry or not reply.known:
+                await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if reply.granted:
-                self.hold(request, attempt, (), answered=True)
-            return bool(reply.granted)
-        return False
+            if not reply.granted:
+                return Standing.REPLACED
+            entry = self._own_entry(request, registered)
+            entry.state = AttemptState.ANSWERED
+            self._own_home.keep_own(request.key, entry)
+            return Standing.CURRENT
+        return Standing.UNKNOWN
 
-    def abandon(self, request: ModelRequest, attempt: Attempt) -> None:
-        """Tell home and backup that the attempt ended with no answer."""
-        message = peer_pb2.AbandonRequest(
-            workspace=request.workspace,
-            request_id=request.request_id,
-            host=self._members.own_host,
-            attempt=attempt,
-        )
-        for host in self._homes(request.key):
-            if host is not None:
-                self._tasks.start(self._send(host, "Abandon", message), "abandon")
+    async def abandon(
+        self, request: ModelRequest, registered: Registered, ran: bool
+    ) -> bool:
+        """Tell the keepers that the attempt ended with no answer.
+
+        Returns
+        -------
+        replaced : bool
+            Whether a later attempt answers for what this one held. False if
+            no keeper can tell.
+        """
+        return await self._abandon(request, registered.nonce, ran)
 
     async def stop_previous(
         self, request: ModelRequest, registered: Registered
@@ -169,28 +189,111 @@
             request_id=request.request_id,
             attempt=registered.attempt,
         )
-        await self._send(previous, "StopAttempt", message)
+        try:
+            await self._peers.call(previous, "StopAttempt", message)
+        except PeerError:
+            self._metrics.count("home_messages_lost", rpc="StopAttempt")
+
+    def _registered(
+        self, request: ModelRequest, reply: peer_pb2.RegisterReply, nonce: str
+    ) -> Result[Registered, Refused | Failed]:
+        failure = FAILURE_BY_DECISION.get(reply.decision)
+        if failure is not None:
+            return Error(failure)
+        registered = Registered(
+            Attempt(reply.attempt),
+            nonce,
+            reply.ran,
+            HostName(reply.previous_host) if reply.previous_host else None,
+            from_handles(reply.handles),
+        )
+        self._own_home.keep_own(request.key, self._own_entry(request, registered))
+        return Ok(registered)
+
+    def home_silent(self, request: ModelRequest) -> Refused | Failed:
+        """An id that its caller named may run elsewhere, unknown to this host."""
+        message = "the request's home did not answer"
+        if request.generated_id:
+            return Refused(Reason.OVERLOADED, HOME_SILENT_RETRY_S, message)
+        return Failed(Reason.OVERLOADED, message, HOME_SILENT_RETRY_S)
+
+    def _abandon_later(self, request: ModelRequest, nonce: str, ran: bool) -> None:
+        self._tasks.start(self._abandon(request, nonce, ran), "abandon")
+
+    async def _abandon(self, request: ModelRequest, nonce: str, ran: bool) -> bool:
+        message = peer_pb2.AbandonRequest(
+            workspace=request.workspace,
+            request_id=request.request_id,
+            host=self._members.own_host,
+            nonce=nonce,
+            ran=ran,
+        )
+        await self._own_home.abandon(message)
+        replies = await asyncio.gather(
+            *(
+                self._repeat(host, "Abandon", message, ABANDON_TRIES)
+                for host in self._keepers(request.key)
+            )
+        )
+        return any(reply is not None and reply.replaced for reply in replies)
 
-    async def _send(self, host: HostName | None, rpc: str, message: Any) -> None:
+    async def _first_hold(
+        self, key: str, message: peer_pb2.HoldRequest
+    ) -> peer_pb2.HoldReply | None:
+        """Return the first answer to a hold; a late one is not waited for."""
+        pending = {
+            self._tasks.start(self._repeat(host, "Hold", message, HOLD_TRIES), "hold")
+            for host in self._keepers(key)
+        }
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                reply: peer_pb2.HoldReply | None = task.result()
+                if reply is not None:
+                    return reply
+        return None
+
+    async def _repeat(
+        self, host: HostName, rpc: str, message: Any, tries: int
+    ) -> Any | None:
+        for _ in range(tries):
+            try:
+                return await self._call(host, rpc, message)
+            except PeerError:
+                self._metrics.count("home_messages_lost", rpc=rpc)
+                await asyncio.sleep(RETRY_PAUSE_S)
+        return None
+
+    async def _ask_home(self, key: str, rpc: str, message: Any) -> Any | None:
+        home = self._own_home.homes.of(key).home
+        if home is None:
+            return None
         try:
-            await self._call(host, rpc, message)
+            return await self._call(home, rpc, message)
         except PeerError:
             self._metrics.count("home_messages_lost", rpc=rpc)
+            return None
 
-    async def _call(self, host: HostName | None, rpc: str, message: Any) -> Any:
-        if host is None:
-            raise PeerError("no host is alive")
+    async def _call(self, host: HostName, rpc: str, message: Any) -> Any:
         if host != self._members.own_host:
             return await self._peers.call(host, rpc, message)
-        method = getattr(self._own_home, rpc.lower())
-        return await method(message)
-
-    def _homes(self, key: str) -> tuple[HostName | None, HostName | None]:
-        zones = {str(h): z for h, z in self._members.zone_by_host().items()}
-        home, backup = primary_and_backup(f"request/{key}", zones)
-        return (
-            HostName(home) if home else None,
-            HostName(backup) if backup else None,
+        return await getattr(self._own_home, METHOD_BY_RPC[rpc])(message)
+
+    def _keepers(self, key: str) -> list[HostName]:
+        return [host for host in self._own_home.homes.of(key) if host is not None]
+
+    def _own_entry(self, request: ModelRequest, registered: Registered) -> Entry:
+        own = self._members.own
+        return Entry(
+            own.host,
+            own.incarnation,
+            registered.attempt,
+            registered.nonce,
+            request.body_digest,
+            handles=registered.previous_handles,
+            ran=registered.ran,
         )
 
     def _register_message(
@@ -210,19 +313,11 @@
         )
 
 
-def _registered(
-    reply: peer_pb2.RegisterReply, nonce: str
-) -> Result[Registered, Refused | Failed]:
-    if reply.decision == peer_pb2.ALREADY_ANSWERED:
-        return Error(
-            Failed(Reason.ALREADY_ANSWERED, "this request id was answered before")
-        )
-    if reply.decision == peer_pb2.OTHER_BODY:
-        return Error(
-            Failed(Reason.DUPLICATE, "this request id was used for another request")
-        )
-    handles = tuple(
-        EngineHandle(h.runner, h.address, h.engine_request_id) for h in reply.handles
-    )
-    previous = HostName(reply.previous_host) if reply.previous_host else None
-    return Ok(Registered(Attempt(reply.attempt), nonce, previous, handles))
+FAILURE_BY_DECISION = {
+    peer_pb2.ALREADY_ANSWERED: Failed(
+        Reason.ALREADY_ANSWERED, "this request id was answered before"
+    ),
+    peer_pb2.OTHER_BODY: Failed(
+        Reason.DUPLICATE, "this request id was used for another request"
+    ),
+}
--- /dev/null
+++ b/src/siskinlever/_internal/requests/running.py
@@ -0,0 +1,102 @@
+"""The state of a request that this host is serving."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from ..engines.base import Chunk
+from ..exceptions import SiskinleverError
+from ..models.outcome import Failed, Reason, Refused
+from ..models.work import ModelRequest
+from ..routing.placement import MovableReservation, Reservation
+from .attempts import EngineHandle
+from .registration import Registered
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    async def send(self, chunk: Chunk) -> None:
+        """Hand over a piece of the answer."""
+        ...
+
+
+class Stage(Enum):
+    """How far an attempt is."""
+
+    PLACING = "placing"
+    PREFILLING = "prefilling"
+    DECODING = "decoding"
+    COMPLETED = "completed"
+
+
+class AttemptEndedError(SiskinleverError):
+    """The attempt must not go on; ``ending`` is what its caller is told."""
+
+    def __init__(self, ending: Refused | Failed) -> None:
+        super().__init__(ending.message)
+        self.ending = ending
+
+
+@dataclass(slots=True)
+class Running:
+    """One attempt at a request.
+
+    Parameters
+    ----------
+    request : ModelRequest
+    registered : Registered
+    task : asyncio.Task or None
+    taken_over : bool
+        Whether a later attempt has replaced this one.
+    started : bool
+        Whether an engine may have run this attempt or an earlier one.
+    handles : tuple of EngineHandle
+        What the attempt holds, or is about to hold, at engines.
+    text : list of str
+        The chunks of the answer so far, by index.
+    finish_reason : str
+        The engine's own word that the last chunk ended the answer.
+    """
+
+    request: ModelRequest
+    registered: Registered
+    task: asyncio.Task[object] | None
+    taken_over: bool = False
+    started: bool = False
+    stage: Stage = Stage.PLACING
+    handles: tuple[EngineHandle, ...] = ()
+    reservation: Reservation | None = None
+    confirmed_at: float = 0.0
+    text: list[str] = field(default_factory=list)
+    finish_reason: str = ""
+    prompt_tokens: int = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether the engine said that the answer ended."""
+        return bool(self.finish_reason) or len(self.text) >= self.request.max_tokens
+
+    def take_over(self) -> None:
+        """End this attempt for a newer one, which reads on its generation."""
+        self.taken_over = True
+        movable = isinstance(self.reservation, MovableReservation)
+        if self.stage is Stage.DECODING and movable:
+            assert isinstance(self.reservation, MovableReservation)
+            self.reservation.move()
+        if self.task is not None:
+            self.task.cancel()
+
+    def refusal(self, refused: Refused | Failed) -> Refused | Failed:
+        """Return a refusal, which is no certain "not run" if an engine may have run."""
+        if not self.started:
+            return refused
+        return Failed(refused.reason, refused.message, refused.retry_after_s)
+
+
+def taken_over() -> Failed:
+    """Return the ending of an attempt that a newer one has replaced."""
+    return Failed(Reason.TAKEN_OVER, "another attempt replaced this one")
--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..models.declaration import EnginePool, Model, Role, Urgency
 from ..models.ids import HostName, Incarnation, RequestId, ReservationId
@@ -145,7 +145,12 @@
     def announce(self, placed: Placed, now: float) -> None:
         """Take over a reservation that another home granted."""
         wish = placed.wish
-        if wish.reservation_id in self.placed_by_id:
+        known = self.placed_by_id.get(wish.reservation_id)
+        if known is not None:
+            # Another host may have taken it over with the request.
+            known.wish = replace(
+                known.wish, host=wish.host, incarnation=wish.incarnation
+            )
             return
         self.placed_by_id[wish.reservation_id] = placed
         decode = self._decode_by_runner.get(placed.decode_runner)
--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -11,7 +11,12 @@
 
 from ..configuration.current import Configuration, CurrentConfiguration
 from ..engines.registry import Engines
-from ..membership.members import Member, MemberState, MemberTable
+from ..membership.members import (
+    Member,
+    MemberState,
+    MemberTable,
+    departed_incarnation,
+)
 from ..metrics.registry import Metrics
 from ..models.events import EventKind
 from ..models.ids import HostName, Incarnation, PoolName, RequestId, ReservationId
@@ -23,6 +28,7 @@
 from ..utils.rendezvous import ranked
 from ..utils.tasks import TaskSet
 from .book import Placed, PoolBook, Wish
+from .orphans import Orphans
 
 TICK_S = 0.01
 MAX_WAIT_S = 0.25
@@ -53,11 +59,15 @@
         self._metrics = metrics
         self._book_by_pool: dict[PoolName, PoolBook] = {}
         self._changed = asyncio.Condition()
+        self._orphans = Orphans(
+            current, members, engines, aborts, metrics, self._has_live_owner
+        )
         current.subscribe(self._configure)
         members.subscribe(self._member_changed)
 
     async def run(self, tasks: TaskSet) -> None:
         """Decide again at short intervals until cancelled."""
+        tasks.start(self._orphans.run(), "orphans")
         while True:
             now = monotonic()
             for book in self._book_by_pool.values():
@@ -135,11 +145,22 @@
                 book.configure(pool)
             self._book_by_pool[name] = book
 
+    def _has_live_owner(self, name: str) -> bool:
+        """Tell whether a host that is not dead holds a reservation."""
+        for book in self._book_by_pool.values():
+            placed = book.placed_by_id.get(ReservationId(name))
+            if placed is None:
+                continue
+            owner = self._members.by_host.get(placed.wish.host)
+            return owner is not None and owner.state is not MemberState.DEAD
+        return False
+
     def _member_changed(self, before: Member | None, after: Member) -> None:
-        if after.state is not MemberState.DEAD:
+        gone = departed_incarnation(before, after)
+        if gone is None or not self._members.has_majority:
             return
         for book in self._book_by_pool.values():
-            for reservation_id in book.of_host(after.host, after.incarnation):
+            for reservation_id in book.of_host(after.host, gone):
                 self._cancel(book, reservation_id)
 
     def _cancel(self, book: PoolBook, reservation_id: ReservationId) -> None:
--- /dev/null
+++ b/src/siskinlever/_internal/routing/orphans.py
@@ -0,0 +1,114 @@
+"""Cancels generations at engines whose host is gone.
+
+A last net below the cancels of request homes and admission homes: it reads
+from the engines themselves what they hold, so it also finds what no living
+host was ever told of.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..configuration.current import CurrentConfiguration
+from ..engines.registry import Engines
+from ..exceptions import EngineError
+from ..membership.members import MemberState, MemberTable
+from ..metrics.registry import Metrics
+from ..models.declaration import Runner
+from ..models.ids import HostName, PoolName
+from ..requests.aborts import AbortQueue
+from ..utils.rendezvous import ranked
+
+PERIOD_S = 1.0
+# Load reports lag, so one sighting may be of a generation that has ended.
+SIGHTINGS = 2
+
+
+class Held(NamedTuple):
+    """A generation that an engine reports."""
+
+    address: str
+    engine_request_id: str
+
+
+class Orphans:
+    """Looks through the pools whose admission home this host is.
+
+    Parameters
+    ----------
+    current : CurrentConfiguration
+    members : MemberTable
+    engines : Engines
+    aborts : AbortQueue
+    metrics : Metrics
+    has_owner : callable
+        Tells whether a living host holds the reservation with a name; it may
+        have taken it over from the host that the name begins with.
+    """
+
+    def __init__(
+        self,
+        current: CurrentConfiguration,
+        members: MemberTable,
+        engines: Engines,
+        aborts: AbortQueue,
+        metrics: Metrics,
+        has_owner: Callable[[str], bool],
+    ) -> None:
+        self._current = current
+        self._members = members
+        self._engines = engines
+        self._aborts = aborts
+        self._metrics = metrics
+        self._has_owner = has_owner
+        self._sightings_by_held: dict[Held, int] = {}
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            if self._members.has_majority:
+                await self.look()
+
+    async def look(self) -> None:
+        """Read the engines' reports once and cancel what is left over."""
+        reports = await asyncio.gather(*(self._read(r) for r in self._runners()))
+        orphans = [held for report in reports for held in report if self._orphan(held)]
+        self._sightings_by_held = {
+            held: self._sightings_by_held.get(held, 0) + 1 for held in orphans
+        }
+        for held, sightings in self._sightings_by_held.items():
+            if sightings >= SIGHTINGS:
+                self._metrics.count("orphans_cancelled")
+                self._aborts.add(held.address, held.engine_request_id)
+
+    def _runners(self) -> list[Runner]:
+        declaration = self._current.declaration
+        pools = declaration.engine_pools if declaration else ()
+        return [r for p in pools if self._is_home(PoolName(p.name)) for r in p.runners]
+
+    def _is_home(self, pool: PoolName) -> bool:
+        order = ranked(f"pool/{pool}", self._members.zone_by_host())
+        return order[:1] == [self._members.own_host]
+
+    async def _read(self, runner: Runner) -> list[Held]:
+        try:
+            report = await self._engines.at(runner.address).load()
+        except EngineError:
+            return []
+        return [Held(runner.address, name) for name in report.request_ids]
+
+    def _orphan(self, held: Held) -> bool:
+        host, _, rest = held.engine_request_id.partition("~")
+        incarnation = rest.partition("~")[0]
+        if not incarnation.isdigit() or self._has_owner(held.engine_request_id):
+            return False
+        member = self._members.by_host.get(HostName(host))
+        if member is None:
+            return False
+        if int(incarnation) < member.started:
+            return True
+        dead = member.state is MemberState.DEAD
+        return dead and int(incarnation) <= member.incarnation
--- a/src/siskinlever/_internal/routing/reserving.py
+++ b/src/siskinlever/_internal/routing/reserving.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
 
@@ -39,12 +39,17 @@
     request: PlacementRequest
     grant: Grant
     prefill_done: bool = False
+    moved: bool = False
 
     def prefill_ended(self) -> None:
         """Note that the prefill runner is free for others."""
         self.prefill_done = True
         self.owner.report(self, peer_pb2.PREFILL_ENDED)
 
+    def move(self) -> None:
+        """Leave the release to the host that takes over."""
+        self.moved = True
+
 
 class ReservingPlacement:
     """Reserves slots at admission homes for requests served here."""
@@ -86,8 +91,41 @@
             self._held_by_id[request.reservation_id] = asked
             yield Ok(asked)
         finally:
-            self._held_by_id.pop(request.reservation_id, None)
-            self.report(asked, peer_pb2.RELEASED)
+            self._let_go(asked)
+
+    @asynccontextmanager
+    async def adopt(
+        self,
+        request: PlacementRequest,
+        reservation_id: ReservationId,
+        prefill_runner: str,
+        decode_runner: str,
+    ) -> AsyncIterator[Reservation | None]:
+        """Hold a reservation made by another host for the length of a block."""
+        declaration = self._current.declaration
+        runners = declaration.runner_by_name if declaration else {}
+        prefill = runners.get(prefill_runner)
+        decode = runners.get(decode_runner)
+        if prefill is None or decode is None:
+            yield None
+            return
+        request = replace(request, reservation_id=reservation_id)
+        grant = Grant(reservation_id, prefill, decode)
+        held = HeldReservation(self, request, grant, prefill_done=True)
+        self._held_by_id[reservation_id] = held
+        try:
+            pool = PoolName(request.model.pool)
+            await self._announce(pool, admission_home(pool, self._members))
+            yield held
+        finally:
+            self._let_go(held)
+
+    def _let_go(self, held: HeldReservation) -> None:
+        reservation_id = held.request.reservation_id
+        if self._held_by_id.get(reservation_id) is held:
+            del self._held_by_id[reservation_id]
+        if not held.moved:
+            self.report(held, peer_pb2.RELEASED)
 
     def report(self, held: HeldReservation, event: peer_pb2.ReservationEvent) -> None:
         """Tell the admission home what became of a reservation."""
--- a/src/siskinlever_testbed/standins/answers.py
+++ b/src/siskinlever_testbed/standins/answers.py
@@ -1,4 +1,8 @@
-"""The answer of the stand-in engine to a prompt: the oracle of whole answers."""
+"""The answer of the stand-in engine to a prompt: the oracle of whole answers.
+
+Like a model's, the answer to a prompt that ends with the beginning of an
+answer is the rest of that answer.
+"""
 
 from __future__ import annotations
 
@@ -31,14 +35,36 @@
 
 def answer_tokens(prompt: str, max_tokens: int) -> list[str]:
     """Return the tokens of the answer to a prompt."""
+    start, produced = _split(prompt)
+    return _tokens(start, produced + max_tokens)[produced:]
+
+
+def _tokens(prompt: str, count: int) -> list[str]:
     seed = blake2b(prompt.encode(), digest_size=16).digest()
     tokens = []
-    for position in range(max_tokens):
+    for position in range(count):
         digest = blake2b(seed + position.to_bytes(4, "big"), digest_size=2).digest()
         tokens.append(WORDS[int.from_bytes(digest, "big") % len(WORDS)] + " ")
     return tokens
 
 
+def _split(prompt: str) -> tuple[str, int]:
+    """Return the prompt before an answer's beginning, and that one's tokens."""
+    start = prompt
+    produced: list[str] = []
+    best = (prompt, 0)
+    while token := _last_token(start):
+        start = start.removesuffix(token)
+        produced.insert(0, token)
+        if _tokens(start, len(produced)) == produced:
+            best = (start, len(produced))
+    return best
+
+
+def _last_token(text: str) -> str:
+    return next((word + " " for word in WORDS if text.endswith(word + " ")), "")
+
+
 def answer_text(prompt: str, max_tokens: int) -> str:
     """Return the whole answer to a prompt."""
     return "".join(answer_tokens(prompt, max_tokens))
--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -14,6 +14,11 @@
   --load-lag=SECONDS      Age of the load report [default: 0.5].
   --ignore-fencing        Take orders with old fencing tokens.
   --record=FILE           Append-only record of what was done.
+
+Faults beside those of all stand-ins: ``cut_stream_at`` and ``silence_at``
+(a position; the connection is cut, or says no more, once), ``double_at``,
+``swap_at`` and ``foreign_at`` (a position; of every stream),
+``stall_transfer_s`` and ``lose_abort_answers`` (a count).
 """
 
 from __future__ import annotations
@@ -37,6 +42,7 @@
 
 PREFIX_BLOCK_TOKENS = 64
 TICK_S = 0.005
+SILENCE_S = 3600.0
 
 
 @dataclass(slots=True)
@@ -46,6 +52,7 @@
     prompt: str
     tokens: int
     expires_at: float
+    pulled: bool = False
 
 
 @dataclass(slots=True)
@@ -180,7 +187,7 @@
             ):
                 self._reports.popleft()
             for key, exported in list(self._exported_by_id.items()):
-                if exported.expires_at <= now:
+                if exported.expires_at <= now and not exported.pulled:
                     del self._exported_by_id[key]
                     self.record.add("evicted", request_id=key, tokens=exported.tokens)
             await asyncio.sleep(TICK_S)
@@ -221,6 +228,9 @@
                 "prefill_started", request_id=request_id, tokens=tokens, cached=cached
             )
             await asyncio.sleep(max(1, tokens - cached) / self._prefill_rate)
+        except asyncio.CancelledError:
+            self.record.add("prefill_cancelled", request_id=request_id)
+            raise
         finally:
             self._compute.leave()
         self.record.add("prefilled", request_id=request_id, tokens=tokens - cached)
@@ -245,12 +255,17 @@
         }
         return web.json_response(answer)
 
-    async def _pull(self, request: web.Request) -> web.Response:
+    async def _pull(self, request: web.Request) -> web.StreamResponse:
         """Give a KV cache to a decode engine over this engine's link."""
         request_id = request.match_info["id"]
-        exported = self._exported_by_id.pop(request_id, None)
-        if exported is None:
+        exported = self._exported_by_id.get(request_id)
+        if exported is None or exported.pulled:
             return web.json_response({"error": "evicted"}, status=404)
+        exported.pulled = True
+        transfer = self._transfer(request_id, exported)
+        return await self._owned(request_id + "/transfer", transfer)
+
+    async def _transfer(self, request_id: str, exported: Exported) -> web.Response:
         await self._link.enter(0)
         try:
             stall_s = float(self.faults.values.get("stall_transfer_s", 0))
@@ -258,6 +273,7 @@
             await asyncio.sleep(size / self._link_rate + stall_s)
         finally:
             self._link.leave()
+        del self._exported_by_id[request_id]
         self.record.add("transferred", request_id=request_id, tokens=exported.tokens)
         return web.json_response({"prompt": exported.prompt, "tokens": exported.tokens})
 
@@ -351,12 +367,15 @@
         while True:
             changed = generation.changed
             while position < generation.produced:
-                await response.write(_event(generation, position))
+                for event in self._events(generation, position):
+                    await response.write(event)
                 position += 1
-                if self._cut_here(position):
+                if self._due("cut_stream_at", position):
                     assert request.transport is not None
                     request.transport.abort()
                     return response
+                if self._due("silence_at", position):
+                    await asyncio.sleep(SILENCE_S)
             if generation.aborted:
                 assert request.transport is not None
                 request.transport.abort()
@@ -368,18 +387,35 @@
         await response.write_eof()
         return response
 
-    def _cut_here(self, position: int) -> bool:
-        """Tell whether the fault ``cut_stream_at`` is due; it shows once."""
-        if self.faults.values.get("cut_stream_at") != position:
+    def _events(self, generation: Generation, position: int) -> list[bytes]:
+        """Return what is sent at a position, as the faults have it."""
+        faults = self.faults.values
+        event = _event(generation, position)
+        last = len(generation.tokens) - 1
+        if faults.get("swap_at") == position < last:
+            return []
+        if position and faults.get("swap_at") == position - 1:
+            return [event, _event(generation, position - 1)]
+        if faults.get("double_at") == position:
+            return [event, event]
+        if faults.get("foreign_at") == position:
+            foreign = event.replace(generation.request_id.encode(), b"foreign")
+            return [foreign.replace(b'"text": "', b'"text": "foreign '), event]
+        return [event]
+
+    def _due(self, fault: str, position: int) -> bool:
+        """Tell whether a fault is due at a position; it shows once."""
+        if self.faults.values.get(fault) != position:
             return False
-        del self.faults.values["cut_stream_at"]
+        del self.faults.values[fault]
         return True
 
     async def _abort(self, request: web.Request) -> web.Response:
         request_id = (await request.json())["rid"]
         self._aborted.add(request_id)
         found = False
-        for key in (request_id, request_id + "/generate"):
+        for suffix in ("", "/generate", "/transfer"):
+            key = request_id + suffix
             task = self._task_by_id.get(key)
             if task is not None:
                 found = True
@@ -388,6 +424,11 @@
         if exported is not None:
             self.record.add("discarded", request_id=request_id, tokens=exported.tokens)
         self.record.add("aborted", request_id=request_id, found=found)
+        lost = self.faults.values.get("lose_abort_answers", 0)
+        if lost:
+            self.faults.values["lose_abort_answers"] = lost - 1
+            assert request.transport is not None
+            request.transport.abort()
         return web.json_response({"aborted": found})
 
     async def _load(self, request: web.Request) -> web.Response:
@@ -400,14 +441,10 @@
             "waiting": gate.waiting,
             "slots": gate.places,
             "leaving": bool(self.faults.values.get("leaving", False)),
-            "request_ids": [
-                key for key in self._task_by_id if not key.endswith("/generate")
-            ]
-            + [
-                key.removesuffix("/generate")
-                for key in self._task_by_id
-                if key.endswith("/generate")
-            ],
+            "request_ids": sorted(
+                {key.partition("/")[0] for key in self._task_by_id}
+                | set(self._exported_by_id)
+            ),
         }
 
     async def _show_loaded(self, request: web.Request) -> web.Response:
