Measure the policies under load and faults

Cause: no decision of the admission had a figure. make bench starts the fleets of both users as processes, sends the same seeded open-loop arrivals to the three policies and accounts by the engines' own records. The limit is a small linear program over the stand-ins' settings.

The stand-in engine timed each sleep anew, so that timer delays added up to a lower rate than its settings say (the limit is computed from those); it now works from due times.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m siskinlever_testbed demo
 
+# QUICK=1 is one seed of two scenarios; ARGS passes further options.
+bench: $(STAMP)
+	$(BIN)/python -m siskinlever_testbed bench $(if $(QUICK),--quick) $(ARGS)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -28,7 +28,7 @@
 from ..network.sessions import http_session
 from ..operators.app import OperatorContext, operators_app
 from ..peers import peer_pb2
-from ..peers.link import Peers, peer_links
+from ..peers.link import peer_links
 from ..peers.server import Handler, peer_server
 from ..platform.host_list import HostListClient
 from ..platform.key_value import KeyValueClient
@@ -39,7 +39,7 @@
 from ..requests.home import RequestHome
 from ..requests.registration import Registrar
 from ..routing.home import AdmissionHome
-from ..routing.reserving import ReservingPlacement
+from ..routing.policies import PLACEMENT_BY_POLICY, PlacementParts
 from ..services.client import ServiceClient
 from ..timeline.recorder import Recorder
 from ..utils.clock import MS_PER_S, HybridClock
@@ -142,9 +142,10 @@
     aborts = AbortQueue(engines, tasks, metrics)
     admission = AdmissionHome(current, members, engines, aborts, recorder, metrics)
     request_home = RequestHome(members, aborts, recorder, metrics)
-    placement = _placement(
-        settings, current, members, peers, admission, recorder, metrics, tasks
+    parts = PlacementParts(
+        current, members, peers, engines, admission, recorder, metrics, tasks
     )
+    placement = PLACEMENT_BY_POLICY[settings.policy](parts)
     registrar = Registrar(members, peers, request_home, recorder, metrics, tasks)
     executor = Executor(
         members, engines, placement, registrar, aborts, recorder, metrics
@@ -167,21 +168,6 @@
     )
 
 
-def _placement(
-    settings: Settings,
-    current: CurrentConfiguration,
-    members: MemberTable,
-    peers: Peers,
-    admission: AdmissionHome,
-    recorder: Recorder,
-    metrics: Metrics,
-    tasks: TaskSet,
-) -> ReservingPlacement:
-    return ReservingPlacement(
-        current, members, peers, admission, recorder, metrics, tasks
-    )
-
-
 def _handlers(host: Host) -> dict[str, Handler]:
     async def stop_attempt(
         request: peer_pb2.StopAttemptRequest,
--- /dev/null
+++ b/src/siskinlever/_internal/routing/naive.py
@@ -0,0 +1,95 @@
+"""The naive policy, to measure against.
+
+Prefill by round robin, decode at the runner with the least reported load, no
+reservation and no refusal. The executor's second placement is the retry.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from itertools import count
+
+from expression import Error, Ok, Result
+
+from ..configuration.current import CurrentConfiguration
+from ..models.declaration import Role, Runner
+from ..models.outcome import Reason, Refused
+from ..models.work import Grant, PlacementRequest
+from .placement import Reservation
+from .reports import LoadReports
+
+NO_RUNNER_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class Choice:
+    """A placement that nothing was reserved for."""
+
+    grant: Grant
+
+    def prefill_ended(self) -> None:
+        """Do nothing: nobody counts."""
+
+
+class NaivePlacement:
+    """Chooses runners by turns and by their last reports.
+
+    Parameters
+    ----------
+    current : CurrentConfiguration
+    reports : LoadReports
+    """
+
+    def __init__(self, current: CurrentConfiguration, reports: LoadReports) -> None:
+        self._current = current
+        self._reports = reports
+        self._turn = count()
+
+    @asynccontextmanager
+    async def place(
+        self, request: PlacementRequest
+    ) -> AsyncIterator[Result[Reservation, Refused]]:
+        """Choose runners for the length of a block."""
+        grant = self.choose(request)
+        if grant is None:
+            yield Error(
+                Refused(Reason.NO_RUNNER, NO_RUNNER_RETRY_S, "no runner takes new work")
+            )
+            return
+        yield Ok(Choice(grant))
+
+    def choose(self, request: PlacementRequest) -> Grant | None:
+        """Return the runners of a request, or None if there are none."""
+        prefill = self.open_runners(request, Role.PREFILL)
+        decode = self.open_runners(request, Role.DECODE)
+        if not prefill or not decode:
+            return None
+        return Grant(
+            request.reservation_id,
+            prefill[next(self._turn) % len(prefill)],
+            min(decode, key=self.reported_load),
+        )
+
+    def open_runners(self, request: PlacementRequest, role: Role) -> list[Runner]:
+        """Return the runners of a role that take new work."""
+        declaration = self._current.declaration
+        pool = declaration.pool_by_name[request.model.pool] if declaration else None
+        return [
+            runner
+            for runner in (pool.runners if pool else ())
+            if runner.role is role
+            and not runner.leaving
+            and not self._says_leaving(runner)
+            and runner.name not in request.excluded_runners
+        ]
+
+    def reported_load(self, runner: Runner) -> int:
+        """Return the requests that a runner last said it has."""
+        report = self._reports.by_runner.get(runner.name)
+        return report.running + report.waiting if report else 0
+
+    def _says_leaving(self, runner: Runner) -> bool:
+        report = self._reports.by_runner.get(runner.name)
+        return report is not None and report.leaving
--- /dev/null
+++ b/src/siskinlever/_internal/routing/reports.py
@@ -0,0 +1,44 @@
+"""Load reports of runners, read at intervals."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..configuration.current import CurrentConfiguration
+from ..engines.base import LoadReport
+from ..engines.registry import Engines
+from ..exceptions import EngineError
+from ..models.declaration import Runner
+
+REPORT_PERIOD_S = 0.25
+
+
+class LoadReports:
+    """The latest report of each runner.
+
+    Parameters
+    ----------
+    current : CurrentConfiguration
+    engines : Engines
+    """
+
+    def __init__(self, current: CurrentConfiguration, engines: Engines) -> None:
+        self._current = current
+        self._engines = engines
+        self.by_runner: dict[str, LoadReport] = {}
+
+    async def run(self) -> None:
+        """Read the reports of all runners until cancelled."""
+        while True:
+            declaration = self._current.declaration
+            runners = declaration.runner_by_name.values() if declaration else ()
+            await asyncio.gather(*(self._read(runner) for runner in runners))
+            await asyncio.sleep(REPORT_PERIOD_S)
+
+    async def _read(self, runner: Runner) -> None:
+        try:
+            report = await self._engines.at(runner.address).load()
+        except EngineError:
+            self.by_runner.pop(runner.name, None)
+            return
+        self.by_runner[runner.name] = report
--- a/src/siskinlever_testbed/__main__.py
+++ b/src/siskinlever_testbed/__main__.py
@@ -4,7 +4,8 @@
   siskinlever_testbed <tool> [<args>...]
 
 Tools:
-  demo  Start a fleet and send it real requests.
+  bench  Measure the policies under load and faults.
+  demo   Start a fleet and send it real requests.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 from docopt import docopt
 
-TOOLS = frozenset({"demo"})
+TOOLS = frozenset({"bench", "demo"})
 
 
 def main() -> int:
--- /dev/null
+++ b/src/siskinlever_testbed/bench/__init__.py
@@ -0,0 +1,5 @@
+"""Measures the policies under load and faults."""
+
+from .command import run
+
+__all__ = ["run"]
--- /dev/null
+++ b/src/siskinlever_testbed/bench/accounting.py
@@ -0,0 +1,229 @@
+"""Turns what callers saw and what engines recorded into rows."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from siskinlever._internal.utils.digests import content_digest
+
+from ..fleet import Fleet
+from .generator import Result
+from .workloads import PER_TOKEN_TARGET_S, Workload
+
+US_PER_S = 1_000_000
+LONGEST_US = 60 * US_PER_S
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One run.
+
+    Parameters
+    ----------
+    goodput, limit : float
+        Worth a second, reached and possible.
+    wasted_prefill, late_prefill : float
+        Shares of the prefilled tokens.
+    """
+
+    scenario: str
+    workload: str
+    policy: str
+    seed: int
+    goodput: float
+    wasted_prefill: float
+    late_prefill: float
+    ttft_p95_s: float
+    tpot_p95_s: float
+    limit: float
+    answered: int
+    refused: int
+    lost: int
+    doubled: int
+
+
+@dataclass(frozen=True, slots=True)
+class Details:
+    """What the table does not show, of one run.
+
+    Parameters
+    ----------
+    goodput_by_second : list of float
+        Worth of good answers that ended in each second of the run.
+    failed : int
+        Requests told that they may have run.
+    goodput_by_kind : dict
+    generator_lag_s : float
+        The worst delay of the load generator's own event loop.
+    """
+
+    goodput_by_second: list[float]
+    failed: int
+    goodput_by_kind: dict[str, float]
+    generator_lag_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """The part of a run that counts for goodput and latencies, in seconds."""
+
+    start_s: float
+    end_s: float
+
+    def contains(self, at_s: float) -> bool:
+        return self.start_s <= at_s < self.end_s
+
+
+def is_good(result: Result) -> bool:
+    """Tell whether a request was answered correctly within both targets."""
+    return (
+        result.correct
+        and result.first_token_s <= result.arrival.kind.first_token_target_s
+        and result.per_token_s <= PER_TOKEN_TARGET_S
+    )
+
+
+def goodput(results: list[Result], window: Window) -> float:
+    """Return the worth a second of good answers that ended in a window."""
+    worth = sum(
+        result.arrival.kind.worth
+        for result in results
+        if is_good(result) and window.contains(result.ended_s)
+    )
+    return worth / (window.end_s - window.start_s)
+
+
+def prefill_shares(
+    results: list[Result], facts: list[dict[str, Any]], workload: Workload
+) -> tuple[float, float]:
+    """Return the shares of prefilled tokens that were wasted, and too late.
+
+    Parameters
+    ----------
+    facts : list of dict
+        The engines' own records.
+    """
+    result_by_digest = {
+        content_digest(f"{workload.name}/{r.arrival.request_id}".encode())[:16]: r
+        for r in results
+    }
+    finished = {f["request_id"] for f in facts if f["fact"] == "finished"}
+    total = wasted = late = 0
+    for fact in facts:
+        if fact["fact"] != "prefilled":
+            continue
+        total += fact["tokens"]
+        result = result_by_digest[fact["request_id"].split("~")[2]]
+        if not result.correct or fact["request_id"] not in finished:
+            wasted += fact["tokens"]
+        elif result.first_token_s > result.arrival.kind.first_token_target_s:
+            late += fact["tokens"]
+    return (wasted / total, late / total) if total else (0.0, 0.0)
+
+
+def lost_requests(results: list[Result]) -> list[Result]:
+    """Return requests with no final word, or with a wrong answer."""
+    return [
+        r
+        for r in results
+        if not r.cancelled
+        and (not r.reply.outcome or (r.completions > 0 and not r.correct))
+    ]
+
+
+def doubled_requests(results: list[Result], service_facts: list[dict[str, Any]]) -> int:
+    """Count requests answered twice, and non-idempotent ones run twice."""
+    runs = Counter(f["request_id"] for f in service_facts if f["fact"] == "ran")
+    return sum(r.completions > 1 for r in results) + sum(
+        n - 1 for n in runs.values() if n > 1
+    )
+
+
+def slots_exceeded(facts: list[dict[str, Any]], slots: int) -> int:
+    """Return by how many requests an engine exceeded its slots at most."""
+    worst = 0
+    held: Counter[str] = Counter()
+    step_by_fact = {"held": 1, "released": -1}
+    for fact in sorted(facts, key=lambda f: f["at"]):
+        held[fact["runner"]] += step_by_fact.get(fact["fact"], 0)
+        worst = max(worst, held[fact["runner"]] - slots)
+    return worst
+
+
+def percentile_s(values_s: list[float], percent: float) -> float:
+    """Return a percentile of latencies in seconds."""
+    histogram = HdrHistogram(1, LONGEST_US, 3)
+    for value in values_s:
+        histogram.record_value(min(max(int(value * US_PER_S), 1), LONGEST_US))
+    return float(histogram.get_value_at_percentile(percent)) / US_PER_S
+
+
+def latencies(results: list[Result], window: Window) -> tuple[list[float], list[float]]:
+    """Return first-token and per-token times of requests due in a window.
+
+    Deferrable requests have no first-token target, so only the second counts
+    them.
+    """
+    answered = [
+        r
+        for r in results
+        if r.correct and not r.arrival.kind.service and window.contains(r.arrival.at_s)
+    ]
+    first = [r.first_token_s for r in answered if not r.arrival.kind.deferrable]
+    return first, [r.per_token_s for r in answered]
+
+
+def make_row(
+    names: tuple[str, str, int],
+    results: list[Result],
+    window: Window,
+    fleet: Fleet,
+    workload: Workload,
+    limit: float,
+) -> Row:
+    """Account for one run.
+
+    Parameters
+    ----------
+    names : tuple
+        Scenario, policy and seed.
+    """
+    facts = fleet.records(workload.engines.pool)
+    wasted, late = prefill_shares(results, facts, workload)
+    first, per_token = latencies(results, window)
+    scenario, policy, seed = names
+    service = workload.service
+    runs = [] if service.idempotent else fleet.records(service.name)
+    return Row(
+        scenario=scenario,
+        workload=workload.name,
+        policy=policy,
+        seed=seed,
+        goodput=round(goodput(results, window), 3),
+        wasted_prefill=round(wasted, 4),
+        late_prefill=round(late, 4),
+        ttft_p95_s=round(percentile_s(first, 95), 4),
+        tpot_p95_s=round(percentile_s(per_token, 95), 4),
+        limit=round(limit, 3),
+        answered=sum(r.correct for r in results),
+        refused=sum(r.reply.outcome == "not_run" for r in results),
+        lost=len(lost_requests(results)),
+        doubled=doubled_requests(results, runs),
+    )
+
+
+def make_details(results: list[Result], duration_s: float, lag_s: float) -> Details:
+    """Return what the table does not show."""
+    by_second = [0.0] * (int(duration_s) + 1)
+    by_kind: Counter[str] = Counter()
+    for result in results:
+        if not is_good(result) or result.ended_s >= duration_s:
+            continue
+        by_second[int(result.ended_s)] += result.arrival.kind.worth
+        by_kind[result.arrival.kind.name] += result.arrival.kind.worth  # type: ignore[assignment]
+    failed = sum(r.reply.outcome == "may_have_run" for r in results)
+    return Details(by_second, failed, dict(by_kind), round(lag_s, 4))
--- /dev/null
+++ b/src/siskinlever_testbed/bench/command.py
@@ -0,0 +1,137 @@
+"""Runs the measurements and writes their table, rows and plots.
+
+Usage:
+  bench [options]
+
+Options:
+  --quick               One seed of the scenarios 1.0 and 1.5.
+  --scenarios=NAMES     Scenarios, separated by commas [default: all].
+  --workloads=NAMES     Workloads, separated by commas [default: atelier,brosur].
+  --policies=NAMES      Policies [default: siskinlever,naive,bounded].
+  --seeds=NUMBERS       Seeds of the arrivals [default: 1,2,3].
+  --warmup=SECONDS      Part of a run that is not counted [default: 5].
+  --window=SECONDS      Part of a run that is counted [default: 12].
+  --serial              One user's fleet at a time, not both side by side.
+  --output=DIRECTORY    Where the rows and plots go [default: build].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from docopt import docopt
+
+from .accounting import Details, Row, Window
+from .direct import measure_direct
+from .experiment import Experiment, run_experiment
+from .plots import write_plots
+from .scenarios import QUICK_SCENARIOS, SCENARIO_BY_NAME
+from .table import print_header, print_row, print_summary
+from .workloads import WORKLOAD_BY_NAME
+
+QUICK_SEEDS = (1,)
+QUICK_WINDOW = Window(4.0, 12.0)
+
+Measured = list[tuple[Row, Details]]
+
+
+async def run(argv: list[str]) -> int:
+    """Run the measurements chosen; return the exit code."""
+    options = docopt(__doc__ or "", argv=argv)
+    experiments = _experiments(options)
+    if experiments is None:
+        return 2
+    began = time.monotonic()
+    print(f"load average before: {os.getloadavg()[0]:.1f}", flush=True)
+    print_header()
+    measured: Measured = []
+    for group in _groups(experiments, options["--serial"]):
+        done = await asyncio.gather(*(_measure(experiment) for experiment in group))
+        for row, details in done:
+            print_row(row, details)
+        measured += done
+    added_s = await measure_direct() if len(measured) > 1 else None
+    print_summary(measured, added_s)
+    output = Path(options["--output"])
+    _write(output, measured)
+    print(f"load average after: {os.getloadavg()[0]:.1f}")
+    print(f"{len(measured)} runs in {time.monotonic() - began:.0f} s: {output}")
+    broken = [row for row, _ in measured if row.lost or row.doubled]
+    return 1 if broken else 0
+
+
+async def _measure(experiment: Experiment) -> tuple[Row, Details]:
+    with tempfile.TemporaryDirectory() as directory:
+        return await run_experiment(experiment, Path(directory))
+
+
+def _experiments(options: dict[str, Any]) -> list[Experiment] | None:
+    """Return what to run, or None after telling which name is not known."""
+    quick = options["--quick"]
+    scenarios = _names(options["--scenarios"])
+    if scenarios == ["all"]:
+        scenarios = list(QUICK_SCENARIOS if quick else SCENARIO_BY_NAME)
+    workloads = _names(options["--workloads"])
+    policies = _names(options["--policies"])
+    for option, names, allowed in (
+        ("--scenarios", scenarios, list(SCENARIO_BY_NAME)),
+        ("--workloads", workloads, list(WORKLOAD_BY_NAME)),
+        ("--policies", policies, ["siskinlever", "naive", "bounded"]),
+    ):
+        unknown = [name for name in names if name not in allowed]
+        if unknown:
+            print(f"{option}: found {unknown}, allowed: {allowed}", file=sys.stderr)
+            return None
+    seeds = QUICK_SEEDS if quick else [int(s) for s in _names(options["--seeds"])]
+    warmup_s = float(options["--warmup"])
+    window = Window(warmup_s, warmup_s + float(options["--window"]))
+    return [
+        Experiment(
+            SCENARIO_BY_NAME[scenario],
+            WORKLOAD_BY_NAME[workload],
+            policy,
+            seed,
+            QUICK_WINDOW if quick else window,
+        )
+        for scenario in scenarios
+        for seed in seeds
+        for policy in policies
+        for workload in workloads
+    ]
+
+
+def _groups(experiments: list[Experiment], serial: bool) -> list[list[Experiment]]:
+    """Put the runs of both users' fleets side by side."""
+    if serial:
+        return [[experiment] for experiment in experiments]
+    groups: dict[tuple[str, str, int], list[Experiment]] = {}
+    for experiment in experiments:
+        key = (experiment.scenario.name, experiment.policy, experiment.seed)
+        groups.setdefault(key, []).append(experiment)
+    return list(groups.values())
+
+
+def _names(option: str) -> list[str]:
+    return [name.strip() for name in option.split(",") if name.strip()]
+
+
+def _write(output: Path, measured: Measured) -> None:
+    output.mkdir(parents=True, exist_ok=True)
+    rows = [asdict(row) for row, _ in measured]
+    (output / "bench.json").write_text(json.dumps(rows, indent=2) + "\n")
+    details = [
+        {"scenario": r.scenario, "workload": r.workload, "policy": r.policy}
+        | {"seed": r.seed}
+        | asdict(d)
+        for r, d in measured
+    ]
+    (output / "bench-details.json").write_text(json.dumps(details, indent=2) + "\n")
+    write_plots(output, measured)
--- /dev/null
+++ b/src/siskinlever_testbed/bench/direct.py
@@ -0,0 +1,96 @@
+"""Measures what the router adds to the first token at low load."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import median
+
+import aiohttp
+
+from siskinlever._internal.engines.base import EngineCall
+from siskinlever._internal.engines.vllm import VllmEngine
+
+from ..client import Caller, Reply
+from ..fleet import Fleet, caller_key, running_fleet
+from .workloads import ATELIER
+
+SAMPLES = 60
+PAUSE_S = 0.05
+TOKENS = 3
+WORDS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Overhead:
+    """Median first token in seconds, by the router and by engines called directly."""
+
+    routed_s: float
+    direct_s: float
+
+    @property
+    def added_s(self) -> float:
+        return self.routed_s - self.direct_s
+
+
+async def measure_direct() -> Overhead:
+    """Send the same prompts, one at a time, both ways by turns."""
+    with tempfile.TemporaryDirectory() as directory:
+        plan = ATELIER.plan("siskinlever")
+        async with running_fleet(plan, Path(directory) / "fleet") as fleet:
+            await fleet.apply()
+            return await _compare(fleet)
+
+
+async def _compare(fleet: Fleet) -> Overhead:
+    routed: list[float] = []
+    direct: list[float] = []
+    async with aiohttp.ClientSession() as session:
+        caller = Caller(session, caller_key("atelier"))
+        places = list(fleet.place_by_host.values())
+        for number in range(SAMPLES):
+            address = places[number % len(places)].callers
+            routed.append(await _routed(caller, address, _prompt(f"r{number}")))
+            await asyncio.sleep(PAUSE_S)
+            direct.append(await _direct(session, fleet, _prompt(f"d{number}"), number))
+            await asyncio.sleep(PAUSE_S)
+    # The first calls open connections.
+    warm = len(places)
+    return Overhead(median(routed[warm:]), median(direct[warm:]))
+
+
+async def _routed(caller: Caller, address: str, prompt: str) -> float:
+    began = time.monotonic()
+    first: list[float] = []
+
+    async def on_piece(reply: Reply) -> None:
+        first.append(time.monotonic() - began)
+
+    await caller.complete(address, "lookup", prompt, TOKENS, on_piece=on_piece)
+    return first[0]
+
+
+async def _direct(
+    session: aiohttp.ClientSession, fleet: Fleet, prompt: str, number: int
+) -> float:
+    runners = fleet.runners_by_pool[ATELIER.engines.pool]
+    prefill = [r["address"] for r in runners if r["role"] == "prefill"]
+    decode = [r["address"] for r in runners if r["role"] == "decode"]
+    call = EngineCall(f"direct-{number}", "lookup", prompt, TOKENS, 0, {})
+    began = time.monotonic()
+    prefilled = await VllmEngine(session, prefill[number % len(prefill)]).prefill(
+        call, timeout_s=5.0
+    )
+    first = None
+    engine = VllmEngine(session, decode[number % len(decode)])
+    async for _ in engine.decode(call, prefilled):
+        first = first or time.monotonic() - began
+    assert first is not None
+    return first
+
+
+def _prompt(name: str) -> str:
+    return " ".join([name] + ["word"] * (WORDS - 1))
--- /dev/null
+++ b/src/siskinlever_testbed/bench/experiment.py
@@ -0,0 +1,77 @@
+"""One run: a fresh fleet, a load and perhaps a disturbance."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..fleet import Fleet, running_fleet
+from .accounting import Details, Row, Window, make_details, make_row
+from .generator import Generator
+from .limit import capacity, limit
+from .scenarios import Scenario
+from .workloads import Workload, arrivals
+
+LEAD_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """What one run measures.
+
+    Parameters
+    ----------
+    window : Window
+        Arrivals start at 0 and end with the window.
+    """
+
+    scenario: Scenario
+    workload: Workload
+    policy: str
+    seed: int
+    window: Window
+
+
+async def run_experiment(
+    experiment: Experiment, directory: Path
+) -> tuple[Row, Details]:
+    """Run one experiment on a fleet of its own."""
+    async with running_fleet(
+        experiment.workload.plan(experiment.policy), directory / "fleet"
+    ) as fleet:
+        if await fleet.apply() != 0:
+            raise RuntimeError(f"the declaration was not confirmed: {directory}")
+        return await _load(experiment, fleet)
+
+
+async def _load(experiment: Experiment, fleet: Fleet) -> tuple[Row, Details]:
+    scenario, workload = experiment.scenario, experiment.workload
+    rate = scenario.load * capacity(workload)
+    duration_s = experiment.window.end_s
+    planned = list(
+        arrivals(workload, rate, duration_s, experiment.seed, scenario.cancelling)
+    )
+    generator = Generator(fleet, workload)
+    began = time.monotonic() + LEAD_S
+    disturbance = asyncio.create_task(_disturb(experiment, fleet, began))
+    await generator.run(planned, began)
+    await disturbance
+    results = generator.results
+    row = make_row(
+        (scenario.name, experiment.policy, experiment.seed),
+        results,
+        experiment.window,
+        fleet,
+        workload,
+        limit(workload, rate),
+    )
+    return row, make_details(results, duration_s, generator.worst_lag_s)
+
+
+async def _disturb(experiment: Experiment, fleet: Fleet, began: float) -> None:
+    if experiment.scenario.disturbance is None:
+        return
+    await asyncio.sleep(began + experiment.window.start_s - time.monotonic())
+    await experiment.scenario.disturbance(fleet)
--- /dev/null
+++ b/src/siskinlever_testbed/bench/limit.py
@@ -0,0 +1,138 @@
+"""The worth a second that a pool could carry with perfect knowledge.
+
+Computed from the stand-ins' settings alone: prefill time, with every shared
+prefix in cache, and decode slots, held for the transfer and the tokens.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from itertools import product
+
+from ..plans import EnginePlan
+from ..standins.engine import PREFIX_BLOCK_TOKENS
+from .workloads import RequestKind, Workload
+
+TOLERANCE = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What one kind of request offers and takes.
+
+    Parameters
+    ----------
+    rate : float
+        Requests offered a second.
+    worth : float
+    prefill_s : float
+        Time of a prefill runner for one request.
+    decode_s : float
+        Time that one request holds a decode slot.
+    """
+
+    rate: float
+    worth: float
+    prefill_s: float
+    decode_s: float
+
+
+def demand(kind: RequestKind, engines: EnginePlan, rate: float) -> Demand:
+    """Return the demand of one kind of request on a pool."""
+    cached = kind.prefix_words // PREFIX_BLOCK_TOKENS * PREFIX_BLOCK_TOKENS
+    prompt = kind.prefix_words + kind.own_words
+    transfer_s = prompt * engines.kv_bytes / engines.link_rate
+    return Demand(
+        rate,
+        kind.worth,
+        (prompt - cached) / engines.prefill_rate,
+        transfer_s + kind.max_tokens * engines.token_time_s,
+    )
+
+
+def capacity(workload: Workload) -> float:
+    """Return the requests a second that just fill the scarcest resource."""
+    engines = workload.engines
+    demands = [demand(k, engines, k.share) for k in workload.model_kinds]
+    prefill = sum(d.rate * d.prefill_s for d in demands)
+    decode = sum(d.rate * d.decode_s for d in demands)
+    return min(engines.prefill / prefill, engines.decode * engines.slots / decode)
+
+
+def limit(workload: Workload, rate: float) -> float:
+    """Return the most worth a second at an offered rate.
+
+    Plain services are never the bottleneck: all that is offered counts.
+    """
+    engines = workload.engines
+    offered = sum(k.share * rate * k.worth for k in workload.kinds if k.service)
+    demands = [demand(k, engines, k.share * rate) for k in workload.model_kinds]
+    return offered + best_worth(
+        demands, engines.prefill, engines.decode * engines.slots
+    )
+
+
+def best_worth(demands: Sequence[Demand], prefill_s: float, decode_s: float) -> float:
+    """Solve the linear program of the best mix by trying every vertex.
+
+    With two resources, a vertex has at most two kinds that are neither left
+    out nor taken whole.
+    """
+    return max(
+        sum(rate * d.worth for rate, d in zip(rates, demands, strict=True))
+        for rates in _vertices(demands, prefill_s, decode_s)
+        if _feasible(rates, demands, prefill_s, decode_s)
+    )
+
+
+def _feasible(
+    rates: Sequence[float],
+    demands: Sequence[Demand],
+    prefill_s: float,
+    decode_s: float,
+) -> bool:
+    pairs = list(zip(rates, demands, strict=True))
+    return (
+        all(-TOLERANCE <= rate <= d.rate + TOLERANCE for rate, d in pairs)
+        and sum(rate * d.prefill_s for rate, d in pairs) <= prefill_s + TOLERANCE
+        and sum(rate * d.decode_s for rate, d in pairs) <= decode_s + TOLERANCE
+    )
+
+
+def _vertices(
+    demands: Sequence[Demand], prefill_s: float, decode_s: float
+) -> Iterator[list[float]]:
+    for chosen in product((0, 1, None), repeat=len(demands)):
+        rates = [d.rate * (part or 0) for part, d in zip(chosen, demands, strict=True)]
+        free = [i for i, part in enumerate(chosen) if part is None]
+        left_prefill = prefill_s - sum(
+            r * d.prefill_s for r, d in zip(rates, demands, strict=True)
+        )
+        left_decode = decode_s - sum(
+            r * d.decode_s for r, d in zip(rates, demands, strict=True)
+        )
+        for solution in _solutions(
+            [demands[i] for i in free], left_prefill, left_decode
+        ):
+            for i, rate in zip(free, solution, strict=True):
+                rates[i] = rate
+            yield list(rates)
+
+
+def _solutions(
+    free: Sequence[Demand], prefill_s: float, decode_s: float
+) -> Iterator[tuple[float, ...]]:
+    if not free:
+        yield ()
+    if len(free) == 1:
+        yield (prefill_s / free[0].prefill_s,)
+        yield (decode_s / free[0].decode_s,)
+    if len(free) == 2:
+        a, b = free
+        determinant = a.prefill_s * b.decode_s - b.prefill_s * a.decode_s
+        if abs(determinant) > TOLERANCE:
+            yield (
+                (prefill_s * b.decode_s - b.prefill_s * decode_s) / determinant,
+                (a.prefill_s * decode_s - prefill_s * a.decode_s) / determinant,
+            )
--- /dev/null
+++ b/src/siskinlever_testbed/bench/workloads.py
@@ -0,0 +1,197 @@
+"""The load of both users: their fleets, kinds of requests and arrivals."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+from ..plans import ATELIER_ZONES, EnginePlan, FleetPlan, ServicePlan
+from ..standins.answers import WORDS
+
+FIRST_TOKEN_TARGET_S = 0.71
+PER_TOKEN_TARGET_S = 0.068
+DRAFT_WITHIN_S = 15.0
+BROSUR_ZONES = ("hall-a", "hall-b", "hall-c")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """One kind of request.
+
+    Parameters
+    ----------
+    name : str
+        The model's name, or the service's.
+    share : float
+        Part of the arrivals.
+    worth : float
+    prefix_words, own_words : int
+        Words of the prompt that are shared with other requests, and not.
+    prefixes : int
+        How many different prefixes there are.
+    max_tokens : int
+    deferrable : bool
+    service : bool
+        Whether a plain service answers, with no model.
+    """
+
+    name: str
+    share: float
+    worth: float
+    prefix_words: int = 0
+    own_words: int = 0
+    prefixes: int = 1
+    max_tokens: int = 0
+    deferrable: bool = False
+    service: bool = False
+
+    @property
+    def first_token_target_s(self) -> float:
+        return DRAFT_WITHIN_S if self.deferrable else FIRST_TOKEN_TARGET_S
+
+    def model(self, pool: str) -> dict[str, Any]:
+        """Return the model's entry of the declaration."""
+        return {
+            "name": self.name,
+            "pool": pool,
+            "urgency": "deferrable" if self.deferrable else "interactive",
+            "worth": self.worth,
+            "first_token_s": FIRST_TOKEN_TARGET_S,
+            "per_token_s": PER_TOKEN_TARGET_S,
+            "answer_within_s": DRAFT_WITHIN_S,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """One user's fleet and what is asked of it."""
+
+    name: str
+    zones: tuple[str, ...]
+    engines: EnginePlan
+    service: ServicePlan
+    kinds: tuple[RequestKind, ...]
+
+    @property
+    def model_kinds(self) -> tuple[RequestKind, ...]:
+        return tuple(kind for kind in self.kinds if not kind.service)
+
+    def plan(self, policy: str) -> FleetPlan:
+        """Return the fleet to start."""
+        return FleetPlan(
+            hosts=8,
+            zones=self.zones,
+            engines=(self.engines,),
+            services=(self.service,),
+            models=tuple(kind.model(self.engines.pool) for kind in self.model_kinds),
+            workspaces=(self.name,),
+            policy=policy,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request to send.
+
+    Parameters
+    ----------
+    at_s : float
+        Intended moment, in seconds since the start.
+    """
+
+    request_id: str
+    at_s: float
+    kind: RequestKind
+    prompt: str
+    cancels_after_s: float | None = None
+
+
+ENGINES = EnginePlan(
+    "engines",
+    prefill=2,
+    decode=4,
+    slots=20,
+    prefill_rate=4000.0,
+    token_time_s=0.05,
+    retention_s=0.8,
+    kv_bytes=131072,
+    link_rate=4e9,
+    load_lag_s=0.5,
+)
+
+ATELIER = Workload(
+    "atelier",
+    ATELIER_ZONES,
+    replace(ENGINES, pool="critique-models", prefill=2, decode=4),
+    ServicePlan("client-portal", runners=3),
+    (
+        RequestKind("critique", 0.46, 5.0, 1024, 400, prefixes=3, max_tokens=60),
+        RequestKind("lookup", 0.46, 1.0, 0, 40, max_tokens=15),
+        RequestKind("client-portal", 0.08, 2.0, service=True),
+    ),
+)
+
+BROSUR = Workload(
+    "brosur",
+    BROSUR_ZONES,
+    replace(ENGINES, pool="copy-llm", prefill=2, decode=3),
+    ServicePlan("brochure-app", runners=3, idempotent=True),
+    (
+        RequestKind(
+            "draft", 0.38, 3.0, 1216, 500, prefixes=4, max_tokens=70, deferrable=True
+        ),
+        RequestKind("lookup", 0.54, 1.0, 0, 40, max_tokens=15),
+        RequestKind("brochure-app", 0.08, 0.5, service=True),
+    ),
+)
+
+WORKLOAD_BY_NAME = {"atelier": ATELIER, "brosur": BROSUR}
+
+
+def arrivals(
+    workload: Workload,
+    rate: float,
+    duration_s: float,
+    seed: int,
+    cancelling: float = 0.0,
+) -> Iterator[Arrival]:
+    """Generate the arrivals of a run: the same for every policy.
+
+    Parameters
+    ----------
+    workload : Workload
+    rate : float
+        Requests a second.
+    duration_s : float
+    seed : int
+    cancelling : float
+        Share of callers that go away before the end.
+    """
+    choose = random.Random(f"{workload.name}/{seed}")
+    weights = [kind.share for kind in workload.kinds]
+    at_s = 0.0
+    number = 0
+    while True:
+        at_s += choose.expovariate(rate)
+        if at_s >= duration_s:
+            return
+        kind = choose.choices(workload.kinds, weights)[0]
+        leaves = choose.random() < cancelling
+        patience_s = choose.uniform(0.0, 2.0)
+        number += 1
+        yield Arrival(
+            f"{workload.name}-{seed}-{number}",
+            at_s,
+            kind,
+            _prompt(kind, choose),
+            patience_s if leaves else None,
+        )
+
+
+def _prompt(kind: RequestKind, choose: random.Random) -> str:
+    number = choose.randrange(kind.prefixes)
+    shared = random.Random(f"{kind.name}/{number}").choices(WORDS, k=kind.prefix_words)
+    own = choose.choices(WORDS, k=kind.own_words)
+    return " ".join([*shared, *own])
--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -145,6 +145,7 @@
         self._load_lag_s = float(arguments["--load-lag"])
         self._checks_fencing = not arguments["--ignore-fencing"]
         self._compute = PriorityGate(1)
+        self._computed_until = 0.0
         self._slots = PriorityGate(int(arguments["--slots"]))
         self._link = PriorityGate(1)
         self._cache = PrefixCache(int(arguments["--cache-tokens"]))
@@ -214,13 +215,19 @@
     async def _prefill(self, request_id: str, body: dict[str, Any]) -> web.Response:
         prompt = body["prompt"]
         tokens = prompt_tokens(prompt)
+        arrived = time.monotonic()
         await self._compute.enter(body.get("priority", 0))
         try:
             cached = self._cache.reuse(prompt)
             self.record.add(
                 "prefill_started", request_id=request_id, tokens=tokens, cached=cached
             )
-            await asyncio.sleep(max(1, tokens - cached) / self._prefill_rate)
+            # Timed from the end of the one before, so that the delays of timers
+            # do not add up to a lower rate.
+            began = max(arrived, self._computed_until)
+            until = began + max(1, tokens - cached) / self._prefill_rate
+            await asyncio.sleep(until - time.monotonic())
+            self._computed_until = until
         finally:
             self._compute.leave()
         self.record.add("prefilled", request_id=request_id, tokens=tokens - cached)
@@ -315,10 +322,12 @@
     async def _generate(self, generation: Generation) -> None:
         try:
             self.record.add("decode_started", request_id=generation.request_id)
+            due = time.monotonic()
             while generation.produced < len(generation.tokens):
                 generation.produced += 1
                 generation.advance()
-                await asyncio.sleep(self._token_time_s)
+                due += self._token_time_s
+                await asyncio.sleep(due - time.monotonic())
             generation.done = True
             self.record.add(
                 "finished",
