--- a/src/siskinlever/_internal/callers/app.py
+++ b/src/siskinlever/_internal/callers/app.py
@@ -20,6 +20,7 @@
 from .services import service
 
 LOOKUP_LIFETIME_S = 5
+SERVER_ERROR = 500
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 
 
@@ -45,7 +46,7 @@
     """Turn an exception into an error of the interface."""
     if isinstance(error, InvalidRequestError):
         return error.response
-    if isinstance(error, SanicException):
+    if isinstance(error, SanicException) and error.status_code < SERVER_ERROR:
         return error_response(str(error), error.status_code, "invalid_request")
     host_of(request).metrics.count("internal_errors")
     return ending_response(Failed(Reason.INTERNAL, f"internal error: {error!r}"))
--- a/src/siskinlever/_internal/callers/requests.py
+++ b/src/siskinlever/_internal/callers/requests.py
@@ -101,6 +101,7 @@
         body_digest=content_digest(request.path.encode() + request.body),
         first_token_due=Deadline(_first_token_within_s(model)),
         resume_after=_resume_after(request),
+        generated_id=not caller.named,
     )
 
 
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -32,7 +32,7 @@
 from ..network.sessions import http_session
 from ..operators.app import OperatorContext, operators_app
 from ..peers import peer_pb2
-from ..peers.link import Peers, peer_links
+from ..peers.link import peer_links
 from ..peers.server import Handler, peer_server
 from ..platform.host_list import HostListClient
 from ..platform.key_value import KeyValueClient
@@ -48,7 +48,7 @@
 from ..requests.home import RequestHome
 from ..requests.registration import Registrar
 from ..routing.home import AdmissionHome
-from ..routing.reserving import ReservingPlacement
+from ..routing.policies import PLACEMENT_BY_POLICY, PlacementParts
 from ..routing.runners import RunnerFollower
 from ..services.client import ServiceClient
 from ..timeline.recorder import Recorder
@@ -177,16 +177,17 @@
         current_age_ms=lambda: current.current_age_ms,
     )
     detector.on_ping(follower.heard)
-    engines = Engines(pooled)
+    engines = Engines(pooled, fresh)
     aborts = AbortQueue(engines, tasks, metrics)
     admission = AdmissionHome(current, members, engines, aborts, recorder, metrics)
-    request_home = RequestHome(members, aborts, recorder, metrics)
-    placement = _placement(
-        settings, current, members, peers, admission, recorder, metrics, tasks
+    request_home = RequestHome(members, peers, aborts, recorder, metrics, tasks)
+    parts = PlacementParts(
+        current, members, peers, engines, admission, recorder, metrics, tasks
     )
+    placement = PLACEMENT_BY_POLICY[settings.policy](parts)
     registrar = Registrar(members, peers, request_home, recorder, metrics, tasks)
     executor = Executor(
-        members, engines, placement, registrar, aborts, recorder, metrics
+        members, engines, placement, registrar, aborts, recorder, metrics, tasks
     )
     services = ServiceClient(fresh)
     runners = RunnerFollower(
@@ -226,21 +227,6 @@
     )
 
 
-def _placement(
-    settings: Settings,
-    current: CurrentConfiguration,
-    members: MemberTable,
-    peers: Peers,
-    admission: AdmissionHome,
-    recorder: Recorder,
-    metrics: Metrics,
-    tasks: TaskSet,
-) -> ReservingPlacement:
-    return ReservingPlacement(
-        current, members, peers, admission, recorder, metrics, tasks
-    )
-
-
 def _handlers(host: Host) -> dict[str, Handler]:
     async def stop_attempt(
         request: peer_pb2.StopAttemptRequest,
@@ -258,6 +244,8 @@
         "Hold": host.request_home.hold,
         "Complete": host.request_home.complete,
         "Abandon": host.request_home.abandon,
+        "FetchEntry": host.request_home.fetch_entry,
+        "HandOver": host.request_home.hand_over,
         "StopAttempt": stop_attempt,
         "Reserve": host.admission_home.reserve,
         "Progress": host.admission_home.progress,
@@ -296,13 +284,15 @@
 
 
 def _own_member(settings: Settings) -> Member:
+    started = initial_incarnation(int(time.time() * MS_PER_S))
     return Member(
         host=HostName(settings.host),
         zone=settings.zone,
-        incarnation=initial_incarnation(int(time.time() * MS_PER_S)),
+        incarnation=started,
         state=MemberState.ALIVE,
         peer_address=settings.peers.address,
         callers_address=settings.callers.address,
+        started=started,
     )
 
 
--- a/src/siskinlever/_internal/requests/deliveries.py
+++ b/src/siskinlever/_internal/requests/deliveries.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator, Set
 from contextlib import contextmanager
 from dataclasses import dataclass
-from typing import Any, Protocol
 
 from expression import Error, Ok, Result
 
@@ -16,7 +15,7 @@
 from ..metrics.registry import Metrics
 from ..models.declaration import Service, ServiceRunner
 from ..models.events import EventKind
-from ..models.ids import Attempt, RequestId, WorkspaceName
+from ..models.ids import RequestId, WorkspaceName
 from ..models.outcome import Failed, Reason, Refused
 from ..routing.retry_budget import RetryBudget
 from ..services.client import ServiceAnswer, ServiceCall, ServiceClient
@@ -25,7 +24,7 @@
 from ..utils.digests import content_digest
 from ..utils.tasks import TaskSet
 from .claims import Claims
-from .registration import Registered
+from .registration import Registrar, Standing
 
 IDEMPOTENT_TRIES = 2
 BUSY_RETRY_S = 0.5
@@ -57,6 +56,16 @@
         """Name of the request among all workspaces."""
         return f"{self.workspace}/{self.request_id}"
 
+    @property
+    def generated_id(self) -> bool:
+        """Whether the caller left the naming to this host."""
+        return not self.named
+
+    @property
+    def first_token_due(self) -> Deadline:
+        """The time within which the service answers, from now on."""
+        return Deadline(self.service.timeout_s)
+
     @property
     def body_digest(self) -> str:
         """Digest that tells a repeated request from another."""
@@ -64,22 +73,6 @@
         return content_digest(head + self.call.body)
 
 
-class AttemptRegistrar(Protocol):
-    """What idempotent services need of `Registrar`."""
-
-    async def register(self, request: Any) -> Result[Registered, Refused | Failed]:
-        """Ask the request's home for a new attempt."""
-        ...
-
-    async def complete(self, request: Any, attempt: Attempt) -> bool:
-        """Ask the home whether this attempt may complete the answer."""
-        ...
-
-    def abandon(self, request: Any, attempt: Attempt) -> None:
-        """Tell the home that the attempt ended with no answer."""
-        ...
-
-
 class Deliveries:
     """Runs calls to plain services.
 
@@ -87,7 +80,7 @@
     ----------
     client : ServiceClient
     claims : Claims
-    registrar : AttemptRegistrar
+    registrar : Registrar
     recorder : Recorder
     metrics : Metrics
     tasks : TaskSet
@@ -100,7 +93,7 @@
         self,
         client: ServiceClient,
         claims: Claims,
-        registrar: AttemptRegistrar,
+        registrar: Registrar,
         recorder: Recorder,
         metrics: Metrics,
         tasks: TaskSet,
@@ -141,16 +134,18 @@
         registration = await self._registrar.register(request)
         if registration.is_error():
             return Error(registration.error)
-        attempt = registration.ok.attempt
-        completed = False
+        registered = registration.ok
+        standing = Standing.UNKNOWN
         try:
             result = await self._run_idempotent(request)
             if result.is_ok():
-                completed = await self._registrar.complete(request, attempt)
+                standing = await self._registrar.complete(request, registered)
         finally:
-            if not completed:
-                self._registrar.abandon(request, attempt)
-        if result.is_ok() and not completed:
+            if standing is not Standing.CURRENT:
+                self._tasks.start(
+                    self._registrar.abandon(request, registered, ran=True), "abandon"
+                )
+        if result.is_ok() and standing is not Standing.CURRENT:
             message = "another attempt replaced this one"
             return Error(Failed(Reason.TAKEN_OVER, message))
         return result
