--- a/tests/functional/test_leaving.py
+++ b/tests/functional/test_leaving.py
@@ -30,6 +30,7 @@
 OBSERVED_S = 2.5
 NEW_WORK = {"prefill_started", "queued", "ran"}
 PAUSE_S = 0.05
+CALLERS = 6
 
 
 @pytest.fixture(scope="module")
@@ -50,18 +51,18 @@
     assert shared.run(shared.fleet.apply()) == 0
 
 
-async def load(world: World, replies: list) -> None:
-    """Ask all hosts in turn, as callers that never look up again."""
+async def load(world: World, name: int, replies: list) -> None:
+    """Ask all hosts in turn, as a caller that never looks up again."""
     caller = world.caller()
     for number, host in enumerate(itertools.cycle(world.fleet.place_by_host)):
         if world.notes["stop"]:
             return
         address = world.address(host)
         prompt = f"Which stock suits flyer {number}?"
-        reply = await caller.complete(address, "lookup", prompt, 10)
-        replies.append(reply.text == answer_text(prompt, 10) and reply.complete)
+        reply = await caller.complete(address, "lookup", prompt, 40)
+        replies.append(reply.text == answer_text(prompt, 40) and reply.complete)
         for service in ("client-portal", "stock-list"):
-            request_id = f"{service}:{world.notes['start']}:{number}"
+            request_id = f"{service}:{world.notes['start']}:{name}:{number}"
             answer = await caller.call_service(address, service, "proof", request_id)
             replies.append(answer.outcome)
         await asyncio.sleep(PAUSE_S)
@@ -71,8 +72,9 @@
 def callers(world):
     world.notes["replies"] = []
     world.notes["start"] = time.time()
-    world.begin(load(world, world.notes["replies"]))
-    world.until(lambda: len(world.notes["replies"]) > 24, within_s=10)
+    for name in range(CALLERS):
+        world.begin(load(world, name, world.notes["replies"]))
+    world.until(lambda: len(world.notes["replies"]) > 100, within_s=10)
 
 
 @when(parsers.parse("the host list says that {name} is leaving"))
