--- /dev/null
+++ b/tests/fuzz/conftest.py
@@ -0,0 +1,33 @@
+"""How long the fuzzing runs: `make test` uses ``fixed``, `make fuzz` ``long``."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, Phase, settings
+
+MAX_EXAMPLES = 60
+STEPS = 50
+LONG_MAX_EXAMPLES = 1_500
+
+assert MAX_EXAMPLES * STEPS >= 2_000
+
+for name, examples, derandomize in (
+    ("long", LONG_MAX_EXAMPLES, False),
+    ("fixed", MAX_EXAMPLES, True),
+):
+    settings.register_profile(
+        name,
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        derandomize=derandomize,
+        deadline=None,
+        database=None,
+        # Only the long run spends minutes on making a failing case shorter.
+        phases=list(Phase) if name == "long" else [Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+settings.load_profile("fixed")
+
+
+def pytest_report_header(config):
+    """Print the seed."""
+    return f"fuzz seed: {config.getoption('--hypothesis-seed') or 'fixed'}"
--- /dev/null
+++ b/tests/fuzz/test_claims.py
@@ -0,0 +1,96 @@
+"""Claims: at most one nonce may dispatch a request, whatever the store does."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from lib.fake_key_value import Fate, FakeKeyValue
+from lib.virtual_time import VirtualTimeLoop
+
+from siskinlever._internal.requests.claims import Claims
+
+HOSTS = ("host-a", "host-b", "host-c")
+REQUEST_KEYS = ("atelier/proof-1", "brosur/draft-1")
+MAX_ASKED = 12
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Several hosts ask to run the same requests."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = VirtualTimeLoop()
+        self.store = FakeKeyValue()
+        self.claims_by_host = {
+            host: Claims(self.store, "siskinlever", host) for host in HOSTS
+        }
+        self.asked = []
+        self.held = []
+        self.dispatched_by_key = defaultdict(set)
+
+    @rule(host=st.sampled_from(HOSTS), key=st.sampled_from(REQUEST_KEYS))
+    @precondition(lambda self: len(self.asked) < MAX_ASKED)
+    def ask(self, host, key):
+        claim = self.claims_by_host[host].claim(key, "digest")
+        self.asked.append((host, key, self.loop.create_task(claim)))
+        self.loop.go_on()
+
+    @rule(data=st.data(), fate=st.sampled_from(Fate))
+    @precondition(lambda self: self.store.calls)
+    def settle(self, data, fate):
+        self.store.settle(data.draw(st.sampled_from(self.store.calls)), fate)
+        self.loop.go_on()
+
+    @rule(data=st.data())
+    @precondition(lambda self: self.store.late)
+    def late_write_arrives(self, data):
+        number = data.draw(st.integers(0, len(self.store.late) - 1))
+        self.store.late.pop(number)()
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 3.0]))
+    def time_passes(self, seconds):
+        self.loop.go_on(seconds)
+
+    @rule(data=st.data())
+    @precondition(lambda self: self.held)
+    def dispatch(self, data):
+        _, key, nonce = self._take(data)
+        self.dispatched_by_key[key].add(nonce)
+
+    @rule(data=st.data())
+    @precondition(lambda self: self.held)
+    def release(self, data):
+        host, key, nonce = self._take(data)
+        self.loop.create_task(self.claims_by_host[host].release(key, nonce))
+        self.loop.go_on()
+
+    def _take(self, data):
+        return self.held.pop(data.draw(st.integers(0, len(self.held) - 1)))
+
+    @invariant()
+    def only_one_may_dispatch(self):
+        self._collect()
+        holders_by_key = defaultdict(set)
+        for _, key, nonce in self.held:
+            holders_by_key[key].add(nonce)
+        for key in REQUEST_KEYS:
+            assert len(holders_by_key[key] | self.dispatched_by_key[key]) <= 1
+
+    def _collect(self):
+        for host, key, task in [a for a in self.asked if a[2].done()]:
+            self.asked.remove((host, key, task))
+            if task.result().is_ok():
+                self.held.append((host, key, task.result().ok))
+
+    def teardown(self):
+        while self.asked:
+            self.store.serve_all(self.loop.go_on)
+            self.loop.go_on(1.0)
+            self.only_one_may_dispatch()
+        self.loop.finish()
+
+
+TestClaims = ClaimsMachine.TestCase
--- /dev/null
+++ b/tests/fuzz/test_membership.py
@@ -0,0 +1,89 @@
+"""Membership: whatever the order of news, all tables converge on the latest."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from siskinlever._internal.membership.members import Member, MemberState, MemberTable
+
+HOSTS = ("host-a", "host-b", "host-c", "host-d")
+host_names = st.sampled_from(HOSTS)
+RESTART_STEP = 1_000
+MAX_ROUNDS = 10
+
+
+def alive(host, incarnation):
+    return Member(host, f"zone-{host}", incarnation, MemberState.ALIVE, "", "")
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Hosts tell each other of all hosts by messages that anything befalls."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = 1
+        self.table_by_host = {}
+        self.rank_by_pair = {}
+        self.sent = []
+        for host in HOSTS:
+            self.table_by_host[host] = MemberTable(alive(host, 1))
+        for table in self.table_by_host.values():
+            for host in HOSTS:
+                table.merge(alive(host, 1))
+
+    @rule(teller=host_names, subject=host_names)
+    def send(self, teller, subject):
+        member = self.table_by_host[teller].by_host.get(subject)
+        if member is not None:
+            self.sent.append(member)
+
+    @rule(data=st.data(), hearer=host_names)
+    @precondition(lambda self: self.sent)
+    def receive(self, data, hearer):
+        """Messages stay in the bag: each may come late, twice or never."""
+        news = data.draw(st.sampled_from(self.sent))
+        self.table_by_host[hearer].merge(news)
+
+    @rule(judge=host_names, subject=host_names, dead=st.booleans())
+    def suspect(self, judge, subject, dead):
+        if judge != subject:
+            state = MemberState.DEAD if dead else MemberState.SUSPECT
+            self.table_by_host[judge].set_state(subject, state)
+
+    @rule(listener=host_names, subject=host_names)
+    def hear_of_leaving(self, listener, subject):
+        self.table_by_host[listener].set_leaving(subject)
+
+    @rule(host=host_names)
+    def restart(self, host):
+        self.clock += RESTART_STEP
+        self.table_by_host[host] = MemberTable(alive(host, self.clock))
+        for pair in [p for p in self.rank_by_pair if p[0] == host]:
+            del self.rank_by_pair[pair]
+
+    @invariant()
+    def older_news_never_wins(self):
+        for owner, table in self.table_by_host.items():
+            assert table.own.state is MemberState.ALIVE
+            for host, member in table.by_host.items():
+                before = self.rank_by_pair.get((owner, host), (0,))
+                assert member.rank >= before
+                self.rank_by_pair[owner, host] = member.rank
+
+    def teardown(self):
+        """With no more losses all agree, and every running host is alive."""
+        for _ in range(MAX_ROUNDS):
+            for teller in self.table_by_host.values():
+                for hearer in self.table_by_host.values():
+                    for member in list(teller.by_host.values()):
+                        hearer.merge(replace(member))
+        views = [table.by_host for table in self.table_by_host.values()]
+        assert all(view == views[0] for view in views)
+        assert all(m.state is MemberState.ALIVE for m in views[0].values())
+        assert set(views[0]) == set(HOSTS)
+
+
+TestMembership = MembershipMachine.TestCase
