--- a/src/siskinlever/_internal/callers/errors.py
+++ b/src/siskinlever/_internal/callers/errors.py
@@ -15,6 +15,7 @@
 STATUS_BY_REASON = {
     Reason.OVERLOADED: 503,
     Reason.TOO_LATE: 503,
+    Reason.TOO_LARGE: 413,
     Reason.NO_RUNNER: 503,
     Reason.NO_CONFIGURATION: 503,
     Reason.STALE_CONFIGURATION: 503,
@@ -24,6 +25,7 @@
     Reason.DUPLICATE: 409,
     Reason.TAKEN_OVER: 409,
     Reason.ALREADY_ANSWERED: 409,
+    Reason.NOT_RESUMABLE: 409,
     Reason.CLAIM_EXISTS: 409,
     Reason.ENGINE_FAILED: 502,
     Reason.SERVICE_FAILED: 502,
