--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,15 @@
 test: lint
 	$(BIN)/python -m pytest
 
+# Fuzzes for longer; SEED makes a run repeatable, each run prints its own.
+SEED ?= $(shell date +%s)
+fuzz: $(STAMP)
+	$(BIN)/python -m pytest tests/fuzz --hypothesis-profile=long \
+		--hypothesis-seed=$(SEED) --tb=short -n 5
+
+slopes: $(STAMP)
+	$(BIN)/python -m siskinlever_testbed slopes
+
 # Regenerates the committed code of the peers' interface.
 proto: $(STAMP)
 	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[codegen]'
--- a/src/siskinlever/_internal/network/sessions.py
+++ b/src/siskinlever/_internal/network/sessions.py
@@ -23,6 +23,18 @@
     return sock
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turn errors after which aiohttp sends a PUT, DELETE or GET once more."""
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(f"answer lost: {error!r}") from error
+
+
 @asynccontextmanager
 async def http_session(pooled: bool, limit: int = 0) -> AsyncIterator[Any]:
     """Open an HTTP client session.
@@ -32,7 +44,8 @@
     pooled : bool
         Whether connections are used again. A call that may not be repeated
         needs a fresh one: a reset on a used connection does not tell whether
-        the far end read the call, a failed connect does.
+        the far end read the call, a failed connect does. A call on a fresh
+        connection is never sent twice.
     limit : int
         Connections open at once; 0 for no limit.
     """
@@ -41,6 +54,9 @@
     )
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
     async with aiohttp.ClientSession(
-        connector=connector, timeout=timeout, auto_decompress=True
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=True,
+        middlewares=() if pooled else (_send_once,),
     ) as session:
         yield session
--- a/tests/fuzz/test_claims.py
+++ b/tests/fuzz/test_claims.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import defaultdict
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from lib.fake_key_value import Fate, FakeKeyValue
+from lib.fake_key_value import FakeKeyValue, Fate
 from lib.virtual_time import VirtualTimeLoop
 
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.platform.leases import RetentionLease
+from siskinlever._internal.requests.claim_batches import ClaimBatches
 from siskinlever._internal.requests.claims import Claims
+from siskinlever._internal.utils.tasks import TaskSet
 
 HOSTS = ("host-a", "host-b", "host-c")
 REQUEST_KEYS = ("atelier/proof-1", "brosur/draft-1")
@@ -24,13 +27,17 @@
         super().__init__()
         self.loop = VirtualTimeLoop()
         self.store = FakeKeyValue()
-        self.claims_by_host = {
-            host: Claims(self.store, "siskinlever", host) for host in HOSTS
-        }
+        self.claims_by_host = {host: self._claims(host) for host in HOSTS}
         self.asked = []
         self.held = []
         self.dispatched_by_key = defaultdict(set)
 
+    def _claims(self, host):
+        tasks, metrics = TaskSet(), Metrics()
+        lease = RetentionLease(self.store, host)
+        batches = ClaimBatches(self.store, lease, tasks, metrics)
+        return Claims(self.store, batches, "siskinlever", host, tasks, metrics)
+
     @rule(host=st.sampled_from(HOSTS), key=st.sampled_from(REQUEST_KEYS))
     @precondition(lambda self: len(self.asked) < MAX_ASKED)
     def ask(self, host, key):
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -13,7 +13,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from siskinlever._internal.platform.key_value import Put, Record
+from siskinlever._internal.platform.key_value import Delete, Put, Record
 
 
 class Fate(Enum):
@@ -57,7 +57,7 @@
         if await self._call(lambda: self._write_all([put]), writes=True):
             raise StoreConflictError(key)
 
-    async def put_all(self, puts: list[Put]) -> set[str]:
+    async def put_all(self, puts: list[Put | Delete]) -> set[str]:
         return await self._call(lambda: self._write_all(puts), writes=True)
 
     async def delete(self, key: str, expected_version: int) -> None:
@@ -108,9 +108,16 @@
         self.calls.append(call)
         return await call.answer
 
-    def _write_all(self, puts: list[Put]) -> set[str]:
-        conflicts = {p.key for p in puts if self._version(p.key) != p.expected_version}
+    def _write_all(self, puts: list[Put | Delete]) -> set[str]:
+        conflicts = {
+            put.key
+            for put in puts
+            if isinstance(put, Put) and self._version(put.key) != put.expected_version
+        }
         for put in [] if conflicts else puts:
+            if isinstance(put, Delete):
+                self.record_by_key.pop(put.key, None)
+                continue
             self._index += 1
             self.record_by_key[put.key] = Record(put.key, put.value, self._index)
             self.written.append((put.key, put.value))
--- a/tests/lib/virtual_time.py
+++ b/tests/lib/virtual_time.py
@@ -4,6 +4,11 @@
 
 import asyncio
 import selectors
+import time
+from types import SimpleNamespace
+from unittest import mock
+
+from siskinlever._internal.utils import clock
 
 
 class _InstantSelector(selectors.SelectSelector):
@@ -21,11 +26,17 @@
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Runs timers in their order, with no real waiting."""
+    """Runs timers in their order, with no real waiting.
+
+    The package's monotonic clock is this loop's until `finish`.
+    """
 
     def __init__(self) -> None:
         self._instant = _InstantSelector()
         super().__init__(self._instant)
+        fake = SimpleNamespace(monotonic=self.time, time=time.time)
+        self._clock = mock.patch.object(clock, "time", fake)
+        self._clock.start()
 
     def time(self) -> float:
         return self._instant.slept_s
@@ -43,4 +54,5 @@
             task.cancel()
         if tasks:
             self.run_until_complete(asyncio.wait(tasks))
+        self._clock.stop()
         self.close()
