Test request outcomes under failures against the engines' record

The first runs failed in five places, of which these were faults of the product:

* A caller that left after a body of more than 64 KB was not noticed: Sanic pauses reading when its buffer is full and reads on only for the next request.
Prefill went on to its end and the KV cache was held (seen: not released in 5 s, aborted only when the host was killed).
Now the connection is read on.
* A caller that asked for the rest of its answer while the home was dead or frozen was refused after its first-token target, which it had met long before (seen: 503 after 0.8 s).
It now waits up to 6 s for the new home.

The other three were faults of the new tests: a killed engine's record has no release, so a process's start now counts as one; a freeze came before the host had read the request; suspected hosts are not dead yet.

--- a/src/siskinlever/_internal/callers/app.py
+++ b/src/siskinlever/_internal/callers/app.py
@@ -19,7 +19,7 @@
 from ..models.outcome import Answered, Failed, Outcome, Reason, Refused
 from ..models.work import ModelRequest
 from ..network.http_server import App
-from ..network.sockets import detect_silence_of
+from ..network.sockets import detect_close_of, detect_silence_of
 from ..requests.deliveries import Deliveries, ServiceRequest
 from ..requests.execution import Executor
 from ..services.client import ServiceCall
@@ -160,6 +160,7 @@
     body = _body(request, body_type)
     model_request = _model_request(request, caller, body)
     detect_silence_of(request.transport)
+    detect_close_of(request.transport)
     shape = AnswerShape(caller.request_id, model_request.model.name, chat)
     with host.access.admitted(caller.workspace) as admitted:
         if admitted.is_error():
--- a/src/siskinlever/_internal/network/sockets.py
+++ b/src/siskinlever/_internal/network/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from contextlib import suppress
+from typing import Any
 
 USER_TIMEOUT_MS = 3000
 KEEPALIVE_IDLE_S = 2
@@ -30,6 +31,16 @@
         detect_silence(sock)
 
 
+def detect_close_of(transport: Any) -> None:
+    """Read on, so that a caller's close is seen while its request is served.
+
+    Sanic pauses a connection that fills its buffer and reads on only for the
+    next request, so after a long body a close would go unseen.
+    """
+    if transport is not None:
+        transport.resume_reading()
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``IP:port``; an IPv6 number stands in brackets."""
     host, _, port = address.rpartition(":")
--- a/src/siskinlever/_internal/requests/execution.py
+++ b/src/siskinlever/_internal/requests/execution.py
@@ -249,7 +249,7 @@
             prompt_tokens=estimated_tokens(prompt),
             max_tokens=request.max_tokens - produced,
             prefix_hashes=prefix_hashes(prompt),
-            first_token_due=Deadline(CONTINUE_WITHIN_S) if produced else due,
+            first_token_due=Deadline(CONTINUE_WITHIN_S) if running.continued else due,
             excluded_runners=excluded,
         )
 
--- a/src/siskinlever/_internal/requests/generation.py
+++ b/src/siskinlever/_internal/requests/generation.py
@@ -131,7 +131,7 @@
             running.confirmed_at = asked_at
 
     def _check_due(self, running: Running) -> None:
-        if running.text or not running.request.first_token_due.passed:
+        if running.continued or not running.request.first_token_due.passed:
             return
         late = Refused(
             Reason.TOO_LATE, TOO_LATE_RETRY_S, "the first token's target has passed"
--- a/src/siskinlever/_internal/requests/registration.py
+++ b/src/siskinlever/_internal/requests/registration.py
@@ -94,7 +94,7 @@
         """Ask the request's home for a new attempt."""
         nonce = uuid.uuid4().hex
         message = self._register_message(request, nonce)
-        limit = Deadline(min(request.first_token_due.remaining_s, REGISTER_LIMIT_S))
+        limit = _limit(request)
         try:
             while self._members.has_majority and not limit.passed:
                 reply = await self._ask_home(request.key, "Register", message)
@@ -127,7 +127,7 @@
         entry.handles = handles
         self._own_home.keep_own(request.key, entry)
         message = peer_pb2.HoldRequest(entry=to_message(request.key, entry))
-        limit = Deadline(min(request.first_token_due.remaining_s, REGISTER_LIMIT_S))
+        limit = _limit(request)
         while True:
             reply = await self._first_hold(request.key, message)
             if reply is not None:
@@ -313,6 +313,13 @@
         )
 
 
+def _limit(request: ModelRequest) -> Deadline:
+    """Return how long keepers are asked; a caller that holds a part waits longer."""
+    if request.resume_after is not None:
+        return Deadline(REGISTER_LIMIT_S)
+    return Deadline(min(request.first_token_due.remaining_s, REGISTER_LIMIT_S))
+
+
 FAILURE_BY_DECISION = {
     peer_pb2.ALREADY_ANSWERED: Failed(
         Reason.ALREADY_ANSWERED, "this request id was answered before"
--- a/src/siskinlever/_internal/requests/running.py
+++ b/src/siskinlever/_internal/requests/running.py
@@ -80,6 +80,11 @@
         """Whether the engine said that the answer ended."""
         return bool(self.finish_reason) or len(self.text) >= self.request.max_tokens
 
+    @property
+    def continued(self) -> bool:
+        """Whether the caller holds a part of the answer already."""
+        return bool(self.text) or self.request.resume_after is not None
+
     def take_over(self) -> None:
         """End this attempt for a newer one, which reads on its generation."""
         self.taken_over = True
--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -143,6 +143,7 @@
         self.role = arguments["--role"]
         self.address = arguments["--address"]
         self.record = Record(arguments["--record"] or "")
+        self.record.add("started")
         self.faults = Faults()
         self._prefill_rate = float(arguments["--prefill-rate"])
         self._token_time_s = float(arguments["--token-time"])
--- /dev/null
+++ b/tests/functional/features/memory.feature
@@ -0,0 +1,32 @@
+Feature: Engine memory is released when a caller is gone
+  Whatever engines hold for a request is released within 5 s.
+
+  Scenario Outline: A caller is gone at a stage
+    Given a request in <stage>
+    When <event>
+    Then engines hold nothing for it after 5 s
+
+    Examples:
+      | stage    | event                                           |
+      | prefill  | its caller leaves                               |
+      | transfer | its caller leaves                               |
+      | decode   | its caller leaves                               |
+      | decode   | its caller leaves and cancels' answers are lost |
+      | prefill  | its host is killed                              |
+      | transfer | its host is killed                              |
+      | decode   | its host is frozen                              |
+      | decode   | its host is replaced at once                    |
+      | decode   | its host and its home are killed                |
+      | decode   | its host and the admission home are killed      |
+
+  Scenario: A caller leaves while its request is registered
+    Given a request whose home is frozen
+    When its caller leaves
+    And the home wakes
+    Then no engine ever runs it
+
+  Scenario: A caller leaves while its request is queued
+    Given a request that waits for a slot
+    When its caller leaves
+    And the other requests leave
+    Then no engine ever runs it
--- /dev/null
+++ b/tests/lib/outcomes.py
@@ -0,0 +1,221 @@
+"""A fleet under test with callers, and the engines' record as the oracle."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AsyncExitStack, contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+from siskinlever._internal.utils.digests import content_digest
+from siskinlever._internal.utils.rendezvous import primary_and_backup, ranked
+from siskinlever_testbed.client import Caller, Reply
+from siskinlever_testbed.fleet import OPERATOR_KEY, Fleet, caller_key, running_fleet
+from siskinlever_testbed.plans import ATELIER_ZONES, EnginePlan, FleetPlan
+from siskinlever_testbed.standins.answers import answer_text
+
+POOL = "critique-models"
+WORKSPACE = "atelier"
+MODEL = "itinerary-draft"
+TOKENS = 60
+BRIEF_FIRST_TOKEN_S = 2.0
+POLL_S = 0.05
+# A held fact ends with any of the facts named.
+ENDS_BY_FACT = {
+    "prefill_started": {"prefilled", "prefill_cancelled"},
+    "prefilled": {"transferred", "discarded", "evicted"},
+    "held": {"released"},
+}
+
+PLAN = FleetPlan(
+    hosts=8,
+    zones=ATELIER_ZONES,
+    engines=(EnginePlan(POOL, prefill=2, decode=3, slots=4, retention_s=30.0),),
+    models=(
+        {
+            "name": "brief-review",
+            "pool": POOL,
+            "first_token_s": BRIEF_FIRST_TOKEN_S,
+        },
+        {"name": MODEL, "pool": POOL, "urgency": "deferrable"},
+    ),
+)
+
+
+class Bench:
+    """Runs coroutines of test steps against one fleet."""
+
+    def __init__(self, runner: asyncio.Runner, fleet: Fleet) -> None:
+        self.run = runner.run
+        self.fleet = fleet
+        self.caller = Caller(fleet.session, caller_key(WORKSPACE))
+        self.task_by_id: dict[str, asyncio.Task[Reply]] = {}
+        self.reply_by_id: dict[str, Reply] = {}
+        self.prompt_by_id: dict[str, str] = {}
+
+    def zones(self) -> dict[str, str]:
+        return {p.name: p.zone for p in self.fleet.place_by_host.values()}
+
+    def home_and_backup(self, request_id: str) -> tuple[str, str]:
+        key = f"request/{WORKSPACE}/{request_id}"
+        home, backup = primary_and_backup(key, self.zones())
+        assert home and backup
+        return home, backup
+
+    def admission_home(self) -> str:
+        return ranked(f"pool/{POOL}", self.zones())[0]
+
+    def bystander(self, *request_ids: str, avoid: tuple[str, ...] = ()) -> str:
+        """Return a host that keeps none of the requests and no pool."""
+        kept = {h for r in request_ids for h in self.home_and_backup(r)}
+        kept |= {self.admission_home(), *avoid}
+        return next(name for name in sorted(self.zones()) if name not in kept)
+
+    def send(self, request_id: str, host: str, **options: Any) -> asyncio.Task[Reply]:
+        """Start a request; its reply grows as pieces arrive."""
+        prompt = options.pop("prompt", f"Summarise itinerary {request_id}.")
+        self.prompt_by_id[request_id] = prompt
+        partial = Reply()
+
+        async def keep(reply: Reply) -> None:
+            partial.text = reply.text
+            partial.last_event_id = reply.last_event_id
+
+        async def call() -> Reply:
+            return await self.caller.complete(
+                self.fleet.place_by_host[host].callers,
+                options.pop("model", MODEL),
+                prompt,
+                options.pop("tokens", TOKENS),
+                request_id,
+                on_piece=keep,
+                **options,
+            )
+
+        async def start() -> asyncio.Task[Reply]:
+            return asyncio.create_task(call())
+
+        self.task_by_id[request_id] = self.run(start())
+        self.reply_by_id[request_id] = partial
+        return self.task_by_id[request_id]
+
+    def wait(self, condition: Callable[[], Any], within_s: float, what: str) -> None:
+        """Wait for a condition; fail if it takes longer than its target."""
+
+        async def poll() -> None:
+            limit = time.monotonic() + within_s
+            while True:
+                found = condition()
+                if await found if inspect.isawaitable(found) else found:
+                    return
+                assert time.monotonic() < limit, f"not within {within_s} s: {what}"
+                await asyncio.sleep(POLL_S)
+
+        self.run(poll())
+
+    def reply(self, task: asyncio.Task[Reply], within_s: float = 30.0) -> Reply:
+        async def join() -> Reply:
+            return await asyncio.wait_for(asyncio.shield(task), within_s)
+
+        return self.run(join())
+
+    def caller_leaves(self, request_id: str) -> None:
+        async def cancel() -> None:
+            task = self.task_by_id[request_id]
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+
+        self.run(cancel())
+
+    def facts(self, request_id: str) -> list[dict[str, Any]]:
+        """Return what the engines did for a request."""
+        digest = content_digest(f"{WORKSPACE}/{request_id}".encode())[:16]
+        return [
+            fact
+            for fact in self.fleet.records(POOL)
+            if digest in fact.get("request_id", "")
+        ]
+
+    def count(self, request_id: str, fact: str) -> int:
+        return sum(f["fact"] == fact for f in self.facts(request_id))
+
+    def held(self, request_id: str) -> list[tuple[str, str]]:
+        """Return what engines hold for a request now, by their own record."""
+        facts = self.facts(request_id)
+        return [
+            (f["runner"], f["fact"])
+            for f in facts
+            if f["fact"] in ENDS_BY_FACT
+            and f["at"] > self._began(f["runner"])
+            and not any(
+                end["request_id"] == f["request_id"]
+                and end["runner"] == f["runner"]
+                and end["fact"] in ENDS_BY_FACT[f["fact"]]
+                for end in facts
+            )
+        ]
+
+    def _began(self, runner: str) -> float:
+        """Return when a runner's process began; memory ends with its process."""
+        if self.fleet.process_by_name[runner].returncode is not None:
+            return float("inf")
+        starts = [f["at"] for f in self.fleet.record(runner) if f["fact"] == "started"]
+        return float(starts[-1])
+
+    def expected(self, request_id: str, tokens: int = TOKENS) -> str:
+        return answer_text(self.prompt_by_id[request_id], tokens)
+
+    def runners(self, role: str) -> list[str]:
+        declared = self.fleet.runners_by_pool[POOL]
+        return [r["name"] for r in declared if r["role"] == role]
+
+    def serving_runner(self, request_id: str) -> str:
+        held = [runner for runner, fact in self.held(request_id) if fact == "held"]
+        assert len(held) == 1, held
+        return held[0]
+
+    def faults(self, role: str, **faults: Any) -> None:
+        for name in self.runners(role):
+            self.run(self.fleet.set_faults(name, **faults))
+
+    def restore(self) -> None:
+        """Bring killed, frozen and faulty processes back, and wait for peers."""
+        processes = self.fleet.process_by_name
+        ended = [p for p in processes.values() if p.returncode is not None]
+        for process in processes.values():
+            process.thaw()
+        for process in ended:
+            process.start()
+            self.run(process.ready())
+        for role in ("prefill", "decode"):
+            self.faults(role)
+        self.wait(self._all_alive, 20.0, "all hosts know all hosts as alive")
+
+    async def states(self, host: str) -> dict[str, str]:
+        """Return what a host believes of all hosts."""
+        url = f"http://{self.fleet.place_by_host[host].operators}/v1/status"
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        async with self.fleet.session.get(url, headers=headers) as response:
+            status = await response.json()
+        return {member["host"]: member["state"] for member in status["members"]}
+
+    async def _all_alive(self) -> bool:
+        wanted = dict.fromkeys(self.zones(), "alive")
+        return all([await self.states(host) == wanted for host in wanted])
+
+
+@contextmanager
+def running_bench(directory: Path, plan: FleetPlan = PLAN) -> Iterator[Bench]:
+    """Run a fleet with its declaration in force for the length of a block."""
+    with asyncio.Runner() as runner:
+        stack = AsyncExitStack()
+        fleet = runner.run(stack.enter_async_context(running_fleet(plan, directory)))
+        try:
+            assert runner.run(fleet.apply()) == 0
+            yield Bench(runner, fleet)
+        finally:
+            runner.run(stack.aclose())
