--- a/src/siskinlever/_internal/requests/registration.py
+++ b/src/siskinlever/_internal/requests/registration.py
@@ -15,7 +15,7 @@
 from ..metrics.registry import Metrics
 from ..models.ids import Attempt, HostName
 from ..models.outcome import Failed, Reason, Refused
-from ..models.work import ModelRequest
+from ..models.work import Registrable
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..timeline.recorder import Recorder
@@ -89,7 +89,7 @@
         self._tasks = tasks
 
     async def register(
-        self, request: ModelRequest
+        self, request: Registrable
     ) -> Result[Registered, Refused | Failed]:
         """Ask the request's home for a new attempt."""
         nonce = uuid.uuid4().hex
@@ -115,7 +115,7 @@
 
     async def confirm(
         self,
-        request: ModelRequest,
+        request: Registrable,
         registered: Registered,
         handles: tuple[EngineHandle, ...],
     ) -> Standing:
@@ -136,7 +136,7 @@
                 return Standing.UNKNOWN
             await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def complete(self, request: ModelRequest, registered: Registered) -> Standing:
+    async def complete(self, request: Registrable, registered: Registered) -> Standing:
         """Ask the home whether this attempt may complete the answer."""
         stamp = self._recorder.clock.tick()
         message = peer_pb2.CompleteRequest(
@@ -165,7 +165,7 @@
         return Standing.UNKNOWN
 
     async def abandon(
-        self, request: ModelRequest, registered: Registered, ran: bool
+        self, request: Registrable, registered: Registered, ran: bool
     ) -> bool:
         """Tell the keepers that the attempt ended with no answer.
 
@@ -177,9 +177,7 @@
         """
         return await self._abandon(request, registered.nonce, ran)
 
-    async def stop_previous(
-        self, request: ModelRequest, registered: Registered
-    ) -> None:
+    async def stop_previous(self, request: Registrable, registered: Registered) -> None:
         """Have the host of the attempt taken over close its caller's connection."""
         previous = registered.previous_host
         if previous is None or previous == self._members.own_host:
@@ -195,7 +193,7 @@
             self._metrics.count("home_messages_lost", rpc="StopAttempt")
 
     def _registered(
-        self, request: ModelRequest, reply: peer_pb2.RegisterReply, nonce: str
+        self, request: Registrable, reply: peer_pb2.RegisterReply, nonce: str
     ) -> Result[Registered, Refused | Failed]:
         failure = FAILURE_BY_DECISION.get(reply.decision)
         if failure is not None:
@@ -210,17 +208,17 @@
         self._own_home.keep_own(request.key, self._own_entry(request, registered))
         return Ok(registered)
 
-    def home_silent(self, request: ModelRequest) -> Refused | Failed:
+    def home_silent(self, request: Registrable) -> Refused | Failed:
         """An id that its caller named may run elsewhere, unknown to this host."""
         message = "the request's home did not answer"
         if request.generated_id:
             return Refused(Reason.OVERLOADED, HOME_SILENT_RETRY_S, message)
         return Failed(Reason.OVERLOADED, message, HOME_SILENT_RETRY_S)
 
-    def _abandon_later(self, request: ModelRequest, nonce: str, ran: bool) -> None:
+    def _abandon_later(self, request: Registrable, nonce: str, ran: bool) -> None:
         self._tasks.start(self._abandon(request, nonce, ran), "abandon")
 
-    async def _abandon(self, request: ModelRequest, nonce: str, ran: bool) -> bool:
+    async def _abandon(self, request: Registrable, nonce: str, ran: bool) -> bool:
         message = peer_pb2.AbandonRequest(
             workspace=request.workspace,
             request_id=request.request_id,
@@ -284,7 +282,7 @@
     def _keepers(self, key: str) -> list[HostName]:
         return [host for host in self._own_home.homes.of(key) if host is not None]
 
-    def _own_entry(self, request: ModelRequest, registered: Registered) -> Entry:
+    def _own_entry(self, request: Registrable, registered: Registered) -> Entry:
         own = self._members.own
         return Entry(
             own.host,
@@ -297,7 +295,7 @@
         )
 
     def _register_message(
-        self, request: ModelRequest, nonce: str
+        self, request: Registrable, nonce: str
     ) -> peer_pb2.RegisterRequest:
         own = self._members.own
         stamp = self._recorder.clock.tick()
@@ -313,7 +311,7 @@
         )
 
 
-def _limit(request: ModelRequest) -> Deadline:
+def _limit(request: Registrable) -> Deadline:
     """Return how long keepers are asked; a caller that holds a part waits longer."""
     if request.resume_after is not None:
         return Deadline(REGISTER_LIMIT_S)
