Resume drafts after the death of their hosts; read back lost answers

Cause: with all answers of the key-value service lost, the same write again never confirms. Now each unknown write is read back. Ruled out: repeating the write (its answer is lost as well).

--- a/src/siskinlever/_internal/platform/leases.py
+++ b/src/siskinlever/_internal/platform/leases.py
@@ -104,6 +104,12 @@
                 self._tasks.start(self._renew(self._lease, opened_at), "renew-lease")
             return self._lease
 
+    def forget(self, lease: str) -> None:
+        """Note that the service does not know a lease any longer."""
+        if self._lease == lease:
+            self._lease = ""
+            self._lapsed()
+
     async def close(self) -> None:
         """End the lease now, so that others can hold its records."""
         lease, self._lease = self._lease, ""
@@ -127,7 +133,6 @@
                 renewed = tried_at - renewed_at < RENEWED_LEASE_S
                 tried_at = renewed_at
             if not renewed:
-                self._lease = ""
-                self._lapsed()
+                self.forget(lease)
                 return
             renewed_at = tried_at
--- a/src/siskinlever/_internal/requests/drafts.py
+++ b/src/siskinlever/_internal/requests/drafts.py
@@ -21,6 +21,7 @@
     LeaseLapsedError,
     PlatformError,
     StoreOutcomeUnknownError,
+    StoreUnavailableError,
 )
 from ..metrics.registry import Metrics
 from ..models.events import EventKind
@@ -120,23 +121,18 @@
             message = "the draft is larger than the key-value service holds"
             return Error(Refused(Reason.TOO_LARGE, STORE_RETRY_S, message))
         stored = Stored.UNKNOWN
-        doubtful = False
-        try:
+        refused: Refused | None = None
+        with suppress(TimeoutError):
             async with asyncio.timeout(STORE_TIMEOUT_S):
-                while stored is Stored.UNKNOWN:
-                    try:
-                        stored = await self._store_once(body)
-                    except StoreOutcomeUnknownError:
-                        doubtful = True
-                        await asyncio.sleep(STORE_PAUSE_S)
-        except TimeoutError:
-            doubtful = True
-        except PlatformError as error:
-            if not doubtful:
-                refused = Refused(
-                    Reason.STORE_UNAVAILABLE, STORE_RETRY_S, error.message
-                )
-                return Error(refused)
+                try:
+                    stored = await self._store_once(body)
+                except StoreUnavailableError as error:
+                    message = error.message
+                    refused = Refused(Reason.STORE_UNAVAILABLE, STORE_RETRY_S, message)
+                except StoreOutcomeUnknownError:
+                    stored = await self._read_back(body)
+        if refused is not None:
+            return Error(refused)
         if stored is Stored.UNKNOWN:
             self._tasks.start(self._resolve(body), "resolve-draft")
         return self._accepted(body, stored)
@@ -183,12 +179,25 @@
             await self.lease.close()
 
     async def _store_once(self, body: DraftBody) -> Stored:
-        lease = await self.lease.current() if self.has_room else ""
+        lease = ""
+        if self.has_room:
+            # Without a lease another host finds the draft by its next scan.
+            with suppress(StoreOutcomeUnknownError):
+                lease = await self.lease.current()
         try:
             return await self._store.store(body, lease)
         except LeaseLapsedError:
-            await self.lease.close()
-            return Stored.UNKNOWN
+            self.lease.forget(lease)
+            return await self._store.store(body, "")
+
+    async def _read_back(self, body: DraftBody) -> Stored:
+        """Learn whether a write took effect whose answer was lost."""
+        stored = Stored.UNKNOWN
+        while stored is Stored.UNKNOWN:
+            await asyncio.sleep(STORE_PAUSE_S)
+            with suppress(StoreUnavailableError):
+                stored = await self._store.find(body)
+        return stored
 
     def _accepted(
         self, body: DraftBody, stored: Stored
@@ -280,25 +289,34 @@
 
     async def _put_result(self, body: DraftBody, result: DraftResult) -> None:
         """Put the result, again until it is known that there is one."""
-        doubtful = False
+        first: bool | None = None
         try:
-            while True:
-                try:
-                    first = await self._store.finish(body.digest, result)
-                    break
-                except PlatformError:
-                    doubtful = True
-                    self._metrics.count("draft_result_retries")
-                    await asyncio.sleep(FINISH_PAUSE_S)
+            while first is None:
+                first = await self._put_once(body, result)
         finally:
             self._finishing.discard(body.digest)
-        if not first and not doubtful:
+        if not first:
             self._metrics.count("draft_results_dropped")
             return
         self._recorder.record(
             EventKind.DRAFT_RESULT, body.request_id, outcome=result.outcome.value
         )
 
+    async def _put_once(self, body: DraftBody, result: DraftResult) -> bool | None:
+        """Put the result; None if it is not known whether there is one."""
+        try:
+            return await self._store.finish(body.digest, result)
+        except PlatformError:
+            self._metrics.count("draft_result_retries")
+        try:
+            found = await self._store.read_result(body.digest)
+        except PlatformError:
+            found = None
+        if found is not None:
+            return found == result
+        await asyncio.sleep(FINISH_PAUSE_S)
+        return None
+
 
 def _answer(body: DraftBody, answered: Answered, finish_reason: str) -> DraftResult:
     if len(answered.text.encode()) > MAX_BODY_BYTES:
--- /dev/null
+++ b/tests/functional/test_shutdown.py
@@ -0,0 +1,105 @@
+"""Steps of the shutdown feature."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from lib.world import running_world
+from pytest_bdd import given, scenarios, then, when
+
+from siskinlever_testbed.plans import ATELIER_ZONES, EnginePlan, FleetPlan, ServicePlan
+from siskinlever_testbed.standins.answers import answer_text
+
+pytestmark = pytest.mark.system
+scenarios("features/shutdown.feature")
+
+# Longer than 15 s, the library's default for a graceful shutdown.
+LONG_S = 27.0
+TOKEN_S = 0.05
+TOKENS = int(LONG_S / TOKEN_S)
+PLAN = FleetPlan(
+    hosts=4,
+    zones=ATELIER_ZONES,
+    engines=(EnginePlan("critique-models", 1, 2, token_time_s=TOKEN_S),),
+    services=(ServicePlan("client-portal", runners=1, delay_s=LONG_S),),
+    models=(
+        {"name": "brief-review", "pool": "critique-models"},
+        {"name": "draft", "pool": "critique-models", "urgency": "deferrable"},
+    ),
+)
+EXIT_S = 10.0
+
+
+@pytest.fixture
+def world(tmp_path):
+    with running_world(PLAN, tmp_path) as world:
+        yield world
+
+
+@given("a streamed, a whole and a delivered request of 27 s at host-1")
+def long_requests(world):
+    caller, address = world.caller(), world.address("host-1")
+    for stream in (True, False):
+        prompt = f"Streamed: {stream}"
+        work = caller.complete(address, "brief-review", prompt, TOKENS, stream=stream)
+        world.begin(work)
+    world.begin(caller.call_service(address, "client-portal", "proof", "long"))
+
+
+@given("a draft of 27 s that host-1 works on")
+def draft(world):
+    body = {"model": "draft", "prompt": "Draft.", "max_tokens": TOKENS}
+    headers = {"Prefer": "respond-async", "X-Request-Id": "draft"}
+    status, _, _ = world.request(
+        "POST", "host-1", "/v1/completions", json=body, headers=headers
+    )
+    assert status == 202
+
+
+@when("host-1 is asked to stop after 1 s")
+def stop(world):
+    world.run(asyncio.sleep(1))
+    world.fleet.process_by_name["host-1"].leave()
+    lookup = lambda: [h["host"] for h in world.get("host-2", "/v1/hosts")[1]["hosts"]]
+    world.until(lambda: "host-1" not in lookup(), within_s=5)
+
+
+@when("a caller with an old lookup asks host-1 meanwhile")
+def late(world):
+    caller, address = world.caller(), world.address("host-1")
+    world.notes["late"] = world.run(caller.complete(address, "brief-review", "L.", 40))
+
+
+@then("that caller is answered in full")
+def late_answered(world):
+    assert world.notes["late"].text == answer_text("L.", 40)
+    assert world.notes["late"].complete
+
+
+@then("all requests of host-1 end whole")
+def whole(world):
+    streamed, collected, delivered = world.finish()
+    assert streamed.complete and streamed.text == answer_text("Streamed: True", TOKENS)
+    assert collected.text == answer_text("Streamed: False", TOKENS)
+    assert delivered.outcome == "answered"
+    assert min(r.elapsed_s for r in (streamed, collected, delivered)) >= LONG_S
+
+
+@then("host-1 then exits with code 0")
+def exits(world):
+    assert world.run(world.fleet.process_by_name["host-1"].ended(EXIT_S)) == 0
+
+
+@then("the draft was handed back and is answered once")
+def draft_answered(world):
+    path = "/v1/drafts/draft"
+    world.until(lambda: world.get("host-2", path)[0] == 200, within_s=30)
+    text = world.get("host-3", path)[1]["choices"][0]["text"]
+    assert text == answer_text("Draft.", TOKENS)
+    finished = [
+        fact
+        for fact in world.fleet.records("critique-models")
+        if fact["fact"] == "finished" and fact["tokens"] == TOKENS
+    ]
+    assert len(finished) == 3  # Two requests of host-1 and one run of the draft.
