--- a/src/siskinlever/_internal/callers/arrivals.py
+++ b/src/siskinlever/_internal/callers/arrivals.py
@@ -1,42 +1,42 @@
-"""Where new requests go: to be served here, or on to a peer if this host leaves."""
+"""Takes in requests: who asks, the body, and whether a peer is to serve it."""
 
 from __future__ import annotations
 
+import asyncio
 import functools
-from collections.abc import Callable, Coroutine, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from sanic import Request
+from sanic.exceptions import RequestTimeout
 from sanic.response import HTTPResponse
 
-Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
-
-
-class InProgress:
-    """Counts the requests that this host serves, to wait for their end."""
+from ..models.outcome import Reason, Refused
+from ..network.http_server import MAX_BODY_BYTES, RECEIVE_TIMEOUT_S
+from .errors import ending_response
+from .requests import find_caller
 
-    def __init__(self) -> None:
-        self.count = 0
+RECEIVING_RETRY_S = 1.0
 
-    @contextmanager
-    def request(self) -> Iterator[None]:
-        """Count one request for the length of a block."""
-        self.count += 1
-        try:
-            yield
-        finally:
-            self.count -= 1
+Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
 
 
 def arrival(handler: Handler) -> Handler:
-    """Return a handler that passes requests on while this host is leaving."""
+    """Return a handler that serves a request here, or by a peer if this host leaves.
+
+    A body is received only from callers with a known key, within a time.
+    """
 
     @functools.wraps(handler)
     async def serve(
         request: Request, *args: object, **kwargs: object
     ) -> HTTPResponse | None:
         host = request.app.ctx.host
+        find_caller(request)
+        with host.receiving.reserved(_announced_size(request)) as reserved:
+            if not reserved:
+                return ending_response(_no_room())
+            await _receive(request)
         if host.forwarder.is_due(request):
             forwarded, response = await host.forwarder.forward(request)
             if forwarded:
@@ -44,4 +44,34 @@
         with host.in_progress.request():
             return await handler(request, *args, **kwargs)
 
+    # Without it the body would be received before the handler, in any time.
+    serve.is_stream = True  # type: ignore[attr-defined]
     return serve
+
+
+async def _receive(request: Any) -> None:
+    stream = request.stream
+    stream.request_max_size = MAX_BODY_BYTES
+    try:
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            await request.receive_body()
+    except TimeoutError as error:
+        # Nothing more is read from a caller that is too slow.
+        stream.keep_alive = False
+        stream.request_body = None
+        raise RequestTimeout("the request's body did not arrive in time") from error
+
+
+def _announced_size(request: Request) -> int:
+    """Return the most that a request's body may take."""
+    stream: Any = request.stream
+    if not stream.request_body:
+        return 0
+    length = request.headers.get("Content-Length", "")
+    known = length.isascii() and length.isdigit()
+    return min(int(length), MAX_BODY_BYTES) if known else MAX_BODY_BYTES
+
+
+def _no_room() -> Refused:
+    message = "too many bodies are being received"
+    return Refused(Reason.OVERLOADED, RECEIVING_RETRY_S, message)
--- a/src/siskinlever/_internal/callers/context.py
+++ b/src/siskinlever/_internal/callers/context.py
@@ -13,8 +13,8 @@
 from ..requests.drafts import Drafts
 from ..requests.execution import Executor
 from .access import Access
-from .arrivals import InProgress
 from .forwarding import Forwarder
+from .in_progress import InProgress, Receiving
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +29,7 @@
     access: Access
     forwarder: Forwarder
     in_progress: InProgress
+    receiving: Receiving
     metrics: Metrics
 
 
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -14,9 +14,9 @@
 
 from ..callers.access import Access
 from ..callers.app import LOOKUP_LIFETIME_S, callers_app
-from ..callers.arrivals import InProgress
 from ..callers.context import CallerContext
 from ..callers.forwarding import Forwarder
+from ..callers.in_progress import InProgress, Receiving
 from ..configuration.current import CurrentConfiguration
 from ..configuration.follower import ConfigurationFollower
 from ..configuration.store import ConfigurationStore
@@ -278,6 +278,7 @@
             Access(host.current),
             host.forwarder,
             host.in_progress,
+            Receiving(),
             host.metrics,
         )
     )
