--- a/src/siskinlever/_internal/callers/app.py
+++ b/src/siskinlever/_internal/callers/app.py
@@ -11,7 +11,7 @@
 from sanic.exceptions import SanicException
 from sanic.response import HTTPResponse, json, raw
 
-from ..configuration.current import CurrentConfiguration
+from ..configuration.current import STALE_RETRY_S, CurrentConfiguration
 from ..membership.members import MemberTable
 from ..metrics.registry import Metrics
 from ..models.declaration import Declaration, Model, Urgency, Workspace
@@ -271,6 +271,13 @@
     if declaration is None:
         refused = Refused(Reason.NO_CONFIGURATION, 1.0, "no configuration in force")
         raise InvalidRequestError(ending_response(refused))
+    if host.current.is_stale:
+        refused = Refused(
+            Reason.STALE_CONFIGURATION,
+            STALE_RETRY_S,
+            "this host is cut off: a newer configuration may be in force",
+        )
+        raise InvalidRequestError(ending_response(refused))
     header = request.headers.get("Authorization", "")
     workspace = host.access.workspace(declaration, header)
     if workspace is None:
--- a/src/siskinlever/_internal/cli/daemon.py
+++ b/src/siskinlever/_internal/cli/daemon.py
@@ -30,7 +30,8 @@
 from ..daemon.host import serve
 from ..exceptions import SettingsError
 from ..models.settings import Settings
-from ..utils.validation import parse_json
+from ..network.tls import tls_faults
+from ..utils.validation import parse_document
 from .exit_codes import ExitCode
 
 
@@ -40,7 +41,8 @@
     try:
         settings = load_settings(Path(arguments["--settings"]))
     except SettingsError as error:
-        print(f"siskinleverd: {error.message}", file=sys.stderr)
+        for line in error.message.split("\n"):
+            print(f"siskinleverd: {line}", file=sys.stderr)
         return ExitCode.INVALID
     if arguments["--check"]:
         print(f"{arguments['--settings']}: valid")
@@ -59,8 +61,10 @@
         content = path.read_bytes()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    settings, faults = parse_json(Settings, content)
-    if settings is None:
+    settings, faults = parse_document(Settings, content)
+    if settings is not None:
+        faults = tls_faults(settings.tls)
+    if settings is None or faults:
         raise SettingsError("\n".join(f"{path}: {fault}" for fault in faults))
     return settings
 
--- a/src/siskinlever/_internal/cli/main.py
+++ b/src/siskinlever/_internal/cli/main.py
@@ -7,7 +7,7 @@
 
 Options:
   --hosts=LIST  Administration addresses, IP:port, separated by commas
-                [default: 127.0.0.1:8100]. Also from SISKINLEVER_HOSTS.
+                (127.0.0.1:8100 if none). Also from SISKINLEVER_HOSTS.
   --key=KEY     The operator's key. Also from SISKINLEVER_KEY.
   --tls-authority=FILE
                 Certificate authority of the hosts, in PEM form.
@@ -24,7 +24,18 @@
   timeline  Show events over all hosts.
   version   Show the version.
 
-`siskinlever <command> --help` shows the help of a command.
+`siskinlever <command> --help` shows the help of a command. The options above
+may also stand after the command.
+
+Exit codes:
+  0  done
+  1  failed
+  2  the command line is not valid
+  3  the declaration has faults
+  4  conflict: another apply came first
+  5  hosts, or the key-value service, were not reached
+  6  the outcome of an apply is not known
+  7  accepted, but not confirmed by every live host
 """
 
 from __future__ import annotations
@@ -37,7 +48,7 @@
 
 from ... import __version__
 from ..commands import load_command
-from ..commands.base import CommandContext
+from ..commands.base import CommandContext, print_json
 from ..exceptions import (
     AdministrationError,
     ConflictError,
@@ -47,10 +58,19 @@
     StoreUnavailableError,
     UsageError,
 )
+from ..models.addresses import is_address
 from .exit_codes import ExitCode
 
 HOSTS_VARIABLE = "SISKINLEVER_HOSTS"
 KEY_VARIABLE = "SISKINLEVER_KEY"
+DEFAULT_HOST = "127.0.0.1:8100"
+
+TAKES_VALUE_BY_OPTION = {
+    "--hosts": True,
+    "--key": True,
+    "--tls-authority": True,
+    "--json": False,
+}
 
 EXIT_CODE_BY_ERROR: dict[type[SiskinleverError], ExitCode] = {
     UsageError: ExitCode.USAGE,
@@ -64,28 +84,55 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command; return its exit code."""
+    words = hoisted(sys.argv[1:] if argv is None else argv)
     try:
         arguments = docopt(
-            __doc__ or "", argv=argv, version=__version__, options_first=True
+            __doc__ or "", argv=words, version=__version__, options_first=True
         )
         return _run(arguments)
     except DocoptExit as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
     except SiskinleverError as error:
-        print(f"siskinlever: {error.message}", file=sys.stderr)
-        if error.hint:
-            print(f"hint: {error.hint}", file=sys.stderr)
-        return EXIT_CODE_BY_ERROR.get(type(error), ExitCode.FAILED)
+        code = EXIT_CODE_BY_ERROR.get(type(error), ExitCode.FAILED)
+        _print_error(error, code, "--json" in words)
+        return code
+
+
+def hoisted(words: list[str]) -> list[str]:
+    """Return a command line with the common options before the command."""
+    common = []
+    rest = []
+    waiting = iter(words)
+    for word in waiting:
+        name, _, value = word.partition("=")
+        if name not in TAKES_VALUE_BY_OPTION:
+            rest.append(word)
+            continue
+        common.append(word)
+        if TAKES_VALUE_BY_OPTION[name] and not value:
+            common += [next(waiting, "")]
+    return common + rest
+
+
+def _print_error(error: SiskinleverError, code: ExitCode, as_json: bool) -> None:
+    if as_json:
+        faults = error.faults if isinstance(error, DeclarationError) else []
+        shown = {"message": error.message, "hint": error.hint, "faults": faults}
+        print_json({"error": shown | {"exit_code": int(code)}})
+        return
+    for line in error.message.split("\n"):
+        print(f"siskinlever: {line}", file=sys.stderr)
+    if error.hint:
+        print(f"hint: {error.hint}", file=sys.stderr)
 
 
 def _run(arguments: dict[str, object]) -> int:
     name = str(arguments["<command>"])
     command = load_command(name)
     own = docopt(command.__doc__ or "", argv=[name, *_list(arguments["<args>"])])
-    hosts = os.environ.get(HOSTS_VARIABLE) or str(arguments["--hosts"])
     context = CommandContext(
-        hosts=tuple(host.strip() for host in hosts.split(",") if host.strip()),
+        hosts=_hosts(arguments["--hosts"]),
         key=str(arguments["--key"] or os.environ.get(KEY_VARIABLE, "")),
         json=bool(arguments["--json"]),
         tls_authority=str(arguments["--tls-authority"] or ""),
@@ -93,5 +140,17 @@
     return int(asyncio.run(command.run(context, own)))
 
 
+def _hosts(option: object) -> tuple[str, ...]:
+    value = str(option or os.environ.get(HOSTS_VARIABLE) or DEFAULT_HOST)
+    hosts = tuple(host.strip() for host in value.split(",") if host.strip())
+    for host in hosts:
+        if not is_address(host):
+            raise UsageError(
+                f"--hosts: found {host!r}, allowed: IP numbers with ports, "
+                "such as 10.0.0.5:8100"
+            )
+    return hosts
+
+
 def _list(value: object) -> list[str]:
     return [str(item) for item in value] if isinstance(value, list) else []
--- a/src/siskinlever/_internal/commands/apply.py
+++ b/src/siskinlever/_internal/commands/apply.py
@@ -1,11 +1,27 @@
 """Makes a declaration the one in force.
 
 Usage:
-  siskinlever apply <file> [--base=GENERATION] [--wait=SECONDS]
+  siskinlever apply <file> [--base=GENERATION] [--wait=SECONDS] [--apply-id=ID]
+
+The declaration is checked first; nothing is sent if it has a fault. It is
+accepted only if the generation it is based on is still in force, so that of
+two operators who apply at once exactly one wins.
 
 Options:
-  --base=GENERATION  Refuse if another generation is in force.
-  --wait=SECONDS     Wait until each live host confirms [default: 17].
+  --base=GENERATION  The generation that `siskinlever plan` compared with;
+                     by default the highest in force now.
+  --wait=SECONDS     Wait at most so long for each live host to confirm
+                     [default: 17].
+  --apply-id=ID      Names this apply. An apply whose outcome is unknown may be
+                     repeated with its id: it takes effect once.
+
+Exit codes:
+  0  accepted, and in force at every live host
+  3  the declaration has faults; nothing was sent
+  4  another apply came first; this one did not and will not take effect
+  5  no host or no key-value service was reached; not accepted
+  6  it could not be learnt whether it was accepted: repeat it with its id
+  7  accepted, but not every live host has confirmed it yet
 """
 
 from __future__ import annotations
@@ -15,50 +31,108 @@
 from typing import Any
 
 from ..cli.exit_codes import ExitCode
-from ..exceptions import SiskinleverError
+from ..exceptions import (
+    AdministrationError,
+    CallRefusedError,
+    PlatformError,
+    SiskinleverError,
+    StoreOutcomeUnknownError,
+)
 from ..utils.clock import Deadline
 from .base import (
     Administration,
     CommandContext,
     administration,
+    number_option,
     print_json,
     read_declaration,
+    seconds_option,
 )
 
-POLL_S = 0.2
+PATH = "/v1/configuration"
+RETRY_PAUSE_S = 0.5
+CONFIRM_STEP_S = 5.0
 
 
 async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
     """Run the command."""
     content, _ = read_declaration(arguments["<file>"])
-    params = {"apply_id": uuid.uuid4().hex}
-    if arguments["--base"]:
-        params["base_generation"] = arguments["--base"]
+    base = number_option(arguments, "--base")
+    deadline = Deadline(seconds_option(arguments, "--wait"))
+    apply_id = arguments["--apply-id"] or uuid.uuid4().hex
     async with administration(context) as hosts:
-        accepted = await hosts.first(
-            "PUT", "/v1/configuration", params=params, data=content
-        )
-        confirmed = await _confirm(
-            hosts, accepted["generation"], Deadline(float(arguments["--wait"]))
-        )
+        if base is None:
+            base = await newest_generation(hosts)
+        params = {"apply_id": apply_id, "base_generation": str(base)}
+        accepted = await _put(hosts, params, content, deadline)
+        confirmed = await _confirm(hosts, accepted["generation"], deadline)
     _print(context, accepted, confirmed)
     return ExitCode.OK if all(confirmed.values()) else ExitCode.NOT_CONFIRMED
 
 
+async def newest_generation(hosts: Administration) -> int:
+    """Return the highest generation in force at any host named."""
+    found = await hosts.all("/v1/status")
+    shown = [s["generation"] for s in found.values() if isinstance(s, dict)]
+    if not shown:
+        raise next(e for e in found.values() if isinstance(e, SiskinleverError))
+    return int(max(shown))
+
+
+async def _put(
+    hosts: Administration, params: dict[str, str], content: bytes, deadline: Deadline
+) -> dict[str, Any]:
+    """Send the apply until its outcome is certain.
+
+    It may be sent again, and to other hosts, since its id makes it the same.
+    """
+    unknown: SiskinleverError | None = None
+    while True:
+        for address in hosts.addresses:
+            try:
+                return await hosts.call(
+                    address, "PUT", PATH, params=params, data=content
+                )
+            except CallRefusedError:
+                raise
+            except (AdministrationError, PlatformError) as error:
+                cause: SiskinleverError = error
+            if _may_have_taken_effect(cause):
+                unknown = cause
+        if deadline.passed:
+            break
+        await asyncio.sleep(RETRY_PAUSE_S)
+    if unknown is None:
+        raise cause
+    raise StoreOutcomeUnknownError(
+        f"it is not known whether the apply took effect: {unknown.message}",
+        f"repeat it with --apply-id={params['apply_id']} "
+        f"--base={params['base_generation']}: it takes effect once",
+    )
+
+
+def _may_have_taken_effect(error: SiskinleverError) -> bool:
+    if isinstance(error, AdministrationError):
+        return error.sent
+    return isinstance(error, StoreOutcomeUnknownError)
+
+
 async def _confirm(
     hosts: Administration, generation: int, deadline: Deadline
 ) -> dict[str, bool]:
-    """Wait until each host has a generation in force, or until the deadline."""
+    """Wait until each live host has a generation in force, or the deadline."""
     while True:
-        found = await hosts.all("/v1/status")
-        confirmed = {
-            address: not isinstance(status, SiskinleverError)
-            and status["generation"] >= generation
-            for address, status in found.items()
-        }
+        step_s = max(0.0, min(CONFIRM_STEP_S, deadline.remaining_s))
+        params = {"generation": str(generation), "wait": f"{step_s:.3f}"}
+        confirmed: dict[str, bool] = {}
+        try:
+            found = await hosts.first("GET", "/v1/confirmations", params=params)
+            confirmed = {host["host"]: host["in_force"] for host in found["hosts"]}
+        except SiskinleverError as error:
+            confirmed = {f"({error.message})": False}
         if all(confirmed.values()) or deadline.passed:
             return confirmed
-        await asyncio.sleep(POLL_S)
+        await asyncio.sleep(RETRY_PAUSE_S / 5)
 
 
 def _print(
@@ -67,6 +141,6 @@
     if context.json:
         print_json(accepted | {"confirmed": confirmed})
         return
-    print(f"accepted as generation {accepted['generation']}")
-    for address, done in confirmed.items():
-        print(f"  {address}: {'in force' if done else 'not confirmed'}")
+    print(f"accepted as generation {accepted['generation']}, {accepted['apply_id']}")
+    for host, done in sorted(confirmed.items()):
+        print(f"  {host}: {'in force' if done else 'not confirmed'}")
--- a/src/siskinlever/_internal/commands/base.py
+++ b/src/siskinlever/_internal/commands/base.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 
 from ..exceptions import (
     AdministrationError,
+    CallRefusedError,
     ConflictError,
     DeclarationError,
     SiskinleverError,
@@ -23,9 +25,13 @@
 )
 from ..models.declaration import Declaration
 from ..network.sessions import http_session
-from ..utils.validation import parse_json
+from ..network.tls import client_context
+from ..utils.validation import parse_document
 
 CALL_TIMEOUT_S = 10.0
+MAX_WAIT_S = 3600.0
+REACH_HINT = "check --hosts or SISKINLEVER_HOSTS, and --tls-authority if TLS is on"
+KEY_HINT = "give an operator's key with --key or SISKINLEVER_KEY"
 
 ERROR_BY_CODE: dict[str, type[SiskinleverError]] = {
     "ConflictError": ConflictError,
@@ -50,23 +56,37 @@
     def __init__(self, session: aiohttp.ClientSession, context: CommandContext) -> None:
         self._session = session
         self._context = context
+        self._tls = _tls(context.tls_authority)
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        return self._context.hosts
 
     async def call(
         self, address: str, method: str, path: str, **kwargs: Any
     ) -> dict[str, Any]:
         """Call one host; raises `SiskinleverError`."""
         headers = {"Authorization": f"Bearer {self._context.key}"}
-        url = f"http://{address}{path}"
+        scheme = "https" if self._tls else "http"
+        url = f"{scheme}://{address}{path}"
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 async with self._session.request(
-                    method, url, headers=headers, **kwargs
+                    method, url, headers=headers, ssl=self._tls or True, **kwargs
                 ) as response:
                     body: dict[str, Any] = await response.json()
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise AdministrationError(f"{address}: {error!r}") from error
+        except aiohttp.ClientConnectorError as error:
+            raise AdministrationError(
+                f"{address} was not reached: {error}", REACH_HINT, sent=False
+            ) from error
+        except TimeoutError as error:
+            raise AdministrationError(
+                f"{address} did not answer in {CALL_TIMEOUT_S:g} s", REACH_HINT
+            ) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise AdministrationError(f"{address}: {error!r}", REACH_HINT) from error
         if response.status != 200:
-            raise _error(address, body["error"])
+            raise _error(address, body)
         return body
 
     async def first(self, method: str, path: str, **kwargs: Any) -> dict[str, Any]:
@@ -74,18 +94,25 @@
 
         Only for calls that may be repeated.
         """
-        cause: SiskinleverError = AdministrationError("no host is named")
+        cause = AdministrationError("no host is named", REACH_HINT)
         for address in self._context.hosts:
             try:
                 return await self.call(address, method, path, **kwargs)
+            except CallRefusedError:
+                raise
             except AdministrationError as error:
                 cause = error
         raise cause
 
-    async def all(self, path: str) -> dict[str, dict[str, Any] | SiskinleverError]:
+    async def all(
+        self, path: str, **kwargs: Any
+    ) -> dict[str, dict[str, Any] | SiskinleverError]:
         """Read from all hosts; those that fail give their error."""
         results = await asyncio.gather(
-            *(self.call(address, "GET", path) for address in self._context.hosts),
+            *(
+                self.call(address, "GET", path, **kwargs)
+                for address in self._context.hosts
+            ),
             return_exceptions=True,
         )
         by_address: dict[str, dict[str, Any] | SiskinleverError] = {}
@@ -110,20 +137,64 @@
     try:
         content = Path(path).read_bytes()
     except OSError as error:
-        raise UsageError(f"{path}: {error.strerror}") from error
-    declaration, faults = parse_json(Declaration, content)
+        raise UsageError(f"{path}: {error.strerror}", "name a file of JSON") from error
+    declaration, faults = parse_document(Declaration, content)
     if declaration is None:
         raise DeclarationError([f"{path}: {fault}" for fault in faults])
     return content, declaration
 
 
+def number_option(arguments: dict[str, Any], name: str) -> int | None:
+    """Return an option that is a whole number; raises `UsageError`."""
+    value = arguments[name]
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdigit()):
+        raise UsageError(f"{name}: found {value!r}, allowed: a whole number")
+    return int(value)
+
+
+def seconds_option(arguments: dict[str, Any], name: str) -> float:
+    """Return an option that is a number of seconds; raises `UsageError`."""
+    value = arguments[name]
+    try:
+        number = float(value)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number <= MAX_WAIT_S:
+        raise UsageError(
+            f"{name}: found {value!r}, allowed: a number of seconds from 0 to "
+            f"{MAX_WAIT_S:g}, with no unit written"
+        )
+    return number
+
+
 def print_json(value: object) -> None:
     """Print a value as JSON."""
     print(json.dumps(value, indent=2, sort_keys=True))
 
 
-def _error(address: str, error: dict[str, Any]) -> SiskinleverError:
-    if error["faults"]:
+def _tls(authority: str) -> ssl.SSLContext | None:
+    if not authority:
+        return None
+    try:
+        return client_context(authority)
+    except (OSError, ssl.SSLError) as error:
+        raise UsageError(
+            f"--tls-authority: found {authority!r}, which cannot be used: {error}",
+            "name a file of PEM certificates",
+        ) from error
+
+
+def _error(address: str, body: Any) -> SiskinleverError:
+    error = body.get("error") if isinstance(body, dict) else None
+    if not isinstance(error, dict) or "message" not in error:
+        return AdministrationError(f"{address}: not an administration interface")
+    if error.get("faults"):
         return DeclarationError(error["faults"])
-    kind = ERROR_BY_CODE.get(error["code"], AdministrationError)
-    return kind(f"{address}: {error['message']}")
+    message = f"{address}: {error['message']}"
+    kind = ERROR_BY_CODE.get(str(error.get("code")))
+    if kind is None:
+        hint = KEY_HINT if error.get("code") == "unauthorized" else ""
+        return CallRefusedError(message, hint)
+    return kind(message, str(error.get("hint", "")))
--- a/src/siskinlever/_internal/commands/plan.py
+++ b/src/siskinlever/_internal/commands/plan.py
@@ -2,6 +2,14 @@
 
 Usage:
   siskinlever plan <file>
+
+Compares with the newest declaration in force at the hosts named and prints its
+generation, for `siskinlever apply --base`.
+
+Exit codes:
+  0  shown
+  3  the declaration has faults
+  5  no host was reached
 """
 
 from __future__ import annotations
@@ -9,14 +17,21 @@
 from typing import Any
 
 from ..cli.exit_codes import ExitCode
-from .base import CommandContext, administration, print_json, read_declaration
+from ..exceptions import SiskinleverError
+from .base import (
+    Administration,
+    CommandContext,
+    administration,
+    print_json,
+    read_declaration,
+)
 
 
 async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
     """Run the command."""
     _, declaration = read_declaration(arguments["<file>"])
     async with administration(context) as hosts:
-        found = await hosts.first("GET", "/v1/configuration")
+        found = await _newest(hosts)
     changes = differences(
         found["declaration"] or {}, declaration.model_dump(mode="json")
     )
@@ -29,6 +44,14 @@
     return ExitCode.OK
 
 
+async def _newest(hosts: Administration) -> dict[str, Any]:
+    found = await hosts.all("/v1/configuration")
+    shown = [value for value in found.values() if isinstance(value, dict)]
+    if not shown:
+        raise next(e for e in found.values() if isinstance(e, SiskinleverError))
+    return max(shown, key=lambda value: int(value["generation"]))
+
+
 def differences(before: Any, after: Any, path: str = "$") -> list[str]:
     """List the differences of two JSON values by path."""
     if isinstance(before, dict) and isinstance(after, dict):
--- a/src/siskinlever/_internal/commands/show.py
+++ b/src/siskinlever/_internal/commands/show.py
@@ -1,11 +1,19 @@
-"""Shows the declaration in force at each host.
+"""Shows the declaration in force, and which generation each host has.
 
 Usage:
   siskinlever show
+
+Prints the newest declaration in force at the hosts named, as JSON that
+`siskinlever apply` takes again; with --json what each host has.
+
+Exit codes:
+  0  shown
+  5  a host was not reached
 """
 
 from __future__ import annotations
 
+import sys
 from typing import Any
 
 from ..cli.exit_codes import ExitCode
@@ -17,12 +25,27 @@
     """Run the command."""
     async with administration(context) as hosts:
         found = await hosts.all("/v1/configuration")
-    print_json(
-        {
-            address: {"error": shown.message}
-            if isinstance(shown, SiskinleverError)
-            else shown
-            for address, shown in found.items()
-        }
-    )
-    return ExitCode.OK
+    if context.json:
+        print_json({address: _plain(shown) for address, shown in found.items()})
+    else:
+        _print(found)
+    failed = any(isinstance(shown, SiskinleverError) for shown in found.values())
+    return ExitCode.UNREACHABLE if failed else ExitCode.OK
+
+
+def _plain(shown: dict[str, Any] | SiskinleverError) -> dict[str, Any]:
+    return {"error": shown.message} if isinstance(shown, SiskinleverError) else shown
+
+
+def _print(found: dict[str, dict[str, Any] | SiskinleverError]) -> None:
+    """Print the newest declaration; which host has what goes to the error stream."""
+    shown = [s for s in found.values() if isinstance(s, dict)]
+    for address, value in found.items():
+        line = (
+            f"unreachable: {value.message}"
+            if isinstance(value, SiskinleverError)
+            else f"generation {value['generation']} {value['apply_id']}"
+        )
+        print(f"{address}  {line}", file=sys.stderr)
+    if shown:
+        print_json(max(shown, key=lambda s: int(s["generation"]))["declaration"])
--- a/src/siskinlever/_internal/commands/status.py
+++ b/src/siskinlever/_internal/commands/status.py
@@ -2,6 +2,14 @@
 
 Usage:
   siskinlever status
+
+One line for each host named: its zone, whether it takes new work, the
+generation in force there and how long ago it was known to be current, requests
+running, how many hosts it sees alive, and the pools whose orders it sends.
+
+Exit codes:
+  0  all hosts were reached
+  5  a host was not reached
 """
 
 from __future__ import annotations
@@ -36,9 +44,16 @@
     if isinstance(status, SiskinleverError):
         return f"{address}  unreachable: {status.message}"
     alive = sum(member["state"] == "alive" for member in status["members"])
-    state = "leaving" if status["leaving"] else "live"
+    pools = ",".join(status["orders_pools"])
     return (
-        f"{address}  {status['host']}  {status['zone']}  {state}"
-        f"  generation {status['generation']}  {status['requests_running']} running"
-        f"  sees {alive} alive"
+        f"{address}  {status['host']}  {status['zone']}  {_state(status)}"
+        f"  generation {status['generation']} ({status['current_age_s']:.0f} s)"
+        f"  {status['requests_running']} running  sees {alive} alive"
+        + (f"  orders {pools}" if pools else "")
     )
+
+
+def _state(status: dict[str, Any]) -> str:
+    if status["leaving"]:
+        return "leaving"
+    return "cut-off" if status["stale"] else "live"
--- a/src/siskinlever/_internal/commands/timeline.py
+++ b/src/siskinlever/_internal/commands/timeline.py
@@ -3,33 +3,46 @@
 Usage:
   siskinlever timeline [--request=ID] [--last=COUNT] [--chrome=FILE]
 
+Each event has a hybrid logical stamp: an event that another one caused has a
+higher stamp than that one, also if the hosts' clocks differ.
+
 Options:
   --request=ID   Only events of one request.
   --last=COUNT   Only the latest events [default: 200].
   --chrome=FILE  Write a Chrome trace instead.
+
+Exit codes:
+  0  shown
+  5  no host was reached; hosts that were not are named on the error stream
 """
 
 from __future__ import annotations
 
 import json
+import sys
 from pathlib import Path
 from typing import Any
 
 from ..cli.exit_codes import ExitCode
-from ..exceptions import SiskinleverError
-from .base import CommandContext, administration, print_json
+from ..exceptions import SiskinleverError, UsageError
+from .base import CommandContext, administration, number_option, print_json
 
 US_PER_MS = 1000
 
 
 async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
     """Run the command."""
-    request_id = arguments["--request"]
-    query = f"?request_id={request_id}" if request_id else ""
+    last = number_option(arguments, "--last") or 0
+    params = {"last": str(last)}
+    if arguments["--request"]:
+        params["request_id"] = arguments["--request"]
     async with administration(context) as hosts:
-        found = await hosts.all(f"/v1/timeline{query}")
-    events = merged([f for f in found.values() if not isinstance(f, SiskinleverError)])
-    events = events[-int(arguments["--last"]) :]
+        found = await hosts.all("/v1/timeline", params=params)
+    reached = [part for part in found.values() if isinstance(part, dict)]
+    for address, part in found.items():
+        if isinstance(part, SiskinleverError):
+            print(f"{address}: {part.message}", file=sys.stderr)
+    events = merged(reached)[-last:]
     if arguments["--chrome"]:
         _write_trace(Path(arguments["--chrome"]), events)
     elif context.json:
@@ -37,7 +50,7 @@
     else:
         for event in events:
             print(_line(event))
-    return ExitCode.OK
+    return ExitCode.OK if reached else ExitCode.UNREACHABLE
 
 
 def merged(found: list[dict[str, Any]]) -> list[dict[str, Any]]:
@@ -47,25 +60,40 @@
 
 
 def chrome_trace(events: list[dict[str, Any]]) -> dict[str, Any]:
-    """Return events in Chrome's trace format, one row for each host."""
+    """Return events in Chrome's trace format, one process for each host."""
+    pid_by_host = _numbers(event["host"] for event in events)
+    tid_by_request = _numbers(event["request_id"] for event in events)
+    names = [
+        {"name": "process_name", "ph": "M", "pid": pid, "args": {"name": host}}
+        for host, pid in pid_by_host.items()
+    ]
     return {
-        "traceEvents": [
+        "traceEvents": names
+        + [
             {
                 "name": event["kind"],
                 "ph": "i",
                 "s": "t",
                 "ts": event["stamp"]["wall_ms"] * US_PER_MS + event["stamp"]["counter"],
-                "pid": event["host"],
-                "tid": event["request_id"],
-                "args": event["fields"],
+                "pid": pid_by_host[event["host"]],
+                "tid": tid_by_request[event["request_id"]],
+                "args": event["fields"] | {"request_id": event["request_id"]},
             }
             for event in events
         ]
     }
 
 
+def _numbers(names: Any) -> dict[str, int]:
+    return {name: number for number, name in enumerate(dict.fromkeys(names), 1)}
+
+
 def _write_trace(path: Path, events: list[dict[str, Any]]) -> None:
-    path.write_text(json.dumps(chrome_trace(events)))
+    try:
+        path.write_text(json.dumps(chrome_trace(events)))
+    except OSError as error:
+        raise UsageError(f"--chrome: cannot write {path}: {error.strerror}") from error
+    print(f"{len(events)} events in {path}")
 
 
 def _stamp(event: dict[str, Any]) -> tuple[int, int, str]:
--- a/src/siskinlever/_internal/configuration/current.py
+++ b/src/siskinlever/_internal/configuration/current.py
@@ -10,6 +10,10 @@
 from ..models.ids import ApplyId, Generation
 from ..utils.clock import MS_PER_S, monotonic
 
+# Below the 17 s within which an accepted configuration is in force everywhere.
+STALE_AFTER_S = 15.0
+STALE_RETRY_S = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
@@ -24,7 +28,7 @@
     content : bytes
         The declaration's JSON, as passed to peers.
     store_version : int
-        Version of the root record.
+        Version of the root record; 0 if it is not known.
     """
 
     generation: Generation
@@ -85,3 +89,8 @@
     @property
     def current_age_ms(self) -> int:
         return int(self.current_age_s * MS_PER_S)
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether a newer configuration may be in force elsewhere by now."""
+        return self.current_age_s > STALE_AFTER_S
--- a/src/siskinlever/_internal/configuration/follower.py
+++ b/src/siskinlever/_internal/configuration/follower.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Callable
 
 from absl import logging
 
@@ -18,20 +20,45 @@
 from ..models.ids import ApplyId, Generation, HostName
 from ..peers import peer_pb2
 from ..peers.link import Peers
+from ..platform.key_value import Record
 from ..timeline.recorder import Recorder
-from ..utils.clock import MS_PER_S
+from ..utils.clock import MS_PER_S, monotonic
+from ..utils.pauses import PauseDetector
 from ..utils.tasks import TaskSet
 from ..utils.validation import parse_json
 from .current import Configuration, CurrentConfiguration
+from .root import parse_root
 from .store import ConfigurationStore
 
-WATCH_WAIT_S = 5.0
+READ_NOW = 0
+# With its grace and one re-read below the 17 s of a change, also on silence.
+WATCH_WAIT_S = 8.0
+WATCH_JITTER = 0.25
 RETRY_PAUSE_S = 0.5
+MAX_RETRY_PAUSE_S = 4.0
 FETCH_TIMEOUT_S = 2.0
+MAJORITY_PERIOD_S = 1.0
+# Messages received before a freeze are handled within this time after it.
+WAKE_S = 1.0
+# Hosts that read the parts of a changed root record in each second.
+READERS_PER_S = 400
 
 
 class ConfigurationFollower:
-    """Follows the configuration for this host."""
+    """Follows the configuration for this host.
+
+    Parameters
+    ----------
+    current : CurrentConfiguration
+    store : ConfigurationStore
+    peers : Peers
+    recorder : Recorder
+    metrics : Metrics
+    tasks : TaskSet
+    pauses : PauseDetector
+    host_count : callable
+        Returns how many hosts follow the configuration.
+    """
 
     def __init__(
         self,
@@ -41,6 +68,8 @@
         recorder: Recorder,
         metrics: Metrics,
         tasks: TaskSet,
+        pauses: PauseDetector,
+        host_count: Callable[[], int],
     ) -> None:
         self._current = current
         self._store = store
@@ -48,8 +77,13 @@
         self._recorder = recorder
         self._metrics = metrics
         self._tasks = tasks
+        self._pauses = pauses
+        self._host_count = host_count
         self._fetching = False
         self._store_reached = True
+        self._highest_heard = 0
+        self._version = READ_NOW
+        self._failures = 0
         current.subscribe(self._in_force)
 
     async def run(self) -> None:
@@ -57,29 +91,79 @@
         while True:
             try:
                 await self._watch_once()
+                self._failures = 0
                 self._note_store(True)
             except (PlatformError, DeclarationError) as error:
+                self._failures += 1
+                # The next call opens a new connection and reads at once.
+                self._version = READ_NOW
                 self._note_store(False, str(error))
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await asyncio.sleep(self._retry_pause_s())
+
+    async def confirm_by_majority(self, has_majority: Callable[[], bool]) -> None:
+        """Take a majority of the hosts for a witness, until cancelled.
+
+        With the store out nothing is accepted, and news of an earlier apply
+        reaches the majority within seconds: so service goes on.
+        """
+        while True:
+            behind = self._highest_heard > self._current.generation
+            if has_majority() and not behind:
+                self._current.confirm()
+            self._metrics.gauge(
+                "configuration_age_seconds", self._current.current_age_s
+            )
+            await asyncio.sleep(MAJORITY_PERIOD_S)
 
     async def _watch_once(self) -> None:
-        known = self._current.value
-        if known is None:
-            found = await self._store.read()
-            if found is None:
-                await asyncio.sleep(RETRY_PAUSE_S)
-        else:
-            found = await self._store.watch(known.store_version, WATCH_WAIT_S)
-        if found is not None:
-            self._current.offer(found)
+        began = monotonic()
+        wait_s = WATCH_WAIT_S * random.uniform(1 - WATCH_JITTER, 1 + WATCH_JITTER)
+        record = await self._store.watch(self._version, wait_s)
+        if self._pauses.paused_since(began):
+            # The answer may be older than the freeze.
+            self._version = READ_NOW
+            return
+        root = parse_root(record)
+        generation = root.in_force.generation if root else 0
+        if generation < self._current.generation:
+            await self._restore(record)
+            return
+        if record is None:
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return
+        if generation > self._current.generation:
+            await self._load(record)
+        self._version = record.version
         self._current.confirm()
 
+    async def _load(self, record: Record) -> None:
+        spread_s = self._host_count() / READERS_PER_S
+        if self._current.value is not None:
+            await asyncio.sleep(random.uniform(0, spread_s))
+        self._current.offer(await self._store.load(record))
+
+    async def _restore(self, record: Record | None) -> None:
+        """Give the store back what it lost; the generation here stays."""
+        newest = self._current.value
+        assert newest is not None
+        self._metrics.count("store_restores")
+        await asyncio.sleep(random.uniform(0, RETRY_PAUSE_S))
+        await self._store.restore(record, newest)
+        self._version = READ_NOW
+
+    def _retry_pause_s(self) -> float:
+        longest = min(RETRY_PAUSE_S * 2**self._failures, MAX_RETRY_PAUSE_S)
+        return random.uniform(longest / 2, longest)
+
     def heard(self, ping: peer_pb2.Ping) -> None:
         """Compare a peer's generation with the one in force here."""
+        self._highest_heard = max(self._highest_heard, ping.generation)
         if ping.generation > self._current.generation and not self._fetching:
             self._fetching = True
             self._tasks.start(self._fetch(HostName(ping.host)), "fetch-configuration")
-        if ping.generation == self._current.generation:
+        if ping.generation != self._current.generation:
+            return
+        if not self._pauses.paused_since(monotonic() - WAKE_S):
             self._current.confirm(ping.current_age_ms / MS_PER_S)
 
     async def serve(
--- /dev/null
+++ b/src/siskinlever/_internal/configuration/root.py
@@ -0,0 +1,79 @@
+"""The root record of the stored configuration."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+from pydantic import Field
+
+from ..exceptions import DeclarationError, StoreUnavailableError
+from ..models.declaration import Strict
+from ..models.ids import ApplyId
+from ..platform.key_value import Record
+from ..utils.validation import parse_json
+
+APPLIES_KEPT = 64
+APPLY_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+class Applied(Strict):
+    """One apply that was accepted, kept so that its outcome can be learnt."""
+
+    apply_id: str
+    generation: Annotated[int, Field(ge=1)]
+    digest: str
+    parts: tuple[str, ...] = Field(strict=False)
+
+
+class Root(Strict):
+    """The root record.
+
+    Parameters
+    ----------
+    applies : tuple of Applied
+        The latest applies, the one in force first.
+    """
+
+    applies: tuple[Applied, ...] = Field(strict=False, min_length=1)
+
+    @property
+    def in_force(self) -> Applied:
+        return self.applies[0]
+
+    def find(self, apply_id: ApplyId) -> Applied | None:
+        """Return the apply with an id, if it was accepted lately."""
+        return next((a for a in self.applies if a.apply_id == apply_id), None)
+
+
+def next_root(root: Root | None, applied: Applied) -> Root:
+    """Return the root record that an apply makes of the one found."""
+    earlier = root.applies if root else ()
+    return Root(applies=(applied, *earlier)[:APPLIES_KEPT])
+
+
+def dropped_parts(before: Root | None, after: Root) -> set[str]:
+    """Return the parts that no apply of the new root names any more."""
+    named = {part for applied in after.applies for part in applied.parts}
+    known = {part for a in (before.applies if before else ()) for part in a.parts}
+    return known - named
+
+
+def parse_root(record: Record | None) -> Root | None:
+    """Return the root of a record; raises `StoreUnavailableError`."""
+    if record is None:
+        return None
+    root, faults = parse_json(Root, record.value)
+    if root is None:
+        raise StoreUnavailableError(f"the root record is damaged: {faults}")
+    return root
+
+
+def check_apply_id(apply_id: str) -> ApplyId:
+    """Return an apply's id; raises `DeclarationError`."""
+    if APPLY_ID_PATTERN.fullmatch(apply_id) is None:
+        found = apply_id[:80]
+        raise DeclarationError(
+            [f"apply_id: found {found!r}, allowed: 1 to 64 letters, digits, ._-"]
+        )
+    return ApplyId(apply_id)
--- a/src/siskinlever/_internal/configuration/store.py
+++ b/src/siskinlever/_internal/configuration/store.py
@@ -1,15 +1,13 @@
 """Keeps the declaration in the key-value service.
 
-The root record names the generation, the apply and the parts; parts are
-immutable and named by their content, since a value is at most a megabyte.
+The root record names the latest applies with their generations and parts.
+Parts are immutable, since a value is at most a megabyte.
 """
 
 from __future__ import annotations
 
 import asyncio
-from typing import Annotated
-
-from pydantic import Field
+from contextlib import suppress
 
 from ..exceptions import (
     ConflictError,
@@ -19,24 +17,18 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from ..models.declaration import Declaration, Strict
+from ..models.declaration import Declaration
 from ..models.ids import ApplyId, Generation
 from ..platform.key_value import MUST_NOT_EXIST, KeyValueClient, Record
 from ..utils.digests import content_digest
 from ..utils.validation import parse_json
 from .current import Configuration
+from .root import Applied, Root, dropped_parts, next_root, parse_root
 
 PART_BYTES = 512_000
 READ_BACK_TRIES = 5
 READ_BACK_PAUSE_S = 0.3
-
-
-class Root(Strict):
-    """The root record."""
-
-    generation: Annotated[int, Field(ge=1)]
-    apply_id: str
-    parts: tuple[str, ...] = Field(strict=False)
+CONFLICT_HINT = "look at what changed with `siskinlever plan` and apply again"
 
 
 class ConfigurationStore:
@@ -45,6 +37,8 @@
     Parameters
     ----------
     key_value : KeyValueClient
+        On connections that are not used again: a pooled one may have fallen
+        silent.
     prefix : str
         Prefix of all keys.
     """
@@ -59,33 +53,42 @@
         record = await self._key_value.get(self.root_key)
         return await self.load(record) if record else None
 
-    async def watch(self, after_version: int, wait_s: float) -> Configuration | None:
-        """Wait for a root record newer than a version, at most ``wait_s``."""
-        record = await self._key_value.watch(self.root_key, after_version, wait_s)
-        if record is None or record.version == after_version:
-            return None
-        return await self.load(record)
+    async def watch(self, after_version: int, wait_s: float) -> Record | None:
+        """Wait for another root record than that of a version, at most ``wait_s``.
+
+        Returns
+        -------
+        record : Record or None
+            The record found, which may still be that of the version.
+        """
+        return await self._key_value.watch(self.root_key, after_version, wait_s)
 
     async def load(self, record: Record) -> Configuration:
         """Read the parts that a root record names."""
-        root, faults = parse_json(Root, record.value)
-        if root is None:
-            raise StoreUnavailableError(f"the root record is damaged: {faults}")
-        parts = [await self._read_part(digest) for digest in root.parts]
+        root = parse_root(record)
+        assert root is not None
+        applied = root.in_force
+        parts = [await self._read_part(name) for name in applied.parts]
         content = b"".join(parts)
+        if content_digest(content) != applied.digest:
+            raise StoreUnavailableError(f"the parts of {applied.apply_id} are damaged")
         declaration, faults = parse_json(Declaration, content)
         if declaration is None:
             raise DeclarationError(faults)
         return Configuration(
-            Generation(root.generation),
-            ApplyId(root.apply_id),
+            Generation(applied.generation),
+            ApplyId(applied.apply_id),
             declaration,
             content,
             record.version,
         )
 
     async def write(
-        self, content: bytes, apply_id: ApplyId, base_generation: Generation | None
+        self,
+        content: bytes,
+        apply_id: ApplyId,
+        base_generation: Generation | None,
+        newest: Configuration | None = None,
     ) -> Generation:
         """Make a declaration the one in force.
 
@@ -97,6 +100,10 @@
             Names this apply; a repeated call with it is the same apply.
         base_generation : int or None
             The generation that the operator saw, or None for any.
+        newest : Configuration or None
+            The newest configuration known here. A store that was restored to
+            an older state gets it back first, or the apply's generation would
+            be one that hosts have already passed.
 
         Returns
         -------
@@ -105,85 +112,144 @@
         Raises
         ------
         ConflictError
-            Another apply came first.
+            Another apply came first; this one never takes effect.
         StoreUnavailableError
             Nothing took effect.
         StoreOutcomeUnknownError
             It could not be learnt whether the apply took effect.
         """
         record = await self._key_value.get(self.root_key)
-        root = self._root(record)
-        if root is not None and root.apply_id == apply_id:
-            return Generation(root.generation)
-        found = root.generation if root else 0
+        if newest is not None and await self.restore(record, newest):
+            record = await self._key_value.get(self.root_key)
+        root = parse_root(record)
+        digest = content_digest(content)
+        if root is not None and (known := root.find(apply_id)) is not None:
+            return _repeated(known, digest)
+        found = root.in_force.generation if root else 0
         if base_generation is not None and base_generation != found:
             raise ConflictError(
-                f"generation {found} is in force, not {base_generation}",
-                "look at what changed with `siskinlever plan` and apply again",
+                f"generation {found} is in force, not {base_generation}", CONFLICT_HINT
             )
-        parts = await self._write_parts(content)
-        new = Root(generation=found + 1, apply_id=apply_id, parts=parts)
+        parts = await self._write_parts(content, apply_id)
+        applied = Applied(
+            apply_id=apply_id, generation=found + 1, digest=digest, parts=parts
+        )
+        try:
+            await self._write_root(root, applied, record)
+        except ConflictError:
+            await self._delete_parts(set(parts))
+            raise
+        return Generation(applied.generation)
+
+    async def restore(self, record: Record | None, newest: Configuration) -> bool:
+        """Put the newest configuration back into a store that holds an older one.
+
+        Each generation in memory was accepted by the store once, so a lower
+        one there means that the store lost writes.
+        """
+        root = parse_root(record)
+        if root is not None and root.in_force.generation >= newest.generation:
+            return False
+        applied = Applied(
+            apply_id=newest.apply_id,
+            generation=newest.generation,
+            digest=content_digest(newest.content),
+            parts=await self._write_parts(newest.content, newest.apply_id),
+        )
+        value = next_root(root, applied).model_dump_json().encode()
         version = record.version if record else MUST_NOT_EXIST
-        await self._write_root(new, version)
-        return Generation(new.generation)
+        with suppress(StoreConflictError):  # Another host put it back.
+            await self._key_value.put(self.root_key, value, version)
+        return True
 
-    async def _write_root(self, new: Root, version: int) -> None:
-        value = new.model_dump_json().encode()
+    async def _write_root(
+        self, root: Root | None, applied: Applied, record: Record | None
+    ) -> None:
+        new = next_root(root, applied)
+        version = record.version if record else MUST_NOT_EXIST
         try:
-            await self._key_value.put(self.root_key, value, version)
-        except StoreConflictError as error:
-            await self._check_own_write(new, error)
-        except StoreOutcomeUnknownError as error:
-            await self._check_own_write(new, error)
+            await self._key_value.put(
+                self.root_key, new.model_dump_json().encode(), version
+            )
+        except (StoreConflictError, StoreOutcomeUnknownError) as error:
+            await self._check_own_write(applied, version, error)
+        await self._delete_parts(dropped_parts(root, new))
 
-    async def _check_own_write(self, new: Root, cause: PlatformError) -> None:
+    async def _check_own_write(
+        self, applied: Applied, version: int, cause: PlatformError
+    ) -> None:
         """Read back whose write took effect; the answer to ours was lost."""
         for _ in range(READ_BACK_TRIES):
             try:
-                root = self._root(await self._key_value.get(self.root_key))
+                record = await self._key_value.get(self.root_key)
+                root = parse_root(record)
             except StoreUnavailableError:
                 await asyncio.sleep(READ_BACK_PAUSE_S)
                 continue
-            if root is not None and root.apply_id == new.apply_id:
+            if root is not None and root.find(ApplyId(applied.apply_id)) is not None:
                 return
-            if root is not None and root.generation >= new.generation:
+            if record is not None and record.version != version:
+                assert root is not None
                 raise ConflictError(
-                    f"apply {root.apply_id} came first as generation {root.generation}",
-                    "look at what changed with `siskinlever plan` and apply again",
+                    f"apply {root.in_force.apply_id} came first as generation "
+                    f"{root.in_force.generation}",
+                    CONFLICT_HINT,
                 ) from cause
-            # The lost write may still arrive: only a conflict makes it certain.
+            # The lost write may still arrive: only another version rules it out.
             await asyncio.sleep(READ_BACK_PAUSE_S)
         raise StoreOutcomeUnknownError(
-            f"it is not known whether apply {new.apply_id} took effect"
+            f"it is not known whether apply {applied.apply_id} took effect",
+            f"repeat it with --apply-id={applied.apply_id}: it takes effect once",
         ) from cause
 
-    async def _write_parts(self, content: bytes) -> tuple[str, ...]:
-        digests = []
+    async def _write_parts(self, content: bytes, apply_id: ApplyId) -> tuple[str, ...]:
+        names = []
         for start in range(0, len(content), PART_BYTES):
             part = content[start : start + PART_BYTES]
-            digest = content_digest(part)
-            digests.append(digest)
+            name = f"{apply_id}-{content_digest(part)}"
+            names.append(name)
             try:
                 await self._key_value.put(
-                    f"{self._part_prefix}/{digest}", part, MUST_NOT_EXIST
+                    f"{self._part_prefix}/{name}", part, MUST_NOT_EXIST
                 )
             except StoreConflictError:
-                continue  # A part of the same content is there already.
-            except StoreOutcomeUnknownError as error:
-                # Nothing is in force before the root names the part.
-                raise StoreUnavailableError(error.message) from error
-        return tuple(digests)
-
-    async def _read_part(self, digest: str) -> bytes:
-        record = await self._key_value.get(f"{self._part_prefix}/{digest}")
-        if record is None or content_digest(record.value) != digest:
-            raise StoreUnavailableError(f"part {digest} is missing or damaged")
-        return record.value
+                continue  # An earlier try of the same apply wrote it.
+            except StoreOutcomeUnknownError:
+                await self._check_part(name)
+        return tuple(names)
+
+    async def _check_part(self, name: str) -> None:
+        """Learn whether a part whose write lost its answer is there.
 
-    def _root(self, record: Record | None) -> Root | None:
+        Nothing is in force before the root names the part.
+        """
+        for _ in range(READ_BACK_TRIES):
+            with suppress(StoreUnavailableError):
+                await self._read_part(name)
+                return
+            await asyncio.sleep(READ_BACK_PAUSE_S)
+        raise StoreUnavailableError(f"part {name} was not written")
+
+    async def _delete_parts(self, names: set[str]) -> None:
+        for name in names:
+            key = f"{self._part_prefix}/{name}"
+            with suppress(PlatformError):
+                record = await self._key_value.get(key)
+                if record is not None:
+                    await self._key_value.delete(key, record.version)
+
+    async def _read_part(self, name: str) -> bytes:
+        record = await self._key_value.get(f"{self._part_prefix}/{name}")
         if record is None:
-            return None
-        root, faults = parse_json(Root, record.value)
-        if root is None:
-            raise StoreUnavailableError(f"the root record is damaged: {faults}")
-        return root
+            raise StoreUnavailableError(f"part {name} is missing")
+        return record.value
+
+
+def _repeated(known: Applied, digest: str) -> Generation:
+    """Return the generation of an apply that is called again."""
+    if known.digest != digest:
+        raise ConflictError(
+            f"apply {known.apply_id} was accepted with another declaration",
+            "take another --apply-id for another declaration",
+        )
+    return Generation(known.generation)
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import signal
-import ssl
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -26,7 +25,9 @@
 from ..models.settings import Settings
 from ..network.http_server import App, http_server
 from ..network.sessions import http_session
+from ..network.tls import listener_context, peer_client_context, peer_listener_context
 from ..operators.app import OperatorContext, operators_app
+from ..orders.orderer import Orderer
 from ..peers import peer_pb2
 from ..peers.link import Peers, peer_links
 from ..peers.server import Handler, peer_server
@@ -43,6 +44,7 @@
 from ..services.client import ServiceClient
 from ..timeline.recorder import Recorder
 from ..utils.clock import MS_PER_S, HybridClock
+from ..utils.pauses import PauseDetector
 from ..utils.tasks import TaskSet, task_set
 
 DRAIN_POLL_S = 0.05
@@ -64,6 +66,7 @@
     deliveries: Deliveries
     request_home: RequestHome
     admission_home: AdmissionHome
+    orders: Orderer
 
     async def drain(self) -> None:
         """Take no new work and wait for all requests in progress."""
@@ -80,15 +83,22 @@
     async with AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(task_set())
         host = await _assemble(settings, stack, tasks)
-        tls = _server_tls(settings)
+        tls = listener_context(settings.tls)
         await stack.enter_async_context(
             peer_server(
-                settings.peers.address, settings.peers.key, tls, _handlers(host)
+                settings.peers.address,
+                settings.peers.key,
+                peer_listener_context(settings.tls),
+                _handlers(host),
             )
         )
         await host.detector.join()
         tasks.start(host.detector.run(tasks), "membership")
         tasks.start(host.follower.run(), "configuration")
+        tasks.start(
+            host.follower.confirm_by_majority(host.detector.has_majority), "majority"
+        )
+        tasks.start(host.orders.run(tasks), "orders")
         tasks.start(host.request_home.run(), "request-home")
         tasks.start(host.admission_home.run(tasks), "admission-home")
         await stack.enter_async_context(
@@ -111,23 +121,39 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave.set)
     async with running_host(settings) as host:
-        await leave.wait()
+        replaced = asyncio.create_task(host.detector.replaced.wait())
+        left = asyncio.create_task(leave.wait())
+        await asyncio.wait([replaced, left], return_when=asyncio.FIRST_COMPLETED)
         await host.drain()
 
 
 async def _assemble(settings: Settings, stack: AsyncExitStack, tasks: TaskSet) -> Host:
     metrics = Metrics()
-    recorder = Recorder(settings.host, HybridClock())
+    recorder = Recorder(settings.host, HybridClock(_wall_clock(settings)))
     members = MemberTable(_own_member(settings))
     current = CurrentConfiguration()
     pooled = await stack.enter_async_context(http_session(pooled=True))
     fresh = await stack.enter_async_context(http_session(pooled=False))
     peers = await stack.enter_async_context(
-        peer_links(settings.peers.key, _client_tls(settings), metrics)
+        peer_links(settings.peers.key, peer_client_context(settings.tls), metrics)
     )
+    pauses = PauseDetector()
+    tasks.start(pauses.run(), "pauses")
     key_value = KeyValueClient(pooled, settings.platform.key_value, metrics)
-    store = ConfigurationStore(key_value, settings.platform.key_prefix)
-    follower = ConfigurationFollower(current, store, peers, recorder, metrics, tasks)
+    store = ConfigurationStore(
+        KeyValueClient(fresh, settings.platform.key_value, metrics),
+        settings.platform.key_prefix,
+    )
+    follower = ConfigurationFollower(
+        current,
+        store,
+        peers,
+        recorder,
+        metrics,
+        tasks,
+        pauses,
+        host_count=lambda: len(members.by_host),
+    )
     detector = Detector(
         members,
         peers,
@@ -136,6 +162,7 @@
         metrics,
         generation=lambda: current.generation,
         current_age_ms=lambda: current.current_age_ms,
+        pauses=pauses,
     )
     detector.on_ping(follower.heard)
     engines = Engines(pooled)
@@ -151,6 +178,17 @@
     )
     claims = Claims(key_value, settings.platform.key_prefix, settings.host)
     deliveries = Deliveries(ServiceClient(fresh), claims, recorder, metrics)
+    orders = Orderer(
+        current,
+        store,
+        members,
+        engines,
+        KeyValueClient(fresh, settings.platform.key_value, metrics),
+        settings.platform.key_prefix,
+        is_awake=lambda: detector.awake,
+        recorder=recorder,
+        metrics=metrics,
+    )
     return Host(
         settings,
         metrics,
@@ -164,6 +202,7 @@
         deliveries,
         request_home,
         admission,
+        orders,
     )
 
 
@@ -213,9 +252,11 @@
             host.current,
             host.store,
             host.members,
+            host.detector,
             host.executor,
             host.recorder,
             host.metrics,
+            host.orders.pools_held,
         )
     )
 
@@ -244,9 +285,6 @@
     )
 
 
-def _server_tls(settings: Settings) -> ssl.SSLContext | None:
-    return None
-
-
-def _client_tls(settings: Settings) -> ssl.SSLContext | None:
-    return None
+def _wall_clock(settings: Settings) -> Callable[[], int]:
+    offset_ms = int(settings.clock_offset_s * MS_PER_S)
+    return lambda: int(time.time() * MS_PER_S) + offset_ms
--- a/src/siskinlever/_internal/engines/base.py
+++ b/src/siskinlever/_internal/engines/base.py
@@ -79,6 +79,23 @@
     request_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LoadedState:
+    """What an engine has loaded.
+
+    Parameters
+    ----------
+    loaded, loading : dict
+        Arguments of the orders carried out, and of those under way, by kind.
+    fencing_token : int
+        The highest that the engine saw.
+    """
+
+    loaded: dict[str, Any]
+    loading: dict[str, Any]
+    fencing_token: int
+
+
 class Engine(Protocol):
     """An adapter to one engine."""
 
@@ -107,3 +124,7 @@
     ) -> None:
         """Order the engine to load something or to change its role."""
         ...
+
+    async def loaded(self) -> LoadedState:
+        """Read what the engine has loaded."""
+        ...
--- a/src/siskinlever/_internal/engines/vllm.py
+++ b/src/siskinlever/_internal/engines/vllm.py
@@ -19,9 +19,10 @@
     EngineBusyError,
     EngineError,
     KVCacheLostError,
+    OrderRefusedError,
     StreamBrokenError,
 )
-from .base import Chunk, EngineCall, LoadReport, Prefilled
+from .base import Chunk, EngineCall, LoadedState, LoadReport, Prefilled
 
 SILENCE_TIMEOUT_S = 2.0
 FIRST_CHUNK_TIMEOUT_S = 10.0
@@ -33,6 +34,7 @@
 
 ERROR_BY_STATUS: dict[int, type[EngineError]] = {
     410: KVCacheLostError,
+    412: OrderRefusedError,
     429: EngineBusyError,
     503: EngineBusyError,
 }
@@ -126,6 +128,21 @@
             ) as response:
                 await _check(response)
 
+    async def loaded(self) -> LoadedState:
+        """Read what the engine has loaded."""
+        async with _translated(), asyncio.timeout(LOAD_TIMEOUT_S):
+            async with self._session.get(f"{self._url}/v1/loaded") as response:
+                await _check(response)
+                found = await response.json()
+        try:
+            return LoadedState(
+                dict(found["loaded"]),
+                dict(found.get("loading", {})),
+                int(found["fencing_token"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EngineError(f"the loaded state is damaged: {error!r}") from error
+
     @asynccontextmanager
     async def _post(
         self, path: str, body: dict[str, Any], call: EngineCall, timeout_s: float | None
--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -69,6 +69,10 @@
         super().__init__(message, started=False)
 
 
+class OrderRefusedError(EngineError):
+    """An engine refused an order for its old fencing token."""
+
+
 class KVCacheLostError(EngineError):
     """The exported KV cache was evicted before it was imported."""
 
@@ -89,8 +93,26 @@
     """Another operator's apply came first."""
 
 
+class ParameterError(SiskinleverError):
+    """A query parameter of the administration interface is not valid."""
+
+
 class AdministrationError(SiskinleverError):
-    """The administration interface refused a call or was not reached."""
+    """The administration interface refused a call or was not reached.
+
+    ``sent`` tells whether the call may have taken effect.
+    """
+
+    def __init__(self, message: str, hint: str = "", sent: bool = True) -> None:
+        super().__init__(message, hint)
+        self.sent = sent
+
+
+class CallRefusedError(AdministrationError):
+    """The administration interface was reached and refused a call."""
+
+    def __init__(self, message: str, hint: str = "") -> None:
+        super().__init__(message, hint, sent=False)
 
 
 class UsageError(SiskinleverError):
--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -1,47 +1,44 @@
 """Finds dead hosts by pings and spreads news of members with them.
 
 The cost of a host does not grow with the fleet: in each period it pings
-`FANOUT` hosts, in turn, and each message carries at most `MAX_UPDATES` items.
+`FANOUT` hosts, in turn, and each message carries a bounded number of items.
 """
 
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from itertools import islice
 
 from absl import logging
 
-from ..exceptions import HostListError, PeerError
+from ..exceptions import PeerError
 from ..metrics.registry import Metrics
 from ..models.events import EventKind
-from ..models.ids import HostName, Incarnation
+from ..models.ids import Generation, HostName, Incarnation
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..platform.host_list import HostListClient
 from ..timeline.recorder import Recorder
 from ..utils.clock import monotonic
+from ..utils.pauses import PauseDetector
 from ..utils.tasks import TaskSet
+from .listing import HostListFollower
 from .members import Member, MemberState, MemberTable
 from .messages import from_message, to_message
+from .news import News
+from .reach import Reach
 
 PERIOD_S = 0.5
 FANOUT = 3
 PING_TIMEOUT_S = 0.4
+INDIRECT_TIMEOUT_S = 0.8
 INDIRECT_PINGS = 2
-SUSPICION_S = 1.0
+SUSPICION_S = 0.8
+EXPIRE_PERIOD_S = 0.2
 FORGET_DEAD_S = 600.0
-MAX_UPDATES = 8
-SPREAD_FACTOR = 3
-HOST_LIST_PERIOD_S = 1.0
-
-
-@dataclass(slots=True)
-class _News:
-    host: HostName
-    sends_left: int
+MAX_MEMBERS = 4096
 
 
 class Detector:
@@ -58,6 +55,7 @@
         Returns the generation of the configuration in force.
     current_age_ms : callable
         Returns milliseconds since the configuration was known to be current.
+    pauses : PauseDetector
     """
 
     def __init__(
@@ -69,97 +67,150 @@
         metrics: Metrics,
         generation: Callable[[], int],
         current_age_ms: Callable[[], int],
+        pauses: PauseDetector,
     ) -> None:
         self.table = table
+        self.replaced = asyncio.Event()
         self._peers = peers
-        self._host_list = host_list
         self._recorder = recorder
         self._metrics = metrics
         self._generation = generation
         self._current_age_ms = current_age_ms
-        self._news_by_host: dict[HostName, _News] = {}
+        self._pauses = pauses
+        self._reach_sample = Reach(table)
+        self._host_list = HostListFollower(
+            table, self._reach_sample, host_list, metrics, self._meet
+        )
+        self._news = News()
         self._suspect_since: dict[HostName, float] = {}
         self._dead_since: dict[HostName, float] = {}
         self._order: list[HostName] = []
         self._on_ping: list[Callable[[peer_pb2.Ping], None]] = []
+        self._exchanged_at = monotonic()
         table.subscribe(self._changed)
+        pauses.subscribe(self._paused)
+
+    def has_majority(self) -> bool:
+        """Tell whether this host reaches more than half of the listed hosts."""
+        return self.awake and self._reach_sample.has_majority()
+
+    @property
+    def awake(self) -> bool:
+        """Whether a peer was heard since this process was last frozen.
+
+        A host that wakes may have been declared dead, and others may have
+        taken over its work: it must hear of that before it acts.
+        """
+        if not self._others():
+            return True
+        return not self._pauses.paused_since(self._exchanged_at)
+
+    async def confirm_awake(self) -> bool:
+        """Make sure that a peer was heard since a freeze; tell whether one was."""
+        if not self.awake:
+            hosts = random.sample(self._others(), min(FANOUT, len(self._others())))
+            await asyncio.gather(*(self._reach(host) for host in hosts))
+        return self.awake
 
     def on_ping(self, listener: Callable[[peer_pb2.Ping], None]) -> None:
         """Call ``listener`` with each ping received, or received in reply."""
         self._on_ping.append(listener)
 
+    async def generation_at(self, host: HostName) -> Generation | None:
+        """Ask a host for the generation in force there; None if it is silent."""
+        if host == self.table.own_host:
+            return Generation(self._generation())
+        try:
+            reply = await self._peers.call(
+                host, "Exchange", self._ping(to=host), PING_TIMEOUT_S
+            )
+        except PeerError:
+            return None
+        self._take_in(reply)
+        return Generation(reply.generation)
+
     async def join(self) -> None:
-        """Meet the hosts of the host list before taking any work."""
-        await self._read_host_list()
+        """Meet hosts of the host list before taking any work."""
+        await self._host_list.join()
 
     async def run(self, tasks: TaskSet) -> None:
         """Run until cancelled."""
-        tasks.start(self._follow_host_list(), "host-list")
+        tasks.start(self._host_list.run(), "host-list")
+        tasks.start(self._host_list.meet_unknown(), "meet-unknown")
+        tasks.start(self._expire_suspicions(), "suspicions")
         while True:
             for host in self._next_targets():
                 tasks.start(self._probe(host), f"probe-{host}")
-            self._expire()
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PERIOD_S * random.uniform(0.9, 1.1))
 
     async def exchange(self, ping: peer_pb2.Ping) -> peer_pb2.Ping:
         """Serve a ping."""
         self._take_in(ping)
         reply = self._ping(full=ping.full)
-        sender = self.table.by_host.get(HostName(ping.host))
-        if sender is not None and sender.state is not MemberState.ALIVE:
-            # The sender must learn of its own suspicion to contradict it.
-            reply.updates.append(to_message(sender))
+        known = self.table.by_host.get(HostName(ping.host))
+        if known is not None and _contradicts(known, ping):
+            # The sender must learn what is said of it to contradict it.
+            reply.updates.append(to_message(known))
         return reply
 
     async def ping_indirectly(
         self, message: peer_pb2.IndirectPing
     ) -> peer_pb2.IndirectPingReply:
         """Ping a host for another that cannot reach it."""
-        reached = await self._reach(HostName(message.target))
+        reached = await self._reach(HostName(message.target), tries=1)
         return peer_pb2.IndirectPingReply(reached=reached)
 
     async def announce(self) -> None:
         """Tell all hosts the news at once, for a host that leaves."""
-        others = [m.host for m in self.table.alive() if m.host != self.table.own_host]
-        await asyncio.gather(*(self._reach(host) for host in others))
+        await asyncio.gather(*(self._reach(host) for host in self._others()))
+
+    def _others(self) -> list[HostName]:
+        return [m.host for m in self.table.alive() if m.host != self.table.own_host]
 
     def _next_targets(self) -> list[HostName]:
         if not self._order:
-            self._order = [
-                m.host for m in self.table.alive() if m.host != self.table.own_host
-            ]
+            self._order = self._others()
             random.shuffle(self._order)
         chosen = self._order[:FANOUT]
         self._order = self._order[FANOUT:]
         return chosen
 
     async def _probe(self, host: HostName) -> None:
-        if await self._reach(host) or await self._reach_through_others(host):
-            return
-        if self.table.set_state(host, MemberState.SUSPECT):
+        began = monotonic()
+        reached = await self._reach(host, tries=1)
+        if not reached:
+            # Again on a new connection, and by others at the same time.
+            again = await asyncio.gather(
+                self._reach(host, tries=1), self._reach_through_others(host)
+            )
+            reached = any(again)
+        if self._pauses.paused_since(began):
+            return  # The silence was this host's own.
+        self._reach_sample.note(reached)
+        if not reached and self.table.set_state(host, MemberState.SUSPECT):
             self._metrics.count("members_suspected")
 
-    async def _reach(self, host: HostName) -> bool:
+    async def _reach(self, host: HostName, tries: int = 2) -> bool:
+        began = monotonic()
         try:
             reply = await self._peers.call(
-                host, "Exchange", self._ping(), PING_TIMEOUT_S
+                host, "Exchange", self._ping(to=host), PING_TIMEOUT_S, tries
             )
         except PeerError:
             return False
+        self._exchanged_at = max(self._exchanged_at, began)
         self._take_in(reply)
         return True
 
     async def _reach_through_others(self, host: HostName) -> bool:
-        others = [
-            m.host
-            for m in self.table.alive()
-            if m.host not in (host, self.table.own_host)
-        ]
+        others = [other for other in self._others() if other != host]
         chosen = random.sample(others, min(INDIRECT_PINGS, len(others)))
         message = peer_pb2.IndirectPing(target=host)
         replies = await asyncio.gather(
             *(
-                self._peers.call(via, "PingIndirectly", message, 3 * PING_TIMEOUT_S)
+                self._peers.call(
+                    via, "PingIndirectly", message, INDIRECT_TIMEOUT_S, tries=1
+                )
                 for via in chosen
             ),
             return_exceptions=True,
@@ -168,10 +219,10 @@
             not isinstance(reply, BaseException) and reply.reached for reply in replies
         )
 
-    def _ping(self, full: bool = False) -> peer_pb2.Ping:
+    def _ping(self, to: HostName | None = None, full: bool = False) -> peer_pb2.Ping:
         own = self.table.own
         stamp = self._recorder.clock.tick()
-        updates = list(self.table.by_host.values()) if full else self._updates()
+        updates = list(self.table.by_host.values()) if full else self._updates(to)
         return peer_pb2.Ping(
             host=own.host,
             incarnation=own.incarnation,
@@ -182,48 +233,66 @@
             full=len(self.table.by_host) == 1,
         )
 
-    def _updates(self) -> list[Member]:
-        chosen = sorted(
-            self._news_by_host.values(), key=lambda n: n.sends_left, reverse=True
-        )[:MAX_UPDATES]
-        for news in chosen:
-            news.sends_left -= 1
-            if news.sends_left <= 0:
-                del self._news_by_host[news.host]
-        members = [
-            self.table.by_host[n.host] for n in chosen if n.host in self.table.by_host
-        ]
-        return [self.table.own, *(m for m in members if m.host != self.table.own_host)]
+    def _updates(self, to: HostName | None) -> list[Member]:
+        hosts = dict.fromkeys([self.table.own_host, *self._news.take()])
+        target = self.table.by_host.get(to) if to is not None else None
+        if target is not None and target.state is not MemberState.ALIVE:
+            hosts[target.host] = None
+        return [self.table.by_host[h] for h in hosts if h in self.table.by_host]
 
     def _take_in(self, ping: peer_pb2.Ping) -> None:
         self._recorder.clock.observe(ping.stamp.wall_ms, ping.stamp.counter)
-        for update in ping.updates:
-            self.table.merge(from_message(update))
+        for update in islice(ping.updates, MAX_MEMBERS):
+            news = from_message(update)
+            if news is None:
+                self._metrics.count("members_rejected")
+            elif self.table.is_replacement(news):
+                self._note_replaced(news)
+            else:
+                self.table.merge(news)
         for listener in self._on_ping:
             listener(ping)
 
+    def _note_replaced(self, news: Member) -> None:
+        if not self.replaced.is_set():
+            logging.error(
+                "replaced by host=%s address=%s", news.host, news.peer_address
+            )
+        self.replaced.set()
+
+    def _paused(self, gap_s: float) -> None:
+        logging.warning("the process was frozen seconds=%.1f", gap_s)
+        self._metrics.count("pauses")
+        self._recorder.record(EventKind.PAUSED, seconds=round(gap_s, 1))
+        self._reach_sample.forget_probes()
+        # What was not heard meanwhile says nothing about the others.
+        now = monotonic()
+        self._suspect_since = dict.fromkeys(self._suspect_since, now)
+
     def _changed(self, before: Member | None, after: Member) -> None:
-        sends = SPREAD_FACTOR * math.ceil(math.log2(len(self.table.by_host) + 1))
-        self._news_by_host[after.host] = _News(after.host, sends)
+        self._news.add(after.host, len(self.table.by_host))
+        if before is not None and before.peer_address != after.peer_address:
+            self._peers.forget(after.host)
         self._peers.address_by_host[after.host] = after.peer_address
         self._track(after)
-        if before is None or (before.state, before.leaving) != (
+        if before is not None and (before.state, before.leaving) == (
             after.state,
             after.leaving,
         ):
-            logging.info(
-                "member host=%s state=%s leaving=%s incarnation=%d",
-                after.host,
-                after.state.name,
-                after.leaving,
-                after.incarnation,
-            )
-            self._recorder.record(
-                EventKind.MEMBER_CHANGED,
-                member=after.host,
-                state=after.state.name.lower(),
-                leaving=int(after.leaving),
-            )
+            return
+        logging.info(
+            "member host=%s state=%s leaving=%s incarnation=%d",
+            after.host,
+            after.state.name,
+            after.leaving,
+            after.incarnation,
+        )
+        self._recorder.record(
+            EventKind.MEMBER_CHANGED,
+            member=after.host,
+            state=after.state.name.lower(),
+            leaving=int(after.leaving),
+        )
 
     def _track(self, member: Member) -> None:
         now = monotonic()
@@ -235,40 +304,32 @@
             self._dead_since[member.host] = now
             self._peers.forget(member.host)
 
+    async def _expire_suspicions(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_PERIOD_S)
+            self._expire()
+
     def _expire(self) -> None:
         now = monotonic()
+        if self._pauses.paused_since(now):
+            return
         for host, since in list(self._suspect_since.items()):
             if now - since >= SUSPICION_S:
                 self.table.set_state(host, MemberState.DEAD)
         for host, since in list(self._dead_since.items()):
             if now - since >= FORGET_DEAD_S:
                 self.table.forget(host)
+                self._peers.address_by_host.pop(host, None)
                 del self._dead_since[host]
 
-    async def _follow_host_list(self) -> None:
-        while True:
-            await asyncio.sleep(HOST_LIST_PERIOD_S)
-            await self._read_host_list()
-
-    async def _read_host_list(self) -> None:
-        try:
-            listed = await self._host_list.read()
-        except HostListError:
-            self._metrics.count("host_list_failures")
-            return
-        hosts = [item for item in listed if item.peer_address]
-        await asyncio.gather(*(self._meet(h.name, h.peer_address) for h in hosts))
-        for item in hosts:
-            if item.leaving:
-                self.table.set_leaving(HostName(item.name))
-
-    async def _meet(self, name: str, address: str) -> None:
-        host = HostName(name)
-        known = self.table.by_host.get(host)
-        if known is not None and known.state is not MemberState.DEAD:
-            return
+    async def _meet(self, host: HostName, address: str) -> None:
         self._peers.address_by_host[host] = address
-        await self._reach(host)
+        await self._reach(host, tries=1)
+
+
+def _contradicts(known: Member, ping: peer_pb2.Ping) -> bool:
+    """Tell whether what is known of a sender differs from its own word."""
+    return known.state is not MemberState.ALIVE or known.incarnation > ping.incarnation
 
 
 def initial_incarnation(wall_ms: int) -> Incarnation:
--- /dev/null
+++ b/src/siskinlever/_internal/membership/listing.py
@@ -0,0 +1,125 @@
+"""Follows the platform's host list, which lags."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from ..exceptions import HostListError
+from ..metrics.registry import Metrics
+from ..models.ids import HostName
+from ..platform.host_list import HostListClient, ListedHost
+from .members import MemberState, MemberTable
+from .reach import Reach
+
+MIN_PERIOD_S = 1.0
+# Reads of the list that all hosts make in each second.
+READS_PER_S = 40
+MEETS_PER_ROUND = 3
+JOIN_MEETS = 8
+REMOVED_AFTER_READS = 3
+
+
+class HostListFollower:
+    """Meets hosts of the list and notes those that leave or are removed.
+
+    Parameters
+    ----------
+    table : MemberTable
+    reach : Reach
+    client : HostListClient
+    metrics : Metrics
+    meet : callable
+        Pings a host at an address.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        reach: Reach,
+        client: HostListClient,
+        metrics: Metrics,
+        meet: Callable[[HostName, str], Awaitable[object]],
+    ) -> None:
+        self._table = table
+        self._reach = reach
+        self._client = client
+        self._metrics = metrics
+        self._meet = meet
+        self._address_by_host: dict[HostName, str] = {}
+        self._missing_reads: Counter[HostName] = Counter()
+
+    async def join(self) -> None:
+        """Read the list and meet some of its hosts."""
+        await self._read()
+        await self._meet_some(JOIN_MEETS)
+
+    async def run(self) -> None:
+        """Read the list until cancelled."""
+        while True:
+            await asyncio.sleep(self._period_s() * random.uniform(0.75, 1.25))
+            await self._read()
+
+    async def meet_unknown(self) -> None:
+        """Meet hosts that are not alive in the table, until cancelled.
+
+        So two sides that were cut off from each other find together again,
+        also while the list is out.
+        """
+        while True:
+            await asyncio.sleep(MIN_PERIOD_S)
+            await self._meet_some(MEETS_PER_ROUND)
+
+    def _period_s(self) -> float:
+        return max(MIN_PERIOD_S, len(self._table.by_host) / READS_PER_S)
+
+    async def _read(self) -> None:
+        try:
+            listed = await self._client.read()
+        except HostListError:
+            self._metrics.count("host_list_failures")
+            return
+        hosts = [item for item in listed if item.peer_address]
+        for item in hosts:
+            if item.leaving:
+                self._table.set_leaving(HostName(item.name))
+        self._note_removed(hosts)
+        self._address_by_host = {HostName(h.name): h.peer_address for h in hosts}
+        self._reach.listed = frozenset(h.name for h in hosts)
+
+    def _note_removed(self, hosts: list[ListedHost]) -> None:
+        """Treat a host that the list no longer shows as leaving.
+
+        A list that lost most of its hosts at once is damaged, not true.
+        """
+        shown = {HostName(item.name) for item in hosts}
+        removed = self._known_from_list() - shown
+        if 2 * len(removed) >= len(self._known_from_list()):
+            return
+        for host in shown:
+            self._missing_reads.pop(host, None)
+        for host in removed:
+            self._missing_reads[host] += 1
+            if self._missing_reads[host] >= REMOVED_AFTER_READS:
+                self._table.set_leaving(host)
+
+    def _known_from_list(self) -> set[HostName]:
+        return set(self._address_by_host) | set(self._missing_reads)
+
+    async def _meet_some(self, count: int) -> None:
+        unknown = [host for host in self._candidates() if not self._is_known(host)]
+        chosen = random.sample(unknown, min(count, len(unknown)))
+        by_host = self._candidates()
+        await asyncio.gather(*(self._meet(host, by_host[host]) for host in chosen))
+
+    def _candidates(self) -> dict[HostName, str]:
+        known = {m.host: m.peer_address for m in self._table.by_host.values()}
+        return known | self._address_by_host
+
+    def _is_known(self, host: HostName) -> bool:
+        if host == self._table.own_host:
+            return True
+        member = self._table.by_host.get(host)
+        return member is not None and member.state is not MemberState.DEAD
--- a/src/siskinlever/_internal/membership/members.py
+++ b/src/siskinlever/_internal/membership/members.py
@@ -7,6 +7,12 @@
 from enum import IntEnum
 
 from ..models.ids import HostName, Incarnation
+from ..utils.clock import monotonic
+
+# A restart may start with a lower incarnation than its predecessor had, since
+# clocks differ; it contradicts within this time. Afterwards, news of another
+# process under this host's name is news of its successor.
+START_S = 10.0
 
 
 class MemberState(IntEnum):
@@ -62,6 +68,7 @@
 
     def __init__(self, own: Member) -> None:
         self.own_host = own.host
+        self._started_at = monotonic()
         self.by_host: dict[HostName, Member] = {own.host: own}
         self._listeners: list[Listener] = []
 
@@ -83,6 +90,17 @@
         self._set(known, news)
         return True
 
+    def is_replacement(self, news: Member) -> bool:
+        """Tell whether news shows a younger process under this host's name."""
+        own = self.own
+        return (
+            news.host == self.own_host
+            and news.peer_address != own.peer_address
+            and news.incarnation > own.incarnation
+            and news.state is MemberState.ALIVE
+            and monotonic() - self._started_at > START_S
+        )
+
     def set_leaving(self, host: HostName) -> bool:
         """Mark a host as leaving; tell whether that was news."""
         known = self.by_host.get(host)
--- a/src/siskinlever/_internal/membership/messages.py
+++ b/src/siskinlever/_internal/membership/messages.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import re
+
+from ..models.addresses import ADDRESS_PATTERN, NAME_PATTERN
 from ..models.ids import HostName, Incarnation
 from ..peers import peer_pb2
 from .members import Member, MemberState
 
+NAME = re.compile(NAME_PATTERN)
+ADDRESS = re.compile(ADDRESS_PATTERN)
+MAX_ZONE_CHARACTERS = 63
+STATES = frozenset(int(state) for state in MemberState)
+# Milliseconds of the wall clock in the year 2500; leaves room to contradict.
+MAX_INCARNATION = 16_725_225_600_000
+
 
 def to_message(member: Member) -> peer_pb2.Member:
     """Return the message of a member."""
@@ -20,8 +30,10 @@
     )
 
 
-def from_message(message: peer_pb2.Member) -> Member:
-    """Return the member of a message."""
+def from_message(message: peer_pb2.Member) -> Member | None:
+    """Return the member of a message, or None if it is not valid."""
+    if not _is_valid(message):
+        return None
     return Member(
         host=HostName(message.host),
         zone=message.zone,
@@ -31,3 +43,14 @@
         callers_address=message.callers_address,
         leaving=message.leaving,
     )
+
+
+def _is_valid(message: peer_pb2.Member) -> bool:
+    return (
+        NAME.match(message.host) is not None
+        and len(message.zone) <= MAX_ZONE_CHARACTERS
+        and ADDRESS.match(message.peer_address) is not None
+        and ADDRESS.match(message.callers_address) is not None
+        and 0 < message.incarnation < MAX_INCARNATION
+        and int(message.state) in STATES
+    )
--- /dev/null
+++ b/src/siskinlever/_internal/membership/news.py
@@ -0,0 +1,46 @@
+"""News of members that is still to be spread."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from ..models.ids import HostName
+
+# About 2 KB of a message.
+MAX_UPDATES = 24
+SPREAD_FACTOR = 3
+
+
+@dataclass(slots=True)
+class _Item:
+    host: HostName
+    sends_left: int
+
+
+class News:
+    """Hosts whose latest state is sent along with the next pings.
+
+    An item is sent ``SPREAD_FACTOR * log2(hosts)`` times, which reaches all
+    hosts with high probability.
+    """
+
+    def __init__(self) -> None:
+        self._item_by_host: dict[HostName, _Item] = {}
+
+    def add(self, host: HostName, host_count: int) -> None:
+        """Spread the state of a host, from the start."""
+        sends = SPREAD_FACTOR * math.ceil(math.log2(host_count + 1))
+        self._item_by_host[host] = _Item(host, sends)
+
+    def take(self) -> list[HostName]:
+        """Return the hosts for one message, the least spread first."""
+        items = sorted(
+            self._item_by_host.values(), key=lambda i: i.sends_left, reverse=True
+        )
+        chosen = items[:MAX_UPDATES]
+        for item in chosen:
+            item.sends_left -= 1
+            if item.sends_left <= 0:
+                del self._item_by_host[item.host]
+        return [item.host for item in chosen]
--- /dev/null
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -0,0 +1,21 @@
+"""Help texts of the metrics; one without a text here shows its name as words."""
+
+HELP_BY_NAME = {
+    "configuration_age_seconds": "Seconds since this host knew it was current.",
+    "configuration_generation": "Generation of the configuration in force.",
+    "configuration_fetch_failures": "Failed reads of a newer generation at a peer.",
+    "host_list_failures": "Failed reads of the host list.",
+    "members_rejected": "News of members that was not valid.",
+    "members_suspected": "Hosts that answered neither this host nor others.",
+    "orders_sent": "Orders sent to runners.",
+    "orders_refused": "Orders that a runner refused.",
+    "orders_held": "Pools whose orders this host sends.",
+    "pauses": "Times that this process was frozen.",
+    "peer_calls": "Calls to peers, by method.",
+    "peer_calls_failed": "Calls to peers that were not answered.",
+    "peer_connections_replaced": "Connections to peers that fell silent.",
+    "peer_message_bytes": "Bytes of messages to and from peers, as the caller.",
+    "store_calls": "Calls to the key-value service; a watch counts as one.",
+    "store_failures": "Failed calls to the key-value service.",
+    "store_restores": "Times that the store held an older generation than this host.",
+}
--- a/src/siskinlever/_internal/metrics/registry.py
+++ b/src/siskinlever/_internal/metrics/registry.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import TypeVar
 
 from hdrh.histogram import HdrHistogram
 
+from .names import HELP_BY_NAME
+
+T = TypeVar("T")
+
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
@@ -48,17 +54,35 @@
     def exposition(self) -> str:
         """Return everything in the Prometheus text format."""
         lines: list[str] = []
-        for (name, labels), count in sorted(self._count_by_key.items()):
-            lines.append(f"siskinlever_{name}_total{_shown(labels)} {count}")
-        for (name, labels), value in sorted(self._gauge_by_key.items()):
-            lines.append(f"siskinlever_{name}{_shown(labels)} {value}")
-        for (name, labels), histogram in sorted(
-            self._latency_by_key.items(), key=lambda item: item[0]
-        ):
-            lines += _summary(f"siskinlever_{name}_seconds", labels, histogram)
+        for name, counts in _by_name(self._count_by_key):
+            lines += _head(f"siskinlever_{name}_total", "counter", name)
+            for labels, count in counts:
+                lines.append(f"siskinlever_{name}_total{_shown(labels)} {count}")
+        for name, values in _by_name(self._gauge_by_key):
+            lines += _head(f"siskinlever_{name}", "gauge", name)
+            for labels, value in values:
+                lines.append(f"siskinlever_{name}{_shown(labels)} {value}")
+        for name, histograms in _by_name(self._latency_by_key):
+            lines += _head(f"siskinlever_{name}_seconds", "summary", name)
+            for labels, histogram in histograms:
+                lines += _summary(f"siskinlever_{name}_seconds", labels, histogram)
         return "\n".join(lines) + "\n"
 
 
+def _by_name(
+    by_key: Mapping[tuple[str, Labels], T],
+) -> Iterator[tuple[str, list[tuple[Labels, T]]]]:
+    """Group by name: the lines of one metric must stand together."""
+    for name in sorted({name for name, _ in by_key}):
+        found = [(labels, v) for (key, labels), v in by_key.items() if key == name]
+        yield name, sorted(found, key=lambda item: item[0])
+
+
+def _head(name: str, kind: str, key: str) -> list[str]:
+    text = HELP_BY_NAME.get(key, key.replace("_", " ").capitalize() + ".")
+    return [f"# HELP {name} {text}", f"# TYPE {name} {kind}"]
+
+
 def _key(labels: dict[str, str]) -> Labels:
     return tuple(sorted(labels.items()))
 
@@ -66,7 +90,11 @@
 def _shown(labels: Labels) -> str:
     if not labels:
         return ""
-    return "{" + ",".join(f'{name}="{value}"' for name, value in labels) + "}"
+    return "{" + ",".join(f'{n}="{_escaped(v)}"' for n, v in labels) + "}"
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
 def _summary(name: str, labels: Labels, histogram: HdrHistogram) -> list[str]:
--- a/src/siskinlever/_internal/models/declaration.py
+++ b/src/siskinlever/_internal/models/declaration.py
@@ -2,27 +2,23 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from enum import StrEnum
 from functools import cached_property
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 from pydantic_core import PydanticCustomError
 
-NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
-ADDRESS_PATTERN = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$"
-KEY_DIGEST_PATTERN = r"^sha256:[0-9a-f]{64}$"
-
-Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
-KeyDigest = Annotated[str, Field(pattern=KEY_DIGEST_PATTERN)]
+from .addresses import Address, KeyDigest, Name
+from .references import reference_faults
 
 
 class Strict(BaseModel):
     """A model that admits no unknown field and converts no type."""
 
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
 
 
 class Role(StrEnum):
@@ -85,11 +81,20 @@
 
 
 class EnginePool(Strict):
-    """Prefill and decode runners that serve the same weights."""
+    """Prefill and decode runners that serve the same weights.
+
+    Parameters
+    ----------
+    kv_bytes_per_token : int
+        Size in bytes of the KV cache of one token.
+    concurrent_loads : int
+        Runners that read from the weight store at once.
+    """
 
     name: Name
     runners: tuple[Runner, ...] = Field(min_length=1, strict=False)
     kv_bytes_per_token: Annotated[int, Field(ge=1)] = 131072
+    concurrent_loads: Annotated[int, Field(ge=1, le=1024)] = 1
 
 
 class Model(Strict):
@@ -186,51 +191,16 @@
             runner.name: runner for pool in self.engine_pools for runner in pool.runners
         }
 
+    @staticmethod
+    def reference_faults(raw: Any) -> list[str]:
+        """List duplicate names and dangling references of some JSON."""
+        return reference_faults(raw)
+
     @model_validator(mode="after")
     def _check_references(self) -> Declaration:
-        faults = list(reference_faults(self))
+        faults = reference_faults(self.model_dump(mode="json"))
         if faults:
             raise PydanticCustomError(
                 "references", "{faults}", {"faults": "\n".join(faults)}
             )
         return self
-
-
-def reference_faults(declaration: Declaration) -> list[str]:
-    """List duplicate names and dangling references, each with its JSON path."""
-    faults: list[str] = []
-    faults += _duplicates("engine_pools", [p.name for p in declaration.engine_pools])
-    faults += _duplicates("models", [m.name for m in declaration.models])
-    faults += _duplicates("services", [s.name for s in declaration.services])
-    faults += _duplicates("workspaces", [w.name for w in declaration.workspaces])
-    runners = [
-        (f"$.engine_pools[{i}].runners[{j}].name", runner.name)
-        for i, pool in enumerate(declaration.engine_pools)
-        for j, runner in enumerate(pool.runners)
-    ] + [
-        (f"$.services[{i}].runners[{j}].name", runner.name)
-        for i, service in enumerate(declaration.services)
-        for j, runner in enumerate(service.runners)
-    ]
-    counts = Counter(name for _, name in runners)
-    faults += [
-        f"{path}: duplicate runner name {name!r}"
-        for path, name in runners
-        if counts[name] > 1
-    ]
-    pools = sorted(pool.name for pool in declaration.engine_pools)
-    faults += [
-        f"$.models[{i}].pool: found {model.pool!r}, allowed: {pools}"
-        for i, model in enumerate(declaration.models)
-        if model.pool not in pools
-    ]
-    return faults
-
-
-def _duplicates(collection: str, names: list[str]) -> list[str]:
-    counts = Counter(names)
-    return [
-        f"$.{collection}[{i}].name: duplicate name {name!r}"
-        for i, name in enumerate(names)
-        if counts[name] > 1
-    ]
--- a/src/siskinlever/_internal/models/events.py
+++ b/src/siskinlever/_internal/models/events.py
@@ -12,6 +12,7 @@
     HOST_STARTED = "host_started"
     HOST_LEAVING = "host_leaving"
     HOST_STOPPED = "host_stopped"
+    PAUSED = "paused"
     MEMBER_CHANGED = "member_changed"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
     REQUEST_ACCEPTED = "request_accepted"
@@ -26,6 +27,7 @@
     CLAIMED = "claimed"
     DRAFT_STORED = "draft_stored"
     DRAFT_RESULT = "draft_result"
+    ORDERS_HELD = "orders_held"
     ORDER_SENT = "order_sent"
     STORE_STATE = "store_state"
 
--- a/src/siskinlever/_internal/models/settings.py
+++ b/src/siskinlever/_internal/models/settings.py
@@ -7,11 +7,8 @@
 
 from pydantic import Field
 
-from .declaration import Address, KeyDigest, Name, Strict
-
-HttpUrl = Annotated[
-    str, Field(pattern=r"^https?://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
-]
+from .addresses import Address, HttpUrl, KeyDigest, Name
+from .declaration import Strict
 
 
 class Policy(StrEnum):
@@ -57,7 +54,20 @@
 
 
 class Settings(Strict):
-    """Everything that one process must know before it starts."""
+    """Everything that one process must know before it starts.
+
+    Parameters
+    ----------
+    host, zone, region : str
+    callers, operators, peers
+        The interfaces of this process.
+    tls : Tls or None
+        Without it all interfaces are plain.
+    time_scale : float
+        Makes time limits of requests shorter, for tests.
+    clock_offset_s : float
+        Added to the wall clock in the time line, for tests.
+    """
 
     host: Name
     zone: Name
@@ -69,3 +79,4 @@
     tls: Tls | None = None
     policy: Annotated[Policy, Field(strict=False)] = Policy.SISKINLEVER
     time_scale: Annotated[float, Field(gt=0, le=1)] = 1.0
+    clock_offset_s: Annotated[float, Field(ge=-86400, le=86400)] = 0.0
--- /dev/null
+++ b/src/siskinlever/_internal/network/tls.py
@@ -0,0 +1,88 @@
+"""TLS contexts of a process; without settings for it all interfaces are plain."""
+
+from __future__ import annotations
+
+import ssl
+from pathlib import Path
+
+from ..models.settings import Tls
+
+HTTP2 = "h2"
+
+
+def listener_context(tls: Tls | None) -> ssl.SSLContext | None:
+    """Return the context of the callers' and the operators' listeners."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+def peer_listener_context(tls: Tls | None) -> ssl.SSLContext | None:
+    """Return the context of the peers' listener, which asks for a certificate."""
+    context = listener_context(tls)
+    if context is None or tls is None:
+        return None
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_verify_locations(tls.authority)
+    context.set_alpn_protocols([HTTP2])
+    return context
+
+
+def peer_client_context(tls: Tls | None) -> ssl.SSLContext | None:
+    """Return the context of the links to peers, which show a certificate."""
+    if tls is None:
+        return None
+    context = client_context(tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    context.set_alpn_protocols([HTTP2])
+    return context
+
+
+def client_context(authority: str) -> ssl.SSLContext:
+    """Return the context of a client that trusts one authority only."""
+    return ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=authority)
+
+
+def tls_faults(tls: Tls | None) -> list[str]:
+    """List what is wrong with the files of the settings, each with its path."""
+    if tls is None:
+        return []
+    named = (("certificate", tls.certificate), ("key", tls.key))
+    faults = [
+        f"$.tls.{field}: found {path!r}, which cannot be read: {error}"
+        for field, path in (*named, ("authority", tls.authority))
+        if (error := _unreadable(path))
+    ]
+    return faults or _wrong_content(tls)
+
+
+def _unreadable(path: str) -> str:
+    try:
+        Path(path).read_bytes()
+    except OSError as error:
+        return error.strerror or repr(error)
+    return ""
+
+
+def _wrong_content(tls: Tls) -> list[str]:
+    faults = []
+    try:
+        ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(
+            tls.certificate, tls.key
+        )
+    except (ssl.SSLError, OSError) as error:
+        faults.append(
+            f"$.tls.key: found {tls.key!r}, allowed: the PEM key of "
+            f"{tls.certificate!r} ({error})"
+        )
+    try:
+        client_context(tls.authority)
+    except (ssl.SSLError, OSError) as error:
+        faults.append(
+            f"$.tls.authority: found {tls.authority!r}, allowed: PEM certificates "
+            f"({error})"
+        )
+    return faults
--- a/src/siskinlever/_internal/operators/app.py
+++ b/src/siskinlever/_internal/operators/app.py
@@ -3,34 +3,46 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
 
 from sanic import Request, Sanic
 from sanic.exceptions import SanicException
-from sanic.response import HTTPResponse, json, text
+from sanic.response import HTTPResponse, json
 
-from ..configuration.current import CurrentConfiguration
+from ..configuration.confirmations import confirmations
+from ..configuration.current import Configuration, CurrentConfiguration
+from ..configuration.root import check_apply_id
 from ..configuration.store import ConfigurationStore
 from ..exceptions import (
     ConflictError,
     DeclarationError,
+    ParameterError,
+    SiskinleverError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from ..membership.detector import Detector
 from ..membership.members import Member, MemberTable
 from ..metrics.registry import Metrics
 from ..models.declaration import Declaration
-from ..models.ids import ApplyId, Generation
+from ..models.ids import Generation
 from ..network.http_server import App
 from ..requests.execution import Executor
 from ..timeline.recorder import Recorder
+from ..utils.clock import Deadline
 from ..utils.digests import is_known_key
-from ..utils.validation import parse_json
+from ..utils.validation import parse_document
+from .parameters import check_names, seconds, whole_number
+
+MAX_WAIT_S = 60.0
+EXPOSITION = "text/plain; version=0.0.4; charset=utf-8"
 
 STATUS_BY_ERROR: dict[type[Exception], int] = {
     ConflictError: 409,
     DeclarationError: 400,
+    ParameterError: 400,
     StoreUnavailableError: 503,
     StoreOutcomeUnknownError: 504,
 }
@@ -44,9 +56,11 @@
     current: CurrentConfiguration
     store: ConfigurationStore
     members: MemberTable
+    detector: Detector
     executor: Executor
     recorder: Recorder
     metrics: Metrics
+    pools_held: Callable[[], list[str]]
 
 
 def operators_app(context: OperatorContext) -> App:
@@ -56,6 +70,7 @@
     app.on_request(check_key)
     app.add_route(show, "/v1/configuration", methods=["GET"])
     app.add_route(apply, "/v1/configuration", methods=["PUT"])
+    app.add_route(confirm, "/v1/confirmations", methods=["GET"])
     app.add_route(status, "/v1/status", methods=["GET"])
     app.add_route(timeline, "/v1/timeline", methods=["GET"])
     app.add_route(metrics, "/metrics", methods=["GET"])
@@ -77,12 +92,16 @@
     if isinstance(error, SanicException):
         return _error(error.status_code, "invalid_request", str(error))
     status_code = STATUS_BY_ERROR.get(type(error), 500)
+    if status_code == 500:
+        _host(request).metrics.count("internal_errors")
     faults = error.faults if isinstance(error, DeclarationError) else []
-    return _error(status_code, type(error).__name__, str(error), faults)
+    hint = error.hint if isinstance(error, SiskinleverError) else ""
+    return _error(status_code, type(error).__name__, str(error), faults, hint)
 
 
 async def show(request: Request) -> HTTPResponse:
     """Show the configuration in force at this host."""
+    check_names(request)
     value = _host(request).current.value
     if value is None:
         return json({"generation": 0, "apply_id": "", "declaration": None})
@@ -98,27 +117,47 @@
 
 async def apply(request: Request) -> HTTPResponse:
     """Make a declaration the one in force."""
+    check_names(request, "apply_id", "base_generation")
     host = _host(request)
-    declaration, faults = parse_json(Declaration, request.body)
+    apply_id = check_apply_id(request.args.get("apply_id") or uuid.uuid4().hex)
+    base = whole_number(request, "base_generation")
+    declaration, faults = parse_document(Declaration, request.body)
     if declaration is None:
         raise DeclarationError(faults)
-    apply_id = ApplyId(request.args.get("apply_id") or uuid.uuid4().hex)
-    base = request.args.get("base_generation")
+    content = declaration.model_dump_json().encode()
     generation = await host.store.write(
-        declaration.model_dump_json().encode(),
+        content,
         apply_id,
-        Generation(int(base)) if base is not None else None,
+        Generation(base) if base is not None else None,
+        host.current.value,
     )
-    accepted = await host.store.read()
-    if accepted is not None:
-        host.current.offer(accepted)
+    host.current.offer(Configuration(generation, apply_id, declaration, content, 0))
     return json({"generation": generation, "apply_id": apply_id})
 
 
+async def confirm(request: Request) -> HTTPResponse:
+    """Wait until each live host has a generation in force."""
+    check_names(request, "generation", "wait")
+    host = _host(request)
+    generation = whole_number(request, "generation")
+    if generation is None:
+        raise ParameterError("generation: required parameter is missing")
+    wait_s = seconds(request, "wait", 0.0, MAX_WAIT_S)
+    found = await confirmations(
+        host.members,
+        host.detector.generation_at,
+        Generation(generation),
+        Deadline(wait_s),
+    )
+    return json({"generation": generation, "hosts": [asdict(c) for c in found]})
+
+
 async def status(request: Request) -> HTTPResponse:
     """Show this host and what it knows of the others."""
+    check_names(request)
     host = _host(request)
     own = host.members.own
+    value = host.current.value
     return json(
         {
             "host": own.host,
@@ -126,7 +165,11 @@
             "incarnation": own.incarnation,
             "leaving": own.leaving,
             "generation": host.current.generation,
+            "apply_id": value.apply_id if value else "",
             "current_age_s": round(host.current.current_age_s, 3),
+            "stale": host.current.is_stale,
+            "has_majority": host.detector.has_majority(),
+            "orders_pools": host.pools_held(),
             "requests_running": len(host.executor.running_by_key),
             "members": [_member(m) for m in host.members.by_host.values()],
         }
@@ -134,16 +177,20 @@
 
 
 async def timeline(request: Request) -> HTTPResponse:
-    """Show the events kept at this host."""
-    events = _host(request).recorder.events(request.args.get("request_id"))
+    """Show the latest events kept at this host."""
+    check_names(request, "request_id", "last")
+    last = whole_number(request, "last")
+    events = list(_host(request).recorder.events(request.args.get("request_id")))
+    kept = events[-last:] if last else events
     return json(
-        {"events": [asdict(event) | {"kind": event.kind.value} for event in events]}
+        {"events": [asdict(event) | {"kind": event.kind.value} for event in kept]}
     )
 
 
 async def metrics(request: Request) -> HTTPResponse:
     """Show counters and latencies in the Prometheus text format."""
-    return text(_host(request).metrics.exposition())
+    check_names(request)
+    return HTTPResponse(_host(request).metrics.exposition(), content_type=EXPOSITION)
 
 
 def _member(member: Member) -> dict[str, Any]:
@@ -151,10 +198,14 @@
 
 
 def _error(
-    status_code: int, code: str, message: str, faults: list[str] | None = None
+    status_code: int,
+    code: str,
+    message: str,
+    faults: list[str] | None = None,
+    hint: str = "",
 ) -> HTTPResponse:
-    body = {"code": code, "message": message, "faults": faults or []}
-    return json({"error": body}, status_code)
+    error = {"code": code, "message": message, "faults": faults or [], "hint": hint}
+    return json({"error": error}, status_code)
 
 
 def _host(request: Request) -> OperatorContext:
--- /dev/null
+++ b/src/siskinlever/_internal/operators/parameters.py
@@ -0,0 +1,42 @@
+"""Checked query parameters of the administration interface."""
+
+from __future__ import annotations
+
+from sanic import Request
+
+from ..exceptions import ParameterError
+
+
+def check_names(request: Request, *allowed: str) -> None:
+    """Refuse parameters with other names."""
+    for name in request.args:
+        if name not in allowed:
+            shown = ", ".join(allowed) or "none"
+            raise ParameterError(f"{name}: unknown parameter, allowed: {shown}")
+
+
+def whole_number(request: Request, name: str) -> int | None:
+    """Return a parameter that is a whole number, or None if it is not given."""
+    value = request.args.get(name)
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdigit() and len(value) <= 18):
+        raise ParameterError(f"{name}: found {value[:80]!r}, allowed: a whole number")
+    return int(value)
+
+
+def seconds(request: Request, name: str, default: float, highest: float) -> float:
+    """Return a parameter that is a number of seconds."""
+    value = request.args.get(name)
+    if value is None:
+        return default
+    try:
+        number = float(value)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number <= highest:
+        raise ParameterError(
+            f"{name}: found {value[:80]!r}, allowed: a number of seconds from 0 to "
+            f"{highest:g}, with no unit written"
+        )
+    return number
--- /dev/null
+++ b/src/siskinlever/_internal/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to runners: which version, adapters and role each is to have."""
--- /dev/null
+++ b/src/siskinlever/_internal/orders/orderer.py
@@ -0,0 +1,226 @@
+"""Sends orders to the runners of the pools whose lease this host holds.
+
+What was declared is compared with what is seen again and again: a runner that
+does not check fencing tokens may carry out an old holder's late order, which
+the current holder then puts right.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+from absl import logging
+
+from ..configuration.current import CurrentConfiguration
+from ..configuration.store import ConfigurationStore
+from ..engines.base import LoadedState
+from ..engines.registry import Engines
+from ..exceptions import (
+    DeclarationError,
+    EngineError,
+    OrderRefusedError,
+    PlatformError,
+)
+from ..membership.members import MemberTable
+from ..metrics.registry import Metrics
+from ..models.declaration import EnginePool, Runner
+from ..models.events import EventKind
+from ..models.ids import PoolName, RunnerName
+from ..platform.key_value import KeyValueClient
+from ..timeline.recorder import Recorder
+from ..utils.clock import monotonic
+from ..utils.rendezvous import primary_and_backup
+from ..utils.tasks import TaskSet
+from .desired import LOADING_KINDS, Order, missing_orders
+from .lease import PoolLease
+
+PERIOD_S = 1.0
+# A runner that checks fencing tokens only has to be seen after its restart.
+CHECKED_READ_PERIOD_S = 5.0
+
+
+@dataclass(slots=True)
+class _Seen:
+    """What a runner showed last, and when it is read again."""
+
+    state: LoadedState
+    loading: bool
+    read_again_at: float
+
+
+class Orderer:
+    """Keeps the runners of each pool at what is declared.
+
+    Parameters
+    ----------
+    current : CurrentConfiguration
+    store : ConfigurationStore
+    members : MemberTable
+    engines : Engines
+    key_value : KeyValueClient
+    prefix : str
+        Prefix of all keys.
+    is_awake : callable
+        Tells whether a peer was heard since this process was last frozen.
+    recorder : Recorder
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        current: CurrentConfiguration,
+        store: ConfigurationStore,
+        members: MemberTable,
+        engines: Engines,
+        key_value: KeyValueClient,
+        prefix: str,
+        is_awake: Callable[[], bool],
+        recorder: Recorder,
+        metrics: Metrics,
+    ) -> None:
+        self._current = current
+        self._store = store
+        self._members = members
+        self._engines = engines
+        self._key_value = key_value
+        self._prefix = f"{prefix}/orders"
+        self._is_awake = is_awake
+        self._recorder = recorder
+        self._metrics = metrics
+        self._lease_by_pool: dict[PoolName, PoolLease] = {}
+        self._seen_by_runner: dict[RunnerName, _Seen] = {}
+        self._busy: set[PoolName] = set()
+        current.subscribe(lambda _: self._seen_by_runner.clear())
+
+    def pools_held(self) -> list[str]:
+        """Return the pools whose orders this host sends now."""
+        return sorted(p for p, lease in self._lease_by_pool.items() if lease.may_send)
+
+    async def run(self, tasks: TaskSet) -> None:
+        """Keep the pools until cancelled; give up the leases then."""
+        try:
+            while True:
+                self._start_steps(tasks)
+                self._metrics.gauge("orders_held", len(self.pools_held()))
+                await asyncio.sleep(PERIOD_S)
+        finally:
+            for lease in self._lease_by_pool.values():
+                with suppress(PlatformError):
+                    await lease.release()
+
+    def _start_steps(self, tasks: TaskSet) -> None:
+        declaration = self._current.declaration
+        for pool in declaration.engine_pools if declaration else ():
+            name = PoolName(pool.name)
+            if name not in self._busy:
+                self._busy.add(name)
+                tasks.start(self._step(name, pool), f"orders-{name}")
+
+    async def _step(self, name: PoolName, pool: EnginePool) -> None:
+        try:
+            lease = await self._lease(name)
+            if lease is None:
+                return
+            if lease.renewal_due:
+                await lease.renew()
+            await self._keep(pool, lease)
+        except (PlatformError, DeclarationError):
+            self._metrics.count("orders_store_failures")
+        finally:
+            self._busy.discard(name)
+
+    async def _lease(self, name: PoolName) -> PoolLease | None:
+        """Return the lease of a pool if this host is its orderer."""
+        lease = self._lease_by_pool.get(name)
+        if lease is not None and lease.may_send:
+            return lease
+        zones = {str(h): z for h, z in self._members.zone_by_host().items()}
+        primary, _ = primary_and_backup(name, zones)
+        own = self._members.own
+        if primary != own.host or own.leaving or not self._is_awake():
+            return None
+        lease = PoolLease(self._key_value, f"{self._prefix}/{name}", own.host)
+        if not await lease.acquire():
+            return None
+        # What the last holder ordered may be newer than what is in force here.
+        newest = await self._store.read()
+        if newest is not None:
+            self._current.offer(newest)
+        self._lease_by_pool[name] = lease
+        self._seen_by_runner.clear()
+        logging.info("orders pool=%s token=%d", name, lease.fencing_token)
+        self._recorder.record(
+            EventKind.ORDERS_HELD, pool=name, token=lease.fencing_token
+        )
+        return lease
+
+    async def _keep(self, pool: EnginePool, lease: PoolLease) -> None:
+        runners = [runner for runner in pool.runners if not runner.leaving]
+        await asyncio.gather(*(self._read(runner) for runner in runners))
+        for runner in runners:
+            seen = self._seen_by_runner.get(RunnerName(runner.name))
+            if seen is None or seen.loading:
+                continue
+            for order in missing_orders(runner, seen.state):
+                if not self._may_load(order, pool):
+                    break
+                if not await self._send(runner, order, lease):
+                    break
+                if order.kind in LOADING_KINDS:
+                    seen.loading = True
+                    break
+
+    def _may_load(self, order: Order, pool: EnginePool) -> bool:
+        """Respect the rate of the weight store."""
+        if order.kind not in LOADING_KINDS:
+            return True
+        names = {RunnerName(runner.name) for runner in pool.runners}
+        loading = sum(
+            seen.loading for name, seen in self._seen_by_runner.items() if name in names
+        )
+        return loading < pool.concurrent_loads
+
+    async def _read(self, runner: Runner) -> None:
+        name = RunnerName(runner.name)
+        seen = self._seen_by_runner.get(name)
+        if seen is not None and monotonic() < seen.read_again_at:
+            return
+        try:
+            state = await self._engines.at(runner.address).loaded()
+        except EngineError:
+            # A runner that is gone loads nothing and is asked again.
+            self._seen_by_runner.pop(name, None)
+            return
+        settled = not missing_orders(runner, state) and not state.loading
+        period_s = (
+            CHECKED_READ_PERIOD_S if settled and runner.checks_fencing else PERIOD_S / 2
+        )
+        self._seen_by_runner[name] = _Seen(
+            state, bool(state.loading), monotonic() + period_s
+        )
+
+    async def _send(self, runner: Runner, order: Order, lease: PoolLease) -> bool:
+        if not lease.may_send:
+            return False
+        engine = self._engines.at(runner.address)
+        try:
+            await engine.order(order.kind.value, order.arguments, lease.fencing_token)
+        except OrderRefusedError:
+            self._metrics.count("orders_refused")
+            with suppress(EngineError):
+                await lease.raise_token((await engine.loaded()).fencing_token)
+            return False
+        except EngineError:
+            self._metrics.count("orders_failed")
+            return False
+        self._metrics.count("orders_sent")
+        self._recorder.record(
+            EventKind.ORDER_SENT,
+            runner=runner.name,
+            order=order.kind.value,
+            token=lease.fencing_token,
+        )
+        return True
--- a/src/siskinlever/_internal/peers/link.py
+++ b/src/siskinlever/_internal/peers/link.py
@@ -39,7 +39,11 @@
         self._channel: Channel | None = None
 
     async def call(
-        self, rpc: str, message: Any, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        rpc: str,
+        message: Any,
+        timeout_s: float = CALL_TIMEOUT_S,
+        tries: int = TRIES,
     ) -> Any:
         """Make a call.
 
@@ -50,13 +54,14 @@
         message : protobuf message
         timeout_s : float
             For each of the tries.
+        tries : int
 
         Raises
         ------
         PeerError
         """
         cause: Exception | None = None
-        for _ in range(TRIES):
+        for _ in range(tries):
             channel = self._open()
             try:
                 return await self._call_once(channel, rpc, message, timeout_s)
@@ -77,7 +82,10 @@
         stub = peer_grpc.PeerStub(channel)
         metadata = {"authorization": f"Bearer {self._key}"}
         async with asyncio.timeout(timeout_s):
-            return await getattr(stub, rpc)(message, metadata=metadata)
+            reply = await getattr(stub, rpc)(message, metadata=metadata)
+        size = message.ByteSize() + reply.ByteSize()
+        self._metrics.count("peer_message_bytes", size, rpc=rpc)
+        return reply
 
     def _open(self) -> Channel:
         if self._channel is None:
@@ -112,12 +120,13 @@
         rpc: str,
         message: Any,
         timeout_s: float = CALL_TIMEOUT_S,
+        tries: int = TRIES,
     ) -> Any:
         """Call a peer by the name of its host; raises `PeerError`."""
         address = self.address_by_host.get(host)
         if address is None:
             raise PeerError(f"{rpc}: the address of host {host} is not known")
-        return await self.call_address(address, rpc, message, timeout_s)
+        return await self.call_address(address, rpc, message, timeout_s, tries)
 
     async def call_address(
         self,
@@ -125,13 +134,14 @@
         rpc: str,
         message: Any,
         timeout_s: float = CALL_TIMEOUT_S,
+        tries: int = TRIES,
     ) -> Any:
         """Call a peer by its address; raises `PeerError`."""
         link = self._link_by_address.get(address)
         if link is None:
             link = PeerLink(address, self._key, self._tls, self._metrics)
             self._link_by_address[address] = link
-        return await link.call(rpc, message, timeout_s)
+        return await link.call(rpc, message, timeout_s, tries)
 
     def forget(self, host: HostName) -> None:
         """Close the link to a host that is gone."""
--- a/src/siskinlever/_internal/utils/validation.py
+++ b/src/siskinlever/_internal/utils/validation.py
@@ -2,13 +2,53 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+import difflib
+import json
+from typing import Any, TypeVar, get_args
 
 from pydantic import BaseModel, ValidationError
 
 M = TypeVar("M", bound=BaseModel)
 
 MAX_SHOWN_CHARACTERS = 80
+REFERENCES = "references"
+
+# The longest suffix that fits goes first.
+UNIT_BY_SUFFIX = {
+    "tokens_per_s": "tokens a second",
+    "bytes_per_s": "bytes a second",
+    "requests_per_s": "requests a second",
+    "bytes_per_token": "bytes",
+    "_ms": "milliseconds",
+    "_s": "seconds",
+}
+
+LIMIT_BY_TYPE = {
+    "greater_than": "allowed: more than {gt}",
+    "greater_than_equal": "allowed: {ge} or more",
+    "less_than": "allowed: less than {lt}",
+    "less_than_equal": "allowed: {le} or less",
+    "enum": "allowed: {expected}",
+    "literal_error": "allowed: {expected}",
+    "too_short": "allowed: {min_length} entries or more",
+    "string_too_short": "allowed: {min_length} characters or more",
+}
+
+EXPECTED_BY_TYPE = {
+    "float_type": "a number",
+    "int_type": "a whole number",
+    "int_from_float": "a whole number",
+    "string_type": "a string",
+    "bool_type": "true or false",
+    "tuple_type": "a list",
+    "model_type": "an object",
+    "dict_type": "an object",
+    "finite_number": "a finite number",
+}
+
+
+class _RepeatedKeyError(ValueError):
+    """An object of a JSON text has the same key twice."""
 
 
 def parse_json(model: type[M], content: bytes | str) -> tuple[M | None, list[str]]:
@@ -16,18 +56,105 @@
     try:
         return model.model_validate_json(content), []
     except ValidationError as error:
-        return None, [line for fault in error.errors() for line in _lines(fault)]
+        return None, _faults(model, error)
+
+
+def parse_document(model: type[M], content: bytes) -> tuple[M | None, list[str]]:
+    """Parse a document that a person wrote; stricter than `parse_json`.
+
+    Repeated keys are faults, and references are checked even if fields are
+    wrong, so that all faults show at once.
+    """
+    raw, faults = _raw(content)
+    if faults:
+        return None, faults
+    parsed, faults = parse_json(model, content)
+    check = getattr(model, "reference_faults", None)
+    if parsed is None and check is not None:
+        known = set(faults)
+        faults += [fault for fault in check(raw) if fault not in known]
+    return parsed, faults
+
+
+def _raw(content: bytes) -> tuple[Any, list[str]]:
+    try:
+        text = content.decode()
+    except UnicodeDecodeError as error:
+        found = content[error.start]
+        return None, [f"$: not UTF-8, found byte 0x{found:02x} at {error.start}"]
+    try:
+        return json.loads(text, object_pairs_hook=_object), []
+    except json.JSONDecodeError as error:
+        place = f"line {error.lineno} column {error.colno}"
+        return None, [f"$: not JSON, {error.msg} at {place}"]
+    except _RepeatedKeyError as error:
+        return None, [f"$: {error}"]
+    except RecursionError:
+        return None, ["$: nested too deep"]
 
 
-def _lines(fault: Any) -> list[str]:
-    if fault["type"] == "references":
+def _object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    found = dict(pairs)
+    if len(found) == len(pairs):
+        return found
+    names = [name for name, _ in pairs]
+    repeated = sorted({name for name in names if names.count(name) > 1})
+    raise _RepeatedKeyError(f"key {repeated[0]!r} stands twice in one object")
+
+
+def _faults(model: type[BaseModel], error: ValidationError) -> list[str]:
+    return [line for fault in error.errors() for line in _lines(model, fault)]
+
+
+def _lines(model: type[BaseModel], fault: Any) -> list[str]:
+    kind = fault["type"]
+    if kind == REFERENCES:
         return str(fault["ctx"]["faults"]).split("\n")
     path = "$" + "".join(_step(part) for part in fault["loc"])
-    if fault["type"] == "extra_forbidden":
-        return [f"{path}: unknown field, found {_shown(fault['input'])}"]
-    if fault["type"] == "missing":
+    if kind == "extra_forbidden":
+        return [f"{path}: unknown field, {_allowed_fields(model, fault['loc'])}"]
+    if kind == "missing":
         return [f"{path}: required field is missing"]
-    return [f"{path}: {fault['msg']}, found {_shown(fault['input'])}"]
+    if kind == "json_invalid":
+        return [f"{path}: {fault['msg']}"]
+    return [f"{path}: found {_shown(fault['input'])}, {_expected(fault)}"]
+
+
+def _expected(fault: Any) -> str:
+    kind = fault["type"]
+    if kind in LIMIT_BY_TYPE:
+        return LIMIT_BY_TYPE[kind].format(**fault.get("ctx", {}))
+    expected = EXPECTED_BY_TYPE.get(kind)
+    if expected is None:
+        return str(fault["msg"])
+    unit = _unit(fault["loc"])
+    if unit is None or "number" not in expected:
+        return f"allowed: {expected}"
+    return f"allowed: {expected} of {unit}, with no unit written"
+
+
+def _unit(location: tuple[str | int, ...]) -> str | None:
+    name = str(location[-1]) if location else ""
+    units = (unit for suffix, unit in UNIT_BY_SUFFIX.items() if name.endswith(suffix))
+    return next(units, None)
+
+
+def _allowed_fields(model: type[BaseModel], location: tuple[str | int, ...]) -> str:
+    for part in location[:-1]:
+        if isinstance(part, str) and part in model.model_fields:
+            model = _model_in(model.model_fields[part].annotation) or model
+    names = sorted(model.model_fields)
+    near = difflib.get_close_matches(str(location[-1]), names, 1)
+    meant = f"did you mean {near[0]!r}? " if near else ""
+    return f"{meant}allowed: {', '.join(names)}"
+
+
+def _model_in(annotation: Any) -> type[BaseModel] | None:
+    """Return the model that a field holds, itself or in a list."""
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    found = (_model_in(argument) for argument in get_args(annotation))
+    return next((model for model in found if model is not None), None)
 
 
 def _step(part: str | int) -> str:
--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -154,6 +154,8 @@
         self._aborted: set[str] = set()
         self._fencing_token = 0
         self._loaded: dict[str, Any] = {}
+        self._loading: dict[str, Any] = {}
+        self._load_task: asyncio.Task[None] | None = None
         self._reports: deque[tuple[float, dict[str, Any]]] = deque()
         self._session: aiohttp.ClientSession | None = None
 
@@ -411,7 +413,11 @@
         }
 
     async def _show_loaded(self, request: web.Request) -> web.Response:
-        shown = {"fencing_token": self._fencing_token, "loaded": self._loaded}
+        shown = {
+            "fencing_token": self._fencing_token,
+            "loaded": self._loaded,
+            "loading": self._loading,
+        }
         return web.json_response(shown)
 
     async def _order(self, request: web.Request) -> web.Response:
@@ -422,10 +428,22 @@
             return web.json_response({"error": "old fencing token"}, status=412)
         self._fencing_token = max(token, self._fencing_token)
         arguments = await request.json()
-        self._loaded[kind] = arguments
         self.record.add("order", kind=kind, token=token, arguments=arguments)
+        if kind != "role" and "load_time_s" in self.faults.values:
+            self._loading[kind] = arguments
+            self._load_task = asyncio.create_task(self._load_weights(kind, arguments))
+            return web.json_response({})
+        self._loaded[kind] = arguments
         return web.json_response({})
 
+    async def _load_weights(self, kind: str, arguments: Any) -> None:
+        """Read from the weight store for as long as ``load_time_s`` says."""
+        self.record.add("load_started", kind=kind)
+        await asyncio.sleep(float(self.faults.values["load_time_s"]))
+        self._loaded[kind] = arguments
+        self._loading.pop(kind, None)
+        self.record.add("load_ended", kind=kind)
+
 
 def _event(generation: Generation, position: int) -> bytes:
     last = position == len(generation.tokens) - 1
