--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -96,7 +96,8 @@
         tasks.start(host.detector.run(tasks), "membership")
         tasks.start(host.follower.run(), "configuration")
         tasks.start(
-            host.follower.confirm_by_majority(host.detector.has_majority), "majority"
+            host.follower.confirm_by_majority(lambda: host.members.has_majority),
+            "majority",
         )
         tasks.start(host.orders.run(tasks), "orders")
         tasks.start(host.request_home.run(), "request-home")
@@ -165,16 +166,16 @@
         pauses=pauses,
     )
     detector.on_ping(follower.heard)
-    engines = Engines(pooled)
+    engines = Engines(pooled, fresh)
     aborts = AbortQueue(engines, tasks, metrics)
     admission = AdmissionHome(current, members, engines, aborts, recorder, metrics)
-    request_home = RequestHome(members, aborts, recorder, metrics)
+    request_home = RequestHome(members, peers, aborts, recorder, metrics, tasks)
     placement = _placement(
         settings, current, members, peers, admission, recorder, metrics, tasks
     )
     registrar = Registrar(members, peers, request_home, recorder, metrics, tasks)
     executor = Executor(
-        members, engines, placement, registrar, aborts, recorder, metrics
+        members, engines, placement, registrar, aborts, recorder, metrics, tasks
     )
     claims = Claims(key_value, settings.platform.key_prefix, settings.host)
     deliveries = Deliveries(ServiceClient(fresh), claims, recorder, metrics)
@@ -238,6 +239,8 @@
         "Hold": host.request_home.hold,
         "Complete": host.request_home.complete,
         "Abandon": host.request_home.abandon,
+        "FetchEntry": host.request_home.fetch_entry,
+        "HandOver": host.request_home.hand_over,
         "StopAttempt": stop_attempt,
         "Reserve": host.admission_home.reserve,
         "Progress": host.admission_home.progress,
@@ -275,13 +278,15 @@
 
 
 def _own_member(settings: Settings) -> Member:
+    started = initial_incarnation(int(time.time() * MS_PER_S))
     return Member(
         host=HostName(settings.host),
         zone=settings.zone,
-        incarnation=initial_incarnation(int(time.time() * MS_PER_S)),
+        incarnation=started,
         state=MemberState.ALIVE,
         peer_address=settings.peers.address,
         callers_address=settings.callers.address,
+        started=started,
     )
 
 
--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -77,10 +77,8 @@
         self._generation = generation
         self._current_age_ms = current_age_ms
         self._pauses = pauses
-        self._reach_sample = Reach(table)
-        self._host_list = HostListFollower(
-            table, self._reach_sample, host_list, metrics, self._meet
-        )
+        self._reach_sample = Reach()
+        self._host_list = HostListFollower(table, host_list, metrics, self._meet)
         self._news = News()
         self._suspect_since: dict[HostName, float] = {}
         self._dead_since: dict[HostName, float] = {}
@@ -88,11 +86,12 @@
         self._on_ping: list[Callable[[peer_pb2.Ping], None]] = []
         self._exchanged_at = monotonic()
         table.subscribe(self._changed)
+        table.witness = self._agrees
         pauses.subscribe(self._paused)
 
-    def has_majority(self) -> bool:
-        """Tell whether this host reaches more than half of the listed hosts."""
-        return self.awake and self._reach_sample.has_majority()
+    def _agrees(self) -> bool:
+        """Tell whether what was heard of late agrees with the member table."""
+        return self.awake and self._reach_sample.agrees()
 
     @property
     def awake(self) -> bool:
@@ -264,7 +263,7 @@
         logging.warning("the process was frozen seconds=%.1f", gap_s)
         self._metrics.count("pauses")
         self._recorder.record(EventKind.PAUSED, seconds=round(gap_s, 1))
-        self._reach_sample.forget_probes()
+        self._reach_sample.forget()
         # What was not heard meanwhile says nothing about the others.
         now = monotonic()
         self._suspect_since = dict.fromkeys(self._suspect_since, now)
--- a/src/siskinlever/_internal/membership/listing.py
+++ b/src/siskinlever/_internal/membership/listing.py
@@ -12,7 +12,6 @@
 from ..models.ids import HostName
 from ..platform.host_list import HostListClient, ListedHost
 from .members import MemberState, MemberTable
-from .reach import Reach
 
 MIN_PERIOD_S = 1.0
 # Reads of the list that all hosts make in each second.
@@ -28,7 +27,6 @@
     Parameters
     ----------
     table : MemberTable
-    reach : Reach
     client : HostListClient
     metrics : Metrics
     meet : callable
@@ -38,13 +36,11 @@
     def __init__(
         self,
         table: MemberTable,
-        reach: Reach,
         client: HostListClient,
         metrics: Metrics,
         meet: Callable[[HostName, str], Awaitable[object]],
     ) -> None:
         self._table = table
-        self._reach = reach
         self._client = client
         self._metrics = metrics
         self._meet = meet
@@ -87,7 +83,9 @@
                 self._table.set_leaving(HostName(item.name))
         self._note_removed(hosts)
         self._address_by_host = {HostName(h.name): h.peer_address for h in hosts}
-        self._reach.listed = frozenset(h.name for h in hosts)
+        self._table.listed = frozenset(
+            HostName(item.name) for item in hosts if not item.leaving
+        )
 
     def _note_removed(self, hosts: list[ListedHost]) -> None:
         """Treat a host that the list no longer shows as leaving.
--- a/src/siskinlever/_internal/membership/messages.py
+++ b/src/siskinlever/_internal/membership/messages.py
@@ -27,6 +27,7 @@
         peer_address=member.peer_address,
         callers_address=member.callers_address,
         leaving=member.leaving,
+        started=member.started,
     )
 
 
@@ -42,6 +43,7 @@
         peer_address=message.peer_address,
         callers_address=message.callers_address,
         leaving=message.leaving,
+        started=Incarnation(message.started),
     )
 
 
--- a/src/siskinlever/_internal/operators/app.py
+++ b/src/siskinlever/_internal/operators/app.py
@@ -168,7 +168,7 @@
             "apply_id": value.apply_id if value else "",
             "current_age_s": round(host.current.current_age_s, 3),
             "stale": host.current.is_stale,
-            "has_majority": host.detector.has_majority(),
+            "has_majority": host.members.has_majority,
             "orders_pools": host.pools_held(),
             "requests_running": len(host.executor.running_by_key),
             "members": [_member(m) for m in host.members.by_host.values()],
