--- a/src/siskinlever/_internal/commands/apply.py
+++ b/src/siskinlever/_internal/commands/apply.py
@@ -40,6 +40,8 @@
 )
 from ..utils.clock import Deadline
 from .base import (
+    READ_TIMEOUT_S,
+    WRITE_TIMEOUT_S,
     Administration,
     CommandContext,
     administration,
@@ -91,7 +93,7 @@
         for address in hosts.addresses:
             try:
                 return await hosts.call(
-                    address, "PUT", PATH, params=params, data=content
+                    address, "PUT", PATH, WRITE_TIMEOUT_S, params=params, data=content
                 )
             except CallRefusedError:
                 raise
@@ -126,7 +128,12 @@
         params = {"generation": str(generation), "wait": f"{step_s:.3f}"}
         confirmed: dict[str, bool] = {}
         try:
-            found = await hosts.first("GET", "/v1/confirmations", params=params)
+            found = await hosts.first(
+                "GET",
+                "/v1/confirmations",
+                timeout_s=step_s + READ_TIMEOUT_S,
+                params=params,
+            )
             confirmed = {host["host"]: host["in_force"] for host in found["hosts"]}
         except SiskinleverError as error:
             confirmed = {f"({error.message})": False}
--- a/src/siskinlever/_internal/commands/base.py
+++ b/src/siskinlever/_internal/commands/base.py
@@ -28,7 +28,9 @@
 from ..network.tls import client_context
 from ..utils.validation import parse_document
 
-CALL_TIMEOUT_S = 10.0
+# Long enough for an apply that reads back whose write took effect.
+WRITE_TIMEOUT_S = 10.0
+READ_TIMEOUT_S = 3.0
 MAX_WAIT_S = 3600.0
 REACH_HINT = "check --hosts or SISKINLEVER_HOSTS, and --tls-authority if TLS is on"
 KEY_HINT = "give an operator's key with --key or SISKINLEVER_KEY"
@@ -63,14 +65,19 @@
         return self._context.hosts
 
     async def call(
-        self, address: str, method: str, path: str, **kwargs: Any
+        self,
+        address: str,
+        method: str,
+        path: str,
+        timeout_s: float = READ_TIMEOUT_S,
+        **kwargs: Any,
     ) -> dict[str, Any]:
         """Call one host; raises `SiskinleverError`."""
         headers = {"Authorization": f"Bearer {self._context.key}"}
         scheme = "https" if self._tls else "http"
         url = f"{scheme}://{address}{path}"
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 async with self._session.request(
                     method, url, headers=headers, ssl=self._tls or True, **kwargs
                 ) as response:
@@ -81,7 +88,7 @@
             ) from error
         except TimeoutError as error:
             raise AdministrationError(
-                f"{address} did not answer in {CALL_TIMEOUT_S:g} s", REACH_HINT
+                f"{address} did not answer in {timeout_s:g} s", REACH_HINT
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AdministrationError(f"{address}: {error!r}", REACH_HINT) from error
--- a/src/siskinlever_testbed/fleet.py
+++ b/src/siskinlever_testbed/fleet.py
@@ -58,6 +58,7 @@
     process_by_name: dict[str, Process]
     place_by_host: dict[str, HostPlace] = field(default_factory=dict)
     runners_by_pool: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
+    settings_by_host: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     @property
     def operators(self) -> list[str]:
@@ -144,9 +145,11 @@
         )
         return await process.wait()
 
-    def write_declaration(self, declaration: dict[str, Any] | None = None) -> Path:
+    def write_declaration(
+        self, declaration: dict[str, Any] | None = None, name: str = "declaration"
+    ) -> Path:
         """Write a declaration to a file and return its path."""
-        path = self.directory / "declaration.json"
+        path = self.directory / f"{name}.json"
         path.write_text(json.dumps(declaration or self.declaration(), indent=2))
         return path
 
@@ -254,12 +257,44 @@
 
     def place_hosts(self) -> None:
         """Choose addresses for the hosts of the plan."""
-        for number in range(self.plan.hosts):
-            callers, operators, peers = free_addresses(3)
-            name = f"host-{number + 1}"
-            self.place_by_host[name] = HostPlace(
-                name, self._zone(number), callers, operators, peers
-            )
+        for _ in range(self.plan.hosts):
+            self.place_host()
+
+    def place_host(self) -> HostPlace:
+        """Choose addresses for one more host."""
+        number = len(self.place_by_host)
+        callers, operators, peers = free_addresses(3)
+        name = f"host-{number + 1}"
+        place = HostPlace(name, self._zone(number), callers, operators, peers)
+        self.place_by_host[name] = place
+        return place
+
+    async def status(self, host: str) -> dict[str, Any] | None:
+        """Return what a host says of itself, or None if it does not answer."""
+        url = f"http://{self.place_by_host[host].operators}/v1/status"
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self.session.get(
+                url, headers=headers, timeout=timeout
+            ) as response:
+                found: dict[str, Any] = await response.json()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+        return found
+
+    async def command(
+        self, *arguments: str, hosts: list[str] | None = None
+    ) -> tuple[int, str]:
+        """Run the command line; return its exit code and what it printed."""
+        process = await asyncio.create_subprocess_exec(
+            *self.cli_command(*arguments, hosts=hosts),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        printed, _ = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, printed.decode()
 
     def _settings(self, place: HostPlace) -> dict[str, Any]:
         key_value = self.process_by_name[KEY_VALUE].address
@@ -279,6 +314,7 @@
             },
             "policy": self.plan.policy,
             **self.plan.extra_settings,
+            **self.settings_by_host.get(place.name, {}),
         }
 
     def _zone(self, number: int) -> str:
