--- a/src/siskinlever/_internal/configuration/follower.py
+++ b/src/siskinlever/_internal/configuration/follower.py
@@ -131,7 +131,8 @@
         if record is None:
             await asyncio.sleep(RETRY_PAUSE_S)
             return
-        if generation > self._current.generation:
+        if root is not None and generation > self._current.generation:
+            self._recorder.clock.observe(*root.in_force.stamp)
             await self._load(record)
         self._version = record.version
         self._current.confirm()
--- a/src/siskinlever/_internal/configuration/root.py
+++ b/src/siskinlever/_internal/configuration/root.py
@@ -18,12 +18,20 @@
 
 
 class Applied(Strict):
-    """One apply that was accepted, kept so that its outcome can be learnt."""
+    """One apply that was accepted, kept so that its outcome can be learnt.
+
+    Parameters
+    ----------
+    stamp : tuple of int
+        Hybrid logical time of the apply, by which the time line orders what it
+        causes at other hosts.
+    """
 
     apply_id: str
     generation: Annotated[int, Field(ge=1)]
     digest: str
     parts: tuple[str, ...] = Field(strict=False)
+    stamp: tuple[int, int] = Field(default=(0, 0), strict=False)
 
 
 class Root(Strict):
--- a/src/siskinlever/_internal/configuration/store.py
+++ b/src/siskinlever/_internal/configuration/store.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
 )
 from ..models.declaration import Declaration
+from ..models.events import Stamp
 from ..models.ids import ApplyId, Generation
 from ..platform.key_value import MUST_NOT_EXIST, KeyValueClient, Record
 from ..utils.digests import content_digest
@@ -89,6 +90,7 @@
         apply_id: ApplyId,
         base_generation: Generation | None,
         newest: Configuration | None = None,
+        stamp: Stamp | None = None,
     ) -> Generation:
         """Make a declaration the one in force.
 
@@ -104,6 +106,8 @@
             The newest configuration known here. A store that was restored to
             an older state gets it back first, or the apply's generation would
             be one that hosts have already passed.
+        stamp : Stamp or None
+            Logical time of the apply.
 
         Returns
         -------
@@ -132,7 +136,11 @@
             )
         parts = await self._write_parts(content, apply_id)
         applied = Applied(
-            apply_id=apply_id, generation=found + 1, digest=digest, parts=parts
+            apply_id=apply_id,
+            generation=found + 1,
+            digest=digest,
+            parts=parts,
+            stamp=(stamp.wall_ms, stamp.counter) if stamp else (0, 0),
         )
         try:
             await self._write_root(root, applied, record)
--- a/src/siskinlever/_internal/membership/listing.py
+++ b/src/siskinlever/_internal/membership/listing.py
@@ -19,6 +19,7 @@
 MEETS_PER_ROUND = 3
 JOIN_MEETS = 8
 REMOVED_AFTER_READS = 3
+DAMAGED_READS = 30
 
 
 class HostListFollower:
@@ -46,6 +47,7 @@
         self._meet = meet
         self._address_by_host: dict[HostName, str] = {}
         self._missing_reads: Counter[HostName] = Counter()
+        self._damaged_reads = 0
 
     async def join(self) -> None:
         """Read the list and meet some of its hosts."""
@@ -78,6 +80,9 @@
             self._metrics.count("host_list_failures")
             return
         hosts = [item for item in listed if item.peer_address]
+        if self._is_damaged(hosts):
+            self._metrics.count("host_list_damaged")
+            return
         for item in hosts:
             if item.leaving:
                 self._table.set_leaving(HostName(item.name))
@@ -87,24 +92,29 @@
             HostName(item.name) for item in hosts if not item.leaving
         )
 
-    def _note_removed(self, hosts: list[ListedHost]) -> None:
-        """Treat a host that the list no longer shows as leaving.
+    def _is_damaged(self, hosts: list[ListedHost]) -> bool:
+        """Tell whether the list lost half of its hosts at once.
 
-        A list that lost most of its hosts at once is damaged, not true.
+        It is believed if it stays so: hosts can be taken back in great numbers.
         """
+        lost = self._address_by_host.keys() - {HostName(h.name) for h in hosts}
+        if 2 * len(lost) < len(self._address_by_host) or not lost:
+            self._damaged_reads = 0
+            return False
+        self._damaged_reads += 1
+        return self._damaged_reads <= DAMAGED_READS
+
+    def _note_removed(self, hosts: list[ListedHost]) -> None:
+        """Treat a host that the list no longer shows as leaving."""
         shown = {HostName(item.name) for item in hosts}
-        removed = self._known_from_list() - shown
-        if 2 * len(removed) >= len(self._known_from_list()):
-            return
+        missing = self._address_by_host.keys() | self._missing_reads.keys()
         for host in shown:
             self._missing_reads.pop(host, None)
-        for host in removed:
+        for host in missing - shown:
             self._missing_reads[host] += 1
             if self._missing_reads[host] >= REMOVED_AFTER_READS:
                 self._table.set_leaving(host)
-
-    def _known_from_list(self) -> set[HostName]:
-        return set(self._address_by_host) | set(self._missing_reads)
+                del self._missing_reads[host]
 
     async def _meet_some(self, count: int) -> None:
         unknown = [host for host in self._candidates() if not self._is_known(host)]
--- a/src/siskinlever/_internal/models/events.py
+++ b/src/siskinlever/_internal/models/events.py
@@ -14,6 +14,8 @@
     HOST_STOPPED = "host_stopped"
     PAUSED = "paused"
     MEMBER_CHANGED = "member_changed"
+    APPLY_STARTED = "apply_started"
+    APPLY_ACCEPTED = "apply_accepted"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
     REQUEST_ACCEPTED = "request_accepted"
     REQUEST_ENDED = "request_ended"
--- a/src/siskinlever/_internal/operators/app.py
+++ b/src/siskinlever/_internal/operators/app.py
@@ -27,6 +27,7 @@
 from ..membership.members import Member, MemberTable
 from ..metrics.registry import Metrics
 from ..models.declaration import Declaration
+from ..models.events import EventKind
 from ..models.ids import Generation
 from ..network.http_server import App
 from ..requests.execution import Executor
@@ -125,11 +126,16 @@
     if declaration is None:
         raise DeclarationError(faults)
     content = declaration.model_dump_json().encode()
+    stamp = host.recorder.record(EventKind.APPLY_STARTED, apply_id=apply_id)
     generation = await host.store.write(
         content,
         apply_id,
         Generation(base) if base is not None else None,
         host.current.value,
+        stamp,
+    )
+    host.recorder.record(
+        EventKind.APPLY_ACCEPTED, apply_id=apply_id, generation=generation
     )
     host.current.offer(Configuration(generation, apply_id, declaration, content, 0))
     return json({"generation": generation, "apply_id": apply_id})
--- a/src/siskinlever/_internal/timeline/recorder.py
+++ b/src/siskinlever/_internal/timeline/recorder.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Iterator
 
-from ..models.events import Event, EventKind
+from ..models.events import Event, EventKind, Stamp
 from ..utils.clock import HybridClock
 
 EVENTS_KEPT = 20_000
@@ -27,10 +27,11 @@
 
     def record(
         self, kind: EventKind, request_id: str = "", **fields: str | int | float
-    ) -> None:
-        """Add one event."""
+    ) -> Stamp:
+        """Add one event; return its stamp, for what it causes elsewhere."""
         stamp = self.clock.tick()
         self._events.append(Event(stamp, self.host, kind, request_id, fields))
+        return stamp
 
     def events(self, request_id: str | None = None) -> Iterator[Event]:
         """Iterate over the events kept, oldest first."""
--- a/src/siskinlever_testbed/fleet.py
+++ b/src/siskinlever_testbed/fleet.py
@@ -58,7 +58,6 @@
     process_by_name: dict[str, Process]
     place_by_host: dict[str, HostPlace] = field(default_factory=dict)
     runners_by_pool: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
-    settings_by_host: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     @property
     def operators(self) -> list[str]:
@@ -314,7 +313,7 @@
             },
             "policy": self.plan.policy,
             **self.plan.extra_settings,
-            **self.settings_by_host.get(place.name, {}),
+            **self.plan.settings_by_host.get(place.name, {}),
         }
 
     def _zone(self, number: int) -> str:
--- a/src/siskinlever_testbed/plans.py
+++ b/src/siskinlever_testbed/plans.py
@@ -52,6 +52,7 @@
     policy: str = "siskinlever"
     host_list_lag_s: float = 0.0
     extra_settings: dict[str, Any] = field(default_factory=dict)
+    settings_by_host: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
 ATELIER_ZONES = ("pamplemousses", "grand-baie", "goodlands")
