--- a/src/siskinlever/_internal/cli/main.py
+++ b/src/siskinlever/_internal/cli/main.py
@@ -100,8 +100,11 @@
 
 
 def hoisted(words: list[str]) -> list[str]:
-    """Return a command line with the common options before the command."""
-    common = []
+    """Return a command line with the common options before the command.
+
+    Of an option that is given twice the last one counts.
+    """
+    common: dict[str, list[str]] = {}
     rest = []
     waiting = iter(words)
     for word in waiting:
@@ -109,10 +112,10 @@
         if name not in TAKES_VALUE_BY_OPTION:
             rest.append(word)
             continue
-        common.append(word)
+        common[name] = [word]
         if TAKES_VALUE_BY_OPTION[name] and not value:
-            common += [next(waiting, "")]
-    return common + rest
+            common[name].append(next(waiting, ""))
+    return [word for option in common.values() for word in option] + rest
 
 
 def _print_error(error: SiskinleverError, code: ExitCode, as_json: bool) -> None:
--- /dev/null
+++ b/tests/unit/test_orders.py
@@ -0,0 +1,116 @@
+"""The lease of a pool's orderer: a freeze right before an order, a restored store."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinlever._internal.engines.base import LoadedState
+from siskinlever._internal.exceptions import OrderRefusedError
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.models.declaration import EnginePool, Runner
+from siskinlever._internal.orders import lease as lease_module
+from siskinlever._internal.orders.lease import LEASE_TTL_S, PoolLease
+from siskinlever._internal.orders.orderer import Orderer
+from siskinlever._internal.platform.key_value import Record
+from siskinlever._internal.timeline.recorder import Recorder
+from siskinlever._internal.utils.clock import HybridClock
+
+POOL = EnginePool(
+    name="copy-llm",
+    runners=(
+        Runner(name="r", address="10.0.0.1:80", zone="z", role="decode", version="v1"),
+    ),
+)
+
+
+class Store:
+    """One record and the lease that holds it."""
+
+    def __init__(self):
+        self.version = 7
+        self.session = ""
+
+    async def get(self, key):
+        return Record(key, b"", self.version, self.session)
+
+    async def open_lease(self, name, ttl_s, delete_records):
+        return name
+
+    async def put_if_held(self, key, value, session):
+        self.version += 1
+        self.session = session
+        return True
+
+
+class Engine:
+    """A runner that checks fencing tokens and keeps what it was ordered."""
+
+    def __init__(self, token=0, on_read=lambda: None):
+        self.token = token
+        self.on_read = on_read
+        self.orders = []
+
+    def at(self, address):
+        return self
+
+    async def loaded(self):
+        self.on_read()
+        return LoadedState({}, {}, self.token)
+
+    async def order(self, kind, arguments, fencing_token):
+        if fencing_token < self.token:
+            raise OrderRefusedError("old")
+        self.orders.append((kind, fencing_token))
+
+
+@pytest.fixture
+async def lease():
+    held = PoolLease(Store(), "orders/copy-llm", "host-1")
+    assert await held.acquire()
+    return held
+
+
+async def keep(engine, lease):
+    class Current:
+        def subscribe(self, listener):
+            pass
+
+    recorder = Recorder("host-1", HybridClock())
+    orderer = Orderer(
+        Current(), None, None, engine, None, "p", lambda: True, recorder, Metrics()
+    )
+    await orderer._keep(POOL, lease)
+
+
+async def test_no_order_is_sent_after_a_freeze_longer_than_the_lease(
+    lease, monkeypatch
+):
+    now = lease_module.monotonic()
+
+    def freeze():
+        monkeypatch.setattr(lease_module, "monotonic", lambda: now + LEASE_TTL_S)
+
+    frozen = Engine(on_read=freeze)
+    await keep(frozen, lease)
+    assert frozen.orders == []
+    monkeypatch.undo()
+    running = Engine()
+    await keep(running, lease)
+    assert running.orders == [("load", 8)]
+
+
+async def test_holder_goes_above_a_token_from_before_the_store_was_restored(lease):
+    engine = Engine(token=50)
+    await keep(engine, lease)
+    assert engine.orders == []
+    await keep(engine, lease)
+    assert engine.orders == [("load", 51)]
+
+
+async def test_holder_that_lost_its_lease_does_not_go_above(lease):
+    lease._key_value.session = "orders/host-2"
+    engine = Engine(token=50)
+    await keep(engine, lease)
+    await keep(engine, lease)
+    assert engine.orders == []
+    assert not lease.may_send
