--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import islice
 
 from absl import logging
@@ -19,7 +19,7 @@
 from ..models.ids import Generation, HostName, Incarnation
 from ..peers import peer_pb2
 from ..peers.link import Peers
-from ..platform.host_list import HostListClient
+from ..platform.host_list import HostListClient, ListedHost
 from ..timeline.recorder import Recorder
 from ..utils.clock import monotonic
 from ..utils.pauses import PauseDetector
@@ -85,6 +85,7 @@
         self._order: list[HostName] = []
         self._on_ping: list[Callable[[peer_pb2.Ping], None]] = []
         self._exchanged_at = monotonic()
+        self._runner_news: Callable[[], Iterable[peer_pb2.RunnerNews]] = tuple
         table.subscribe(self._changed)
         table.witness = self._agrees
         pauses.subscribe(self._paused)
@@ -115,6 +116,16 @@
         """Call ``listener`` with each ping received, or received in reply."""
         self._on_ping.append(listener)
 
+    def carry_runner_news(
+        self, news: Callable[[], Iterable[peer_pb2.RunnerNews]]
+    ) -> None:
+        """Send what ``news`` returns with each ping."""
+        self._runner_news = news
+
+    def on_host_list(self, listener: Callable[[list[ListedHost]], None]) -> None:
+        """Call ``listener`` with each reading of the host list."""
+        self._host_list.subscribe(listener)
+
     async def generation_at(self, host: HostName) -> Generation | None:
         """Ask a host for the generation in force there; None if it is silent."""
         if host == self.table.own_host:
@@ -230,6 +241,7 @@
             stamp=peer_pb2.Stamp(wall_ms=stamp.wall_ms, counter=stamp.counter),
             updates=[to_message(member) for member in updates],
             full=len(self.table.by_host) == 1,
+            runners=self._runner_news(),
         )
 
     def _updates(self, to: HostName | None) -> list[Member]:
--- a/src/siskinlever/_internal/membership/listing.py
+++ b/src/siskinlever/_internal/membership/listing.py
@@ -48,6 +48,11 @@
         self._address_by_host: dict[HostName, str] = {}
         self._missing_reads: Counter[HostName] = Counter()
         self._damaged_reads = 0
+        self._listeners: list[Callable[[list[ListedHost]], None]] = []
+
+    def subscribe(self, listener: Callable[[list[ListedHost]], None]) -> None:
+        """Call ``listener`` with each reading of the list, runners included."""
+        self._listeners.append(listener)
 
     async def join(self) -> None:
         """Read the list and meet some of its hosts."""
@@ -79,6 +84,8 @@
         except HostListError:
             self._metrics.count("host_list_failures")
             return
+        for listener in self._listeners:
+            listener(listed)
         hosts = [item for item in listed if item.peer_address]
         if self._is_damaged(hosts):
             self._metrics.count("host_list_damaged")
--- a/src/siskinlever/_internal/network/tls.py
+++ b/src/siskinlever/_internal/network/tls.py
@@ -41,6 +41,11 @@
     return context
 
 
+def forwarding_context(tls: Tls | None) -> ssl.SSLContext | None:
+    """Return the context with which requests are passed on to other hosts."""
+    return client_context(tls.authority) if tls else None
+
+
 def client_context(authority: str) -> ssl.SSLContext:
     """Return the context of a client that trusts one authority only."""
     return ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=authority)
