--- a/src/siskinlever/_internal/callers/requests.py
+++ b/src/siskinlever/_internal/callers/requests.py
@@ -9,6 +9,7 @@
 from sanic import Request
 from sanic.response import HTTPResponse
 
+from ..configuration.current import STALE_RETRY_S
 from ..models.declaration import Declaration, Model, Urgency, Workspace
 from ..models.ids import RequestId, WorkspaceName
 from ..models.outcome import Reason, Refused
@@ -63,6 +64,13 @@
             "no configuration in force",
         )
         raise InvalidRequestError(ending_response(refused))
+    if host.current.is_stale:
+        refused = Refused(
+            Reason.STALE_CONFIGURATION,
+            STALE_RETRY_S,
+            "this host is cut off: a newer configuration may be in force",
+        )
+        raise InvalidRequestError(ending_response(refused))
     header = request.headers.get("Authorization", "")
     workspace = host.access.workspace(declaration, header)
     if workspace is None:
--- a/src/siskinlever/_internal/models/events.py
+++ b/src/siskinlever/_internal/models/events.py
@@ -12,7 +12,10 @@
     HOST_STARTED = "host_started"
     HOST_LEAVING = "host_leaving"
     HOST_STOPPED = "host_stopped"
+    PAUSED = "paused"
     MEMBER_CHANGED = "member_changed"
+    APPLY_STARTED = "apply_started"
+    APPLY_ACCEPTED = "apply_accepted"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
     REQUEST_ACCEPTED = "request_accepted"
     REQUEST_ENDED = "request_ended"
@@ -26,6 +29,7 @@
     CLAIMED = "claimed"
     DRAFT_STORED = "draft_stored"
     DRAFT_RESULT = "draft_result"
+    ORDERS_HELD = "orders_held"
     ORDER_SENT = "order_sent"
     STORE_STATE = "store_state"
 
