--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -25,6 +25,9 @@
 SHORTEST_RETRY_S = 0.1
 LONGEST_RETRY_S = 30.0
 LEAST_SPARE = 0.05
+RELEASES_KEPT_S = 10.0
+# Before any moment of the clock, so the slot counts as held until released.
+UNKNOWN_END = 0.0
 # Part of the per-token target that a token takes, until measured.
 USUAL_TOKEN_PART = 0.7
 
@@ -45,6 +48,8 @@
         self.decode_by_runner: dict[str, DecodeLane] = {}
         # Runners that said that they leave, or that do not answer.
         self.closed: set[str] = set()
+        # An ask can arrive after its release, over another connection.
+        self._released_at_by_id: dict[ReservationId, float] = {}
         self._pressure = Pressure()
         self._token_s_by_model: dict[ModelName, Estimate] = {}
         self.configure(pool)
@@ -66,12 +71,15 @@
             self.prefill_by_runner[runner.name].runner = runner
         for runner in decode:
             self.decode_by_runner[runner.name].runner = runner
+        self._hold_again()
 
     def ask(self, wish: Wish, now: float) -> None:
         """Queue a wish, or refuse it if its target cannot be met."""
         known = wish.reservation_id
         if known in self.waiting_by_id or known in self.placed_by_id:
             return
+        if known in self.refused_by_id or self._was_released(known, now):
+            return
         if not self._prefill_lanes(wish) or not self._decode_lanes(wish):
             self._refuse(wish, Reason.NO_RUNNER, 1.0, "no runner takes new work")
             return
@@ -118,6 +126,8 @@
 
     def release(self, reservation_id: ReservationId, now: float) -> Placed | None:
         """Free all that a reservation holds."""
+        self._released_at_by_id.pop(reservation_id, None)
+        self._released_at_by_id[reservation_id] = now
         self.waiting_by_id.pop(reservation_id, None)
         self.refused_by_id.pop(reservation_id, None)
         placed = self.placed_by_id.pop(reservation_id, None)
@@ -282,6 +292,20 @@
         length_s = wish.max_tokens * self._token_s(wish).value
         decode.hold(wish.reservation_id, starts + length_s)
 
+    def _hold_again(self) -> None:
+        """Hold the slots of runners that were not declared for a while."""
+        for known, placed in self.placed_by_id.items():
+            lane = self.decode_by_runner.get(placed.decode_runner)
+            if lane is not None and known not in lane.end_by_reservation:
+                lane.hold(known, UNKNOWN_END)
+
+    def _was_released(self, reservation_id: ReservationId, now: float) -> bool:
+        oldest = now - RELEASES_KEPT_S
+        released = self._released_at_by_id
+        while released and next(iter(released.values())) <= oldest:
+            del released[next(iter(released))]
+        return reservation_id in released
+
     def _refuse(
         self, wish: Wish, reason: Reason, retry_after_s: float, message: str
     ) -> None:
--- a/src/siskinlever_testbed/slopes/deciding.py
+++ b/src/siskinlever_testbed/slopes/deciding.py
@@ -23,7 +23,8 @@
     AttemptTable,
     Entry,
 )
-from siskinlever._internal.routing.book import PoolBook, Wish
+from siskinlever._internal.routing.book import PoolBook
+from siskinlever._internal.routing.wishes import Wish
 
 from ..fleet import PEER_KEY
 from ..processes import free_addresses
--- a/tests/fuzz/conftest.py
+++ b/tests/fuzz/conftest.py
@@ -4,7 +4,7 @@
 
 from hypothesis import HealthCheck, Phase, settings
 
-MAX_EXAMPLES = 100
+MAX_EXAMPLES = 300
 STEPS = 50
 LONG_MAX_EXAMPLES = 1_500
 
