Grant a local share while the admission home is silent

Cause: the home's calls waited on one condition that woke every waiter at each tick; each progress item was a task and a call of its own; a silent or new home left requests waiting past their target; runners were closed only by declaration.

Progress goes in batches, one task for each pool. A new home presumes an equal part of the slots held by each host that has not announced, for at most 0.5 s. The home reads its runners' reports and closes those that leave or do not answer. Second tries come from a budget of a tenth of the requests.

One lookup had no final word: the load generator sent all three tries to the killed host; it now goes elsewhere.

--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -23,6 +23,7 @@
 SHORTEST_RETRY_S = 0.1
 LONGEST_RETRY_S = 30.0
 LEAST_SPARE = 0.05
+MOST_REFUSALS_KEPT = 1000
 # Part of the per-token target that a token takes, until measured.
 USUAL_TOKEN_PART = 0.7
 
@@ -281,3 +282,6 @@
         self.refused_by_id[wish.reservation_id] = Refused(
             reason, retry_after_s, message
         )
+        if len(self.refused_by_id) > MOST_REFUSALS_KEPT:
+            # Their hosts did not come for them.
+            del self.refused_by_id[next(iter(self.refused_by_id))]
--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -8,14 +8,17 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
 from ..configuration.current import Configuration, CurrentConfiguration
 from ..engines.registry import Engines
 from ..membership.members import Member, MemberState, MemberTable
 from ..metrics.registry import Metrics
+from ..models.declaration import EnginePool
 from ..models.events import EventKind
-from ..models.ids import HostName, Incarnation, PoolName, RequestId, ReservationId
-from ..models.outcome import Refused
+from ..models.ids import HostName, PoolName, ReservationId
 from ..peers import peer_pb2
 from ..requests.aborts import AbortQueue
 from ..timeline.recorder import Recorder
@@ -23,7 +26,9 @@
 from ..utils.rendezvous import ranked
 from ..utils.tasks import TaskSet
 from .book import PoolBook
-from .wishes import Placed, Wish
+from .handover import Handover
+from .messages import placed_of, refusal, wish_of
+from .runner_watch import RunnerWatch
 
 TICK_S = 0.01
 MAX_WAIT_S = 0.25
@@ -31,7 +36,23 @@
 
 def admission_home(pool: PoolName, members: MemberTable) -> HostName:
     """Return the host that grants slots of a pool."""
-    return HostName(ranked(f"pool/{pool}", members.zone_by_host())[0])
+    candidates = members.zone_by_host() or {members.own_host: members.own.zone}
+    return HostName(ranked(f"pool/{pool}", candidates)[0])
+
+
+@dataclass(slots=True)
+class HomePool:
+    """One pool at this host, which may or may not be its home."""
+
+    book: PoolBook
+    handover: Handover
+    is_home: bool = False
+
+    @classmethod
+    def of(cls, pool: EnginePool) -> HomePool:
+        """Return an empty state of a pool."""
+        book = PoolBook(pool)
+        return cls(book, Handover(book))
 
 
 class AdmissionHome:
@@ -48,36 +69,38 @@
     ) -> None:
         self._current = current
         self._members = members
-        self._engines = engines
         self._aborts = aborts
         self._recorder = recorder
         self._metrics = metrics
-        self._book_by_pool: dict[PoolName, PoolBook] = {}
-        self._changed = asyncio.Condition()
+        self._watch = RunnerWatch(self.books, engines, metrics)
+        self._state_by_pool: dict[PoolName, HomePool] = {}
+        self._decided_by_id: dict[ReservationId, asyncio.Event] = {}
         current.subscribe(self._configure)
         members.subscribe(self._member_changed)
 
+    def books(self) -> list[PoolBook]:
+        """Return the books of the pools that this host is home of."""
+        return [state.book for state in self._state_by_pool.values() if state.is_home]
+
     async def run(self, tasks: TaskSet) -> None:
         """Decide again at short intervals until cancelled."""
+        tasks.start(self._watch.run(tasks), "runner-watch")
         while True:
             now = monotonic()
-            for book in self._book_by_pool.values():
-                if book.waiting_by_id:
-                    book.decide(now)
-            await self._wake()
+            for state in self._state_by_pool.values():
+                state.handover.expire(now)
+                if state.book.waiting_by_id:
+                    state.book.decide(now)
+            self._wake()
             await asyncio.sleep(TICK_S)
 
     async def reserve(self, request: peer_pb2.ReserveRequest) -> peer_pb2.ReserveReply:
         """Grant or refuse a reservation, or answer that it still waits."""
         clock = self._recorder.clock
         clock.observe(request.stamp.wall_ms, request.stamp.counter)
-        book = self._book_of_model(request.model)
-        if book is None:
-            return peer_pb2.ReserveReply(decision=peer_pb2.WRONG_HOME)
-        wish = self._wish(request)
-        book.ask(wish, monotonic())
-        await self._decided(book, wish.reservation_id, request.wait_ms / MS_PER_S)
-        reply = self._reply(book, wish.reservation_id)
+        reply = await self._decide(request)
+        decision = peer_pb2.ReserveDecision.Name(reply.decision).lower()
+        self._metrics.count("admission_decisions", decision=decision)
         stamp = clock.tick()
         reply.stamp.wall_ms = stamp.wall_ms
         reply.stamp.counter = stamp.counter
@@ -88,108 +111,70 @@
         now = monotonic()
         for item in request.items:
             reservation_id = ReservationId(item.reservation_id)
-            for book in self._book_by_pool.values():
+            for state in self._state_by_pool.values():
                 if item.event == peer_pb2.PREFILL_ENDED:
-                    book.prefill_ended(reservation_id, now)
+                    state.book.prefill_ended(reservation_id, now)
                 if item.event == peer_pb2.RELEASED:
-                    book.release(reservation_id, now)
-        await self._wake()
+                    state.book.release(reservation_id, now)
+        self._wake()
         return peer_pb2.Nothing()
 
     async def announce(self, request: peer_pb2.AnnounceRequest) -> peer_pb2.Nothing:
-        """Take over reservations that an earlier home granted."""
+        """Take over reservations that an earlier home, or a host, granted."""
         declaration = self._current.declaration
-        book = self._book_by_pool.get(PoolName(request.pool))
-        if declaration is None or book is None:
+        state = self._state_by_pool.get(PoolName(request.pool))
+        if declaration is None or state is None:
             return peer_pb2.Nothing()
+        now = monotonic()
         for held in request.held:
             model = declaration.model_by_name.get(held.model)
-            if model is None:
-                continue
-            wish = Wish(
-                ReservationId(held.reservation_id),
-                RequestId(held.request_id),
-                HostName(request.host),
-                Incarnation(request.incarnation),
-                model,
-                held.prompt_tokens,
-                held.max_tokens,
-                (),
-                monotonic(),
-            )
-            placed = Placed(
-                wish, held.prefill_runner, held.decode_runner, held.prefill_ended
-            )
-            book.announce(placed, monotonic())
+            if model is not None:
+                state.book.announce(placed_of(request, held, model, now), now)
+        state.handover.announced(HostName(request.host), now)
         return peer_pb2.Nothing()
 
-    def _configure(self, configuration: Configuration) -> None:
-        pools = configuration.declaration.engine_pools
-        books = self._book_by_pool
-        self._book_by_pool = {}
-        for pool in pools:
-            name = PoolName(pool.name)
-            book = books.get(name)
-            if book is None:
-                book = PoolBook(pool)
-            else:
-                book.configure(pool)
-            self._book_by_pool[name] = book
-
-    def _member_changed(self, before: Member | None, after: Member) -> None:
-        if after.state is not MemberState.DEAD:
-            return
-        for book in self._book_by_pool.values():
-            for reservation_id in book.of_host(after.host, after.incarnation):
-                self._cancel(book, reservation_id)
-
-    def _cancel(self, book: PoolBook, reservation_id: ReservationId) -> None:
-        placed = book.release(reservation_id, monotonic())
-        if placed is None:
-            return
-        declaration = self._current.declaration
-        runners = declaration.runner_by_name if declaration else {}
-        for name in (placed.prefill_runner, placed.decode_runner):
-            if name in runners:
-                self._aborts.add(runners[name].address, reservation_id)
-        self._recorder.record(
-            EventKind.CANCELLED, placed.wish.request_id, host=placed.wish.host
-        )
-
-    def _book_of_model(self, model: str) -> PoolBook | None:
+    async def _decide(self, request: peer_pb2.ReserveRequest) -> peer_pb2.ReserveReply:
         declaration = self._current.declaration
-        found = declaration.model_by_name.get(model) if declaration else None
-        return self._book_by_pool.get(PoolName(found.pool)) if found else None
-
-    def _wish(self, request: peer_pb2.ReserveRequest) -> Wish:
-        declaration = self._current.declaration
-        assert declaration is not None
-        return Wish(
-            reservation_id=ReservationId(request.reservation_id),
-            request_id=RequestId(request.request_id),
-            host=HostName(request.host),
-            incarnation=Incarnation(request.incarnation),
-            model=declaration.model_by_name[request.model],
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            prefix_hashes=tuple(request.prefix_hashes),
-            due=monotonic() + request.first_token_due_ms / MS_PER_S,
-            excluded_runners=frozenset(request.excluded_runners),
-        )
+        model = declaration.model_by_name.get(request.model) if declaration else None
+        state = self._state_by_pool.get(PoolName(model.pool)) if model else None
+        if model is None or state is None or not state.is_home:
+            return peer_pb2.ReserveReply(decision=peer_pb2.WRONG_HOME)
+        now = monotonic()
+        wish = wish_of(request, model, now)
+        state.book.ask(wish, now)
+        self._wake()
+        wait_s = min(request.wait_ms / MS_PER_S, MAX_WAIT_S)
+        await self._decided(state.book, wish.reservation_id, wait_s)
+        return self._reply(state.book, wish.reservation_id)
 
     async def _decided(
         self, book: PoolBook, reservation_id: ReservationId, wait_s: float
     ) -> None:
-        try:
-            async with asyncio.timeout(min(wait_s, MAX_WAIT_S)), self._changed:
-                while reservation_id in book.waiting_by_id:
-                    await self._changed.wait()
-        except TimeoutError:
+        if reservation_id not in book.waiting_by_id:
             return
-
-    async def _wake(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
+        with self._waiter(reservation_id) as decided:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await decided.wait()
+            except TimeoutError:
+                return
+
+    @contextmanager
+    def _waiter(self, reservation_id: ReservationId) -> Iterator[asyncio.Event]:
+        event = asyncio.Event()
+        self._decided_by_id[reservation_id] = event
+        try:
+            yield event
+        finally:
+            if self._decided_by_id.get(reservation_id) is event:
+                del self._decided_by_id[reservation_id]
+
+    def _wake(self) -> None:
+        """Wake the calls whose reservations no longer wait."""
+        books = self.books()
+        for reservation_id, event in self._decided_by_id.items():
+            if not any(reservation_id in book.waiting_by_id for book in books):
+                event.set()
 
     def _reply(
         self, book: PoolBook, reservation_id: ReservationId
@@ -204,12 +189,52 @@
         refused = book.refused_by_id.pop(reservation_id, None)
         if refused is None:
             return peer_pb2.ReserveReply(decision=peer_pb2.QUEUED)
-        return _refusal(refused)
+        return refusal(refused)
 
+    def _configure(self, configuration: Configuration) -> None:
+        states = self._state_by_pool
+        self._state_by_pool = {}
+        for pool in configuration.declaration.engine_pools:
+            name = PoolName(pool.name)
+            state = states.get(name)
+            if state is None:
+                state = HomePool.of(pool)
+            else:
+                state.book.configure(pool)
+            self._state_by_pool[name] = state
+        self._follow_homes()
 
-def _refusal(refused: Refused) -> peer_pb2.ReserveReply:
-    return peer_pb2.ReserveReply(
-        decision=peer_pb2.REFUSED,
-        reason=refused.reason.value,
-        retry_after_ms=int(refused.retry_after_s * MS_PER_S),
-    )
+    def _follow_homes(self) -> None:
+        """Become home of pools, or stop being it, as the members change."""
+        now = monotonic()
+        for name, state in self._state_by_pool.items():
+            is_home = admission_home(name, self._members) == self._members.own_host
+            if is_home and not state.is_home:
+                state.is_home = True
+                hosts = [m.host for m in self._members.alive()]
+                state.handover.begin(hosts, now)
+                self._metrics.count("admission_homes_taken")
+            if not is_home and state.is_home:
+                self._state_by_pool[name] = HomePool.of(state.book.pool)
+        self._wake()
+
+    def _member_changed(self, before: Member | None, after: Member) -> None:
+        self._follow_homes()
+        if after.state is not MemberState.DEAD:
+            return
+        for state in self._state_by_pool.values():
+            for reservation_id in state.book.of_host(after.host, after.incarnation):
+                self._cancel(state.book, reservation_id)
+
+    def _cancel(self, book: PoolBook, reservation_id: ReservationId) -> None:
+        placed = book.release(reservation_id, monotonic())
+        if placed is None:
+            return
+        declaration = self._current.declaration
+        runners = declaration.runner_by_name if declaration else {}
+        for name in (placed.prefill_runner, placed.decode_runner):
+            if name in runners:
+                self._aborts.add(runners[name].address, reservation_id)
+        self._recorder.record(
+            EventKind.CANCELLED, placed.wish.request_id, host=placed.wish.host
+        )
--- a/src/siskinlever/_internal/routing/reserving.py
+++ b/src/siskinlever/_internal/routing/reserving.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
-from ..configuration.current import CurrentConfiguration
+from ..configuration.current import Configuration, CurrentConfiguration
 from ..exceptions import PeerError
 from ..membership.members import Member, MemberTable
 from ..metrics.registry import Metrics
@@ -19,25 +18,38 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..timeline.recorder import Recorder
-from ..utils.clock import MS_PER_S, Deadline
+from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .home import AdmissionHome, admission_home
+from .local_share import LocalShares
+from .messages import wish_of
 from .placement import Reservation
+from .progress import ProgressReporter
+from .retry_budget import RetryBudget
+from .wishes import Placed
 
-WAIT_MS = 200
-CALL_TIMEOUT_S = 0.4
-PROGRESS_PAUSE_S = 0.002
-PROGRESS_TRIES = 5
-HOME_SILENT_RETRY_S = 1.0
+WAIT_MS = 100
+CALL_TIMEOUT_S = 0.15
+HOME_SILENT_S = 1.0
+LONGEST_LATENESS_S = 0.1
 
 
 @dataclass(slots=True)
 class HeldReservation:
-    """A reservation that this host holds."""
+    """A reservation that this host holds.
+
+    Parameters
+    ----------
+    grant : Grant or None
+        None until it is granted.
+    announced : bool
+        Whether the admission home knows of it.
+    """
 
     owner: ReservingPlacement
     request: PlacementRequest
-    grant: Grant
+    grant: Grant = None  # type: ignore[assignment]
+    announced: bool = True
     prefill_done: bool = False
 
     def prefill_ended(self) -> None:
@@ -66,69 +78,71 @@
         self._recorder = recorder
         self._metrics = metrics
         self._tasks = tasks
+        self._retries = RetryBudget()
+        self._local = LocalShares()
+        self._progress = ProgressReporter(self._send_progress, tasks, metrics)
         self._held_by_id: dict[ReservationId, HeldReservation] = {}
         self._home_by_pool: dict[PoolName, HostName] = {}
+        self._silent_until_by_home: dict[HostName, float] = {}
         members.subscribe(self._member_changed)
+        current.subscribe(self._configured)
 
     @asynccontextmanager
     async def place(
         self, request: PlacementRequest
     ) -> AsyncIterator[Result[Reservation, Refused]]:
         """Hold a prefill and a decode slot for the length of a block."""
-        pool = PoolName(request.model.pool)
-        asked = HeldReservation(self, request, None)  # type: ignore[arg-type]
+        if not self._may_try(request):
+            yield Error(Refused(Reason.OVERLOADED, 1.0, "the retry budget is spent"))
+            return
+        held = HeldReservation(self, request)
         try:
-            result = await self._reserve(pool, request)
+            result = await self._reserve(held)
             if result.is_error():
                 yield Error(result.error)
                 return
-            asked.grant = result.ok
-            self._held_by_id[request.reservation_id] = asked
-            yield Ok(asked)
+            held.grant = result.ok
+            self._held_by_id[request.reservation_id] = held
+            yield Ok(held)
         finally:
             self._held_by_id.pop(request.reservation_id, None)
-            self.report(asked, peer_pb2.RELEASED)
+            self.report(held, peer_pb2.RELEASED)
 
     def report(self, held: HeldReservation, event: peer_pb2.ReservationEvent) -> None:
-        """Tell the admission home what became of a reservation."""
-        item = peer_pb2.ProgressItem(
-            reservation_id=held.request.reservation_id, event=event
-        )
+        """Tell who granted a reservation what became of it."""
+        reservation_id = held.request.reservation_id
         pool = PoolName(held.request.model.pool)
-        self._tasks.start(self._send_progress(pool, item), "progress")
+        if event == peer_pb2.PREFILL_ENDED:
+            self._local.prefill_ended(pool, reservation_id)
+        else:
+            self._local.release(pool, reservation_id)
+        item = peer_pb2.ProgressItem(reservation_id=reservation_id, event=event)
+        self._progress.report(pool, item)
 
-    async def _send_progress(self, pool: PoolName, item: peer_pb2.ProgressItem) -> None:
-        own = self._members.own
-        message = peer_pb2.ProgressRequest(
-            host=own.host, incarnation=own.incarnation, items=[item]
-        )
-        for _ in range(PROGRESS_TRIES):
-            try:
-                await self._call(pool, "Progress", message)
-                return
-            except PeerError:
-                await asyncio.sleep(CALL_TIMEOUT_S)
+    def _may_try(self, request: PlacementRequest) -> bool:
+        if not request.excluded_runners:
+            self._retries.earn()
+            return True
+        allowed = self._retries.spend()
+        self._metrics.count("retries", allowed=str(allowed).lower())
+        return allowed
 
-    async def _reserve(
-        self, pool: PoolName, request: PlacementRequest
-    ) -> Result[Grant, Refused]:
-        limit = Deadline(request.first_token_due.remaining_s)
-        while True:
+    async def _reserve(self, held: HeldReservation) -> Result[Grant, Refused]:
+        request = held.request
+        pool = PoolName(request.model.pool)
+        due = request.first_token_due
+        while due.remaining_s > -LONGEST_LATENESS_S:
+            home = admission_home(pool, self._members)
+            if self._is_silent(home):
+                return await self._reserve_locally(held)
             try:
-                reply = await self._call(pool, "Reserve", self._message(request))
+                reply = await self._call(home, "Reserve", self._message(request))
             except PeerError:
-                if limit.passed:
-                    return Error(
-                        Refused(
-                            Reason.OVERLOADED,
-                            HOME_SILENT_RETRY_S,
-                            "the pool's admission home did not answer",
-                        )
-                    )
+                self._silent_until_by_home[home] = monotonic() + HOME_SILENT_S
                 continue
             self._recorder.clock.observe(reply.stamp.wall_ms, reply.stamp.counter)
             if reply.decision == peer_pb2.GRANTED:
-                return self._granted(request, reply)
+                return self._granted(request, reply.prefill_runner, reply.decode_runner)
             if reply.decision == peer_pb2.REFUSED:
                 return Error(
                     Refused(
@@ -138,17 +152,51 @@
                     )
                 )
             if reply.decision == peer_pb2.WRONG_HOME:
-                await asyncio.sleep(CALL_TIMEOUT_S)
-            if limit.passed:
-                return Error(Refused(Reason.TOO_LATE, 1.0, "waited past the target"))
+                return await self._reserve_locally(held)
+        return Error(Refused(Reason.TOO_LATE, 1.0, "waited past the target"))
+
+    def _is_silent(self, home: HostName) -> bool:
+        return monotonic() < self._silent_until_by_home.get(home, 0.0)
+
+    async def _reserve_locally(self, held: HeldReservation) -> Result[Grant, Refused]:
+        """Use this host's share of the slots: nobody answers for the whole."""
+        self._metrics.count("local_reservations")
+        declaration = self._current.declaration
+        request = held.request
+        pool = declaration.pool_by_name.get(request.model.pool) if declaration else None
+        if pool is None:
+            return Error(Refused(Reason.NO_RUNNER, 1.0, "the pool is not declared"))
+        now = monotonic()
+        wish = wish_of(self._message(request), request.model, now)
+        hosts = len(self._members.zone_by_host())
+        decided = await self._local.reserve(
+            pool, hosts, wish, self._held_of(PoolName(pool.name))
+        )
+        if isinstance(decided, Refused):
+            return Error(decided)
+        held.announced = False
+        return self._granted(request, decided.prefill_runner, decided.decode_runner)
+
+    def _held_of(self, pool: PoolName) -> list[Placed]:
+        now = monotonic()
+        return [
+            Placed(
+                wish_of(self._message(held.request), held.request.model, now),
+                held.grant.prefill.name,
+                held.grant.decode.name,
+                held.prefill_done,
+            )
+            for held in self._held_by_id.values()
+            if held.request.model.pool == pool
+        ]
 
     def _granted(
-        self, request: PlacementRequest, reply: peer_pb2.ReserveReply
+        self, request: PlacementRequest, prefill_runner: str, decode_runner: str
     ) -> Result[Grant, Refused]:
         declaration = self._current.declaration
         runners = declaration.runner_by_name if declaration else {}
-        prefill = runners.get(reply.prefill_runner)
-        decode = runners.get(reply.decode_runner)
+        prefill = runners.get(prefill_runner)
+        decode = runners.get(decode_runner)
         if prefill is None or decode is None:
             return Error(Refused(Reason.NO_RUNNER, 1.0, "the runner is not declared"))
         return Ok(Grant(request.reservation_id, prefill, decode))
@@ -171,13 +219,25 @@
             excluded_runners=sorted(request.excluded_runners),
         )
 
+    async def _send_progress(
+        self, pool: PoolName, items: list[peer_pb2.ProgressItem]
+    ) -> None:
+        own = self._members.own
+        message = peer_pb2.ProgressRequest(
+            host=own.host, incarnation=own.incarnation, items=items
+        )
+        home = admission_home(pool, self._members)
+        await self._announce_local(pool, home)
+        await self._call(home, "Progress", message)
+
     async def _call(
         self,
-        pool: PoolName,
+        home: HostName,
         rpc: str,
-        message: peer_pb2.ReserveRequest | peer_pb2.ProgressRequest,
+        message: peer_pb2.ReserveRequest
+        | peer_pb2.ProgressRequest
+        | peer_pb2.AnnounceRequest,
     ) -> peer_pb2.ReserveReply:
-        home = admission_home(pool, self._members)
         if home != self._members.own_host:
             reply: peer_pb2.ReserveReply = await self._peers.call(
                 home, rpc, message, CALL_TIMEOUT_S
@@ -185,10 +245,19 @@
             return reply
         if isinstance(message, peer_pb2.ReserveRequest):
             return await self._own_home.reserve(message)
-        await self._own_home.progress(message)
+        if isinstance(message, peer_pb2.AnnounceRequest):
+            await self._own_home.announce(message)
+        else:
+            await self._own_home.progress(message)
         return peer_pb2.ReserveReply()
 
+    def _configured(self, configuration: Configuration) -> None:
+        self._follow_homes()
+
     def _member_changed(self, before: Member | None, after: Member) -> None:
+        self._follow_homes()
+
+    def _follow_homes(self) -> None:
         declaration = self._current.declaration
         if declaration is None:
             return
@@ -199,29 +268,42 @@
                 self._home_by_pool[name] = home
                 self._tasks.start(self._announce(name, home), "announce")
 
+    async def _announce_local(self, pool: PoolName, home: HostName) -> None:
+        """Tell the home of reservations that this host granted by itself."""
+        unknown = [
+            held
+            for held in self._held_by_id.values()
+            if not held.announced and held.request.model.pool == pool
+        ]
+        if unknown:
+            await self._announce(pool, home)
+
     async def _announce(self, pool: PoolName, home: HostName) -> None:
         own = self._members.own
-        held = [
-            peer_pb2.Held(
-                reservation_id=h.request.reservation_id,
-                request_id=h.request.request_id,
-                model=h.request.model.name,
-                prefill_runner=h.grant.prefill.name,
-                decode_runner=h.grant.decode.name,
-                prefill_ended=h.prefill_done,
-                prompt_tokens=h.request.prompt_tokens,
-                max_tokens=h.request.max_tokens,
-            )
-            for h in self._held_by_id.values()
-            if h.request.model.pool == pool
-        ]
+        holding = [h for h in self._held_by_id.values() if h.request.model.pool == pool]
         message = peer_pb2.AnnounceRequest(
-            host=own.host, incarnation=own.incarnation, pool=pool, held=held
+            host=own.host,
+            incarnation=own.incarnation,
+            pool=pool,
+            held=[_held_message(held) for held in holding],
         )
         try:
-            if home == own.host:
-                await self._own_home.announce(message)
-            else:
-                await self._peers.call(home, "Announce", message)
+            await self._call(home, "Announce", message)
         except PeerError:
             self._metrics.count("announce_failures")
+            return
+        for held in holding:
+            held.announced = True
+
+
+def _held_message(held: HeldReservation) -> peer_pb2.Held:
+    return peer_pb2.Held(
+        reservation_id=held.request.reservation_id,
+        request_id=held.request.request_id,
+        model=held.request.model.name,
+        prefill_runner=held.grant.prefill.name,
+        decode_runner=held.grant.decode.name,
+        prefill_ended=held.prefill_done,
+        prompt_tokens=held.request.prompt_tokens,
+        max_tokens=held.request.max_tokens,
+    )
--- a/src/siskinlever_testbed/bench/generator.py
+++ b/src/siskinlever_testbed/bench/generator.py
@@ -20,7 +20,7 @@
 MOST_CONNECTIONS = 4000
 TRIES = 3
 LAG_PERIOD_S = 0.02
-ANSWER_WITHIN_S = 30.0
+ANSWER_WITHIN_S = 20.0
 
 
 @dataclass(slots=True)
@@ -109,8 +109,11 @@
 
     async def _send_until_final(self, caller: Caller, result: Result) -> None:
         """Send; a broken connection is followed by the same id elsewhere."""
+        tried: set[str] = set()
         for _ in range(TRIES):
-            address = self._addresses[next(self._turn) % len(self._addresses)]
+            left = [a for a in self._addresses if a not in tried] or self._addresses
+            address = left[next(self._turn) % len(left)]
+            tried.add(address)
             result.reply = await self._call(caller, result, address)
             if result.reply.outcome:
                 break
--- a/src/siskinlever_testbed/bench/scenarios.py
+++ b/src/siskinlever_testbed/bench/scenarios.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from siskinlever._internal.utils.rendezvous import ranked
+
 from ..fleet import KEY_VALUE, Fleet
 
 TAKEN_BACK_NOTICE_S = 2.0
@@ -42,8 +44,10 @@
 
 
 async def kill_host(fleet: Fleet) -> None:
-    """One host ends without a word."""
-    fleet.process_by_name["host-3"].kill()
+    """The pool's admission home ends without a word."""
+    pool = fleet.plan.engines[0].pool
+    home = ranked(f"pool/{pool}", fleet.place_by_host)[0]
+    fleet.process_by_name[home].kill()
 
 
 async def stop_key_value(fleet: Fleet) -> None:
