--- a/src/siskinlever_testbed/bench/experiment.py
+++ b/src/siskinlever_testbed/bench/experiment.py
@@ -9,7 +9,7 @@
 
 from ..fleet import Fleet, running_fleet
 from .accounting import Details, Row, Window, make_details, make_row
-from .generator import Generator
+from .generator import Generator, Result
 from .limit import capacity, limit
 from .scenarios import Scenario
 from .workloads import Workload, arrivals
@@ -43,10 +43,14 @@
     ) as fleet:
         if await fleet.apply() != 0:
             raise RuntimeError(f"the declaration was not confirmed: {directory}")
-        return await _load(experiment, fleet)
+        row, details, _ = await run_load(experiment, fleet)
+        return row, details
 
 
-async def _load(experiment: Experiment, fleet: Fleet) -> tuple[Row, Details]:
+async def run_load(
+    experiment: Experiment, fleet: Fleet
+) -> tuple[Row, Details, list[Result]]:
+    """Send the load of an experiment to a fleet and account for it."""
     scenario, workload = experiment.scenario, experiment.workload
     rate = scenario.load * capacity(workload)
     duration_s = experiment.window.end_s
@@ -69,7 +73,8 @@
         workload,
         limit(workload, rate),
     )
-    return row, make_details(results, duration_s, generator.worst_lag_s)
+    details = make_details(results, duration_s, generator.worst_lag_s)
+    return row, details, results
 
 
 async def _disturb(experiment: Experiment, fleet: Fleet, began: float) -> None:
--- /dev/null
+++ b/tests/functional/test_load.py
@@ -0,0 +1,25 @@
+"""A few seconds of load at the pool's capacity."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinlever_testbed.bench.accounting import Window, lost_requests, slots_exceeded
+from siskinlever_testbed.bench.experiment import Experiment, run_load
+from siskinlever_testbed.bench.scenarios import SCENARIO_BY_NAME
+from siskinlever_testbed.bench.workloads import BROSUR
+
+
+@pytest.mark.system
+async def test_overload_loses_nothing_and_keeps_within_the_slots(start_fleet):
+    experiment = Experiment(
+        SCENARIO_BY_NAME["load-1.5"], BROSUR, "siskinlever", 11, Window(0.0, 3.0)
+    )
+    async with start_fleet(BROSUR.plan("siskinlever")) as fleet:
+        row, details, results = await run_load(experiment, fleet)
+        facts = fleet.records(BROSUR.engines.pool)
+    assert lost_requests(results) == []
+    assert row.doubled == 0
+    assert details.failed == 0
+    assert row.answered > 0
+    assert slots_exceeded(facts, BROSUR.engines.slots) == 0
--- /dev/null
+++ b/tests/lib/pools.py
@@ -0,0 +1,64 @@
+"""Pools and wishes for tests of admission."""
+
+from __future__ import annotations
+
+from itertools import count
+
+from siskinlever._internal.models.declaration import EnginePool, Model, Runner
+from siskinlever._internal.models.ids import (
+    HostName,
+    Incarnation,
+    RequestId,
+    ReservationId,
+)
+from siskinlever._internal.routing.wishes import Wish
+
+RATE = 1000.0
+_numbers = count()
+
+
+def pool(prefill: int = 1, decode: int = 1, slots: int = 2) -> EnginePool:
+    """Return a pool; its links cost no time worth a mention."""
+    names = [("p", "prefill", prefill), ("d", "decode", decode)]
+    runners = tuple(
+        Runner(
+            name=f"{letter}{number}",
+            address=f"127.0.0.1:{number + 1}",
+            zone="hall-a",
+            role=role,
+            slots=slots,
+            prefill_tokens_per_s=RATE,
+            transfer_bytes_per_s=1e15,
+        )
+        for letter, role, amount in names
+        for number in range(amount)
+    )
+    return EnginePool(name="copy-llm", runners=runners)
+
+
+def model(name: str = "lookup", **fields: object) -> Model:
+    """Return a model of the pool."""
+    return Model.model_validate({"name": name, "pool": "copy-llm", **fields})
+
+
+def wish(
+    of: Model,
+    due: float,
+    prompt_tokens: int = 100,
+    max_tokens: int = 20,
+    prefix: tuple[int, ...] = (),
+    host: str = "host-1",
+) -> Wish:
+    """Return a wish with an id of its own."""
+    number = next(_numbers)
+    return Wish(
+        ReservationId(f"r{number}"),
+        RequestId(f"q{number}"),
+        HostName(host),
+        Incarnation(1),
+        of,
+        prompt_tokens,
+        max_tokens,
+        prefix,
+        due,
+    )
--- /dev/null
+++ b/tests/unit/test_bench_accounting.py
@@ -0,0 +1,62 @@
+"""The limit of a pool and the accounts of a run."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinlever._internal.utils.digests import content_digest
+from siskinlever_testbed.bench.accounting import prefill_shares, slots_exceeded
+from siskinlever_testbed.bench.generator import Result
+from siskinlever_testbed.bench.limit import Demand, best_worth, capacity, limit
+from siskinlever_testbed.bench.workloads import ATELIER, BROSUR, Arrival, arrivals
+
+
+def test_limit_is_the_best_mix():
+    # Two kinds, both resources scarce: x + y = 10 and 2 x + y = 14.
+    demands = [Demand(9.0, 3.0, 1.0, 2.0), Demand(9.0, 2.0, 1.0, 1.0)]
+    assert best_worth(demands, 10.0, 14.0) == pytest.approx(4 * 3 + 6 * 2)
+    # Prefill alone is scarce: the worthiest a second of it first.
+    assert best_worth(demands, 6.0, 99.0) == pytest.approx(18.0)
+    # Enough of all: what is offered.
+    assert best_worth(demands, 99.0, 99.0) == pytest.approx(45.0)
+
+
+@pytest.mark.parametrize("workload", [ATELIER, BROSUR])
+def test_limit_is_the_offer_up_to_the_capacity(workload):
+    rate = capacity(workload)
+    offered = sum(kind.share * kind.worth for kind in workload.kinds)
+    assert limit(workload, 0.7 * rate) == pytest.approx(0.7 * rate * offered)
+    assert limit(workload, rate) == pytest.approx(rate * offered)
+    assert limit(workload, 1.5 * rate) < 1.5 * rate * offered
+
+
+def test_arrivals_are_the_same_for_the_same_seed():
+    first, again, other = (
+        list(arrivals(BROSUR, 30.0, 2.0, seed)) for seed in (7, 7, 8)
+    )
+    assert first == again
+    assert first != other
+
+
+def test_prefill_without_an_answer_is_wasted_and_a_late_one_late():
+    kind = ATELIER.kinds[0]
+    results = [Result(Arrival(f"q{n}", 0.0, kind, "p")) for n in range(3)]
+    results[0].correct, results[0].first_s = True, 0.5
+    results[1].correct, results[1].first_s = True, 0.9
+    facts = []
+    for result in results:
+        key = f"atelier/{result.arrival.request_id}".encode()
+        name = f"host-1~1~{content_digest(key)[:16]}~1~0"
+        facts.append({"fact": "prefilled", "request_id": name, "tokens": 100})
+        facts.append({"fact": "finished", "request_id": name})
+    facts.append(facts[0] | {"request_id": facts[0]["request_id"] + "again"})
+    assert prefill_shares(results, facts, ATELIER) == (0.5, 0.25)
+
+
+def test_slots_exceeded_counts_the_worst_moment():
+    facts = [
+        {"fact": fact, "runner": "d0", "at": float(at)}
+        for at, fact in enumerate(["held", "held", "held", "released", "held"])
+    ]
+    assert slots_exceeded(facts, 2) == 1
+    assert slots_exceeded(facts, 3) == 0
