--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -42,6 +42,10 @@
     """The answer to a write was lost; the write may have taken effect."""
 
 
+class LeaseLapsedError(PlatformError):
+    """A write was to be held by a lease that has lapsed; nothing was written."""
+
+
 class StoreConflictError(PlatformError):
     """A compare-and-swap found another version of the record."""
 
@@ -73,6 +77,10 @@
     """The exported KV cache was evicted before it was imported."""
 
 
+class GenerationLostError(EngineError):
+    """The engine does not know the generation, or no longer."""
+
+
 class StreamBrokenError(EngineError):
     """An engine's stream ended, or fell silent, before its final marker."""
 
--- a/src/siskinlever/_internal/models/work.py
+++ b/src/siskinlever/_internal/models/work.py
@@ -3,13 +3,38 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from ..utils.clock import Deadline
 from .declaration import Model, Runner
 from .ids import Attempt, RequestId, ReservationId, WorkspaceName
 
 
+class Registrable(Protocol):
+    """A request whose attempts its home keeps count of."""
+
+    @property
+    def workspace(self) -> WorkspaceName: ...
+
+    @property
+    def request_id(self) -> RequestId: ...
+
+    @property
+    def key(self) -> str: ...
+
+    @property
+    def body_digest(self) -> str: ...
+
+    @property
+    def first_token_due(self) -> Deadline: ...
+
+    @property
+    def resume_after(self) -> int | None: ...
+
+    @property
+    def generated_id(self) -> bool: ...
+
+
 @dataclass(frozen=True, slots=True)
 class ModelRequest:
     """A caller's request for a model.
@@ -30,6 +55,8 @@
         When the first token is due.
     resume_after : int or None
         Index of the last chunk that the caller already holds.
+    generated_id : bool
+        Whether the caller named no id, so that no other attempt exists.
     """
 
     workspace: WorkspaceName
@@ -41,6 +68,7 @@
     body_digest: str
     first_token_due: Deadline
     resume_after: int | None = None
+    generated_id: bool = False
 
     @property
     def key(self) -> str:
--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from ..models.declaration import EnginePool, Role
 from ..models.ids import HostName, Incarnation, ModelName, ReservationId
 from ..models.outcome import Reason, Refused
@@ -42,7 +44,9 @@
         self.refused_by_id: dict[ReservationId, Refused] = {}
         self.prefill_by_runner: dict[str, PrefillLane] = {}
         self.decode_by_runner: dict[str, DecodeLane] = {}
-        # Runners that said that they leave, or that do not answer.
+        # Runners that said that they leave.
+        self.leaving: set[str] = set()
+        # Runners that do not answer.
         self.closed: set[str] = set()
         self._pressure = Pressure()
         self._token_s_by_model: dict[ModelName, Estimate] = {}
@@ -137,7 +141,12 @@
     def announce(self, placed: Placed, now: float) -> None:
         """Take over a reservation that another home granted."""
         wish = placed.wish
-        if wish.reservation_id in self.placed_by_id:
+        known = self.placed_by_id.get(wish.reservation_id)
+        if known is not None:
+            # Another host may have taken it over with the request.
+            known.wish = replace(
+                known.wish, host=wish.host, incarnation=wish.incarnation
+            )
             return
         self.placed_by_id[wish.reservation_id] = placed
         prefill = self.prefill_by_runner.get(placed.prefill_runner)
@@ -207,10 +216,9 @@
         lane: PrefillLane | DecodeLane,
         excluded: frozenset[str] = frozenset(),
     ) -> bool:
-        runner = lane.runner
-        return not (
-            runner.leaving or runner.name in self.closed or runner.name in excluded
-        )
+        name = lane.runner.name
+        unusable = self.leaving | self.closed | excluded
+        return not lane.runner.leaving and name not in unusable
 
     def _prefill_lanes(self, wish: Wish) -> list[PrefillLane]:
         lanes = self.prefill_by_runner.values()
--- a/src/siskinlever/_internal/routing/bounded.py
+++ b/src/siskinlever/_internal/routing/bounded.py
@@ -15,8 +15,9 @@
 from expression import Error, Ok, Result
 
 from ..models.declaration import Role, Runner
-from ..models.outcome import Reason, Refused
+from ..models.outcome import Failed, Reason, Refused
 from ..models.work import Grant, PlacementRequest
+from ..requests.running import AttemptEndedError
 from .naive import NaivePlacement
 from .placement import Reservation
 
@@ -52,11 +53,11 @@
             return
         remaining_s = request.first_token_due.remaining_s
         try:
-            # Swallows its own timeout: the executor's next try is refused.
             async with asyncio.timeout(remaining_s) as timeout:
                 yield Ok(BoundedChoice(grant, timeout))
-        except TimeoutError:
-            return
+        except TimeoutError as error:
+            late = Failed(Reason.TOO_LATE, "waited past the target", FULL_RETRY_S)
+            raise AttemptEndedError(late) from error
 
     def refuses(self, request: PlacementRequest) -> bool:
         """Tell whether a request is late, or every report of a role says full."""
--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -14,7 +14,12 @@
 
 from ..configuration.current import Configuration, CurrentConfiguration
 from ..engines.registry import Engines
-from ..membership.members import Member, MemberState, MemberTable
+from ..membership.members import (
+    Member,
+    MemberState,
+    MemberTable,
+    departed_incarnation,
+)
 from ..metrics.registry import Metrics
 from ..models.declaration import EnginePool
 from ..models.events import EventKind
@@ -28,6 +33,7 @@
 from .book import PoolBook
 from .handover import Handover
 from .messages import placed_of, refusal, wish_of
+from .orphans import Orphans
 from .runner_watch import RunnerWatch
 
 TICK_S = 0.01
@@ -73,6 +79,10 @@
         self._recorder = recorder
         self._metrics = metrics
         self._watch = RunnerWatch(self.books, engines, metrics)
+        self._orphans = Orphans(
+            current, members, engines, aborts, metrics, self._has_live_owner
+        )
+        self._leaving_runners: frozenset[str] = frozenset()
         self._state_by_pool: dict[PoolName, HomePool] = {}
         self._decided_by_id: dict[ReservationId, asyncio.Event] = {}
         current.subscribe(self._configure)
@@ -82,9 +92,16 @@
         """Return the books of the pools that this host is home of."""
         return [state.book for state in self._state_by_pool.values() if state.is_home]
 
+    def set_leaving_runners(self, names: frozenset[str]) -> None:
+        """Give no new work to some runners."""
+        self._leaving_runners = names
+        for state in self._state_by_pool.values():
+            state.book.leaving = set(names)
+
     async def run(self, tasks: TaskSet) -> None:
         """Decide again at short intervals until cancelled."""
         tasks.start(self._watch.run(tasks), "runner-watch")
+        tasks.start(self._orphans.run(), "orphans")
         while True:
             now = monotonic()
             for state in self._state_by_pool.values():
@@ -201,6 +218,7 @@
                 state = HomePool.of(pool)
             else:
                 state.book.configure(pool)
+            state.book.leaving = set(self._leaving_runners)
             self._state_by_pool[name] = state
         self._follow_homes()
 
@@ -215,15 +233,28 @@
                 state.handover.begin(hosts, now)
                 self._metrics.count("admission_homes_taken")
             if not is_home and state.is_home:
-                self._state_by_pool[name] = HomePool.of(state.book.pool)
+                fresh = HomePool.of(state.book.pool)
+                fresh.book.leaving = set(self._leaving_runners)
+                self._state_by_pool[name] = fresh
         self._wake()
 
+    def _has_live_owner(self, name: str) -> bool:
+        """Tell whether a host that is not dead holds a reservation."""
+        for state in self._state_by_pool.values():
+            placed = state.book.placed_by_id.get(ReservationId(name))
+            if placed is None:
+                continue
+            owner = self._members.by_host.get(placed.wish.host)
+            return owner is not None and owner.state is not MemberState.DEAD
+        return False
+
     def _member_changed(self, before: Member | None, after: Member) -> None:
         self._follow_homes()
-        if after.state is not MemberState.DEAD:
+        gone = departed_incarnation(before, after)
+        if gone is None or not self._members.has_majority:
             return
         for state in self._state_by_pool.values():
-            for reservation_id in state.book.of_host(after.host, after.incarnation):
+            for reservation_id in state.book.of_host(after.host, gone):
                 self._cancel(state.book, reservation_id)
 
     def _cancel(self, book: PoolBook, reservation_id: ReservationId) -> None:
--- a/src/siskinlever/_internal/routing/retry_budget.py
+++ b/src/siskinlever/_internal/routing/retry_budget.py
@@ -1,24 +1,28 @@
-"""Keeps second tries to a small share of the requests."""
+"""A budget for retries: a small share of the requests."""
 
 from __future__ import annotations
 
 RETRY_SHARE = 0.1
-MOST_SAVED = 10.0
+LARGEST_BALANCE = 10.0
 
 
 class RetryBudget:
-    """Earns a part of a retry with each request."""
+    """Lets retries happen in proportion to first tries.
+
+    Under a failure of everything, retries add at most `RETRY_SHARE` to the
+    load; a short failure is covered by the balance that was saved.
+    """
 
     def __init__(self) -> None:
-        self._saved = MOST_SAVED
+        self._balance = LARGEST_BALANCE
 
     def earn(self) -> None:
-        """Count a first try."""
-        self._saved = min(MOST_SAVED, self._saved + RETRY_SHARE)
+        """Note a first try."""
+        self._balance = min(self._balance + RETRY_SHARE, LARGEST_BALANCE)
 
     def spend(self) -> bool:
-        """Take one retry out of the budget; tell whether there was one."""
-        if self._saved < 1.0:
+        """Take one retry; False if the budget is spent."""
+        if self._balance < 1:
             return False
-        self._saved -= 1.0
+        self._balance -= 1
         return True
--- a/src/siskinlever_testbed/bench/direct.py
+++ b/src/siskinlever_testbed/bench/direct.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from siskinlever._internal.engines.base import EngineCall
-from siskinlever._internal.engines.vllm import VllmEngine
+from siskinlever._internal.engines.registry import Engines
 
 from ..client import Caller, Reply
 from ..fleet import Fleet, caller_key, running_fleet
@@ -81,11 +81,12 @@
     decode = [r["address"] for r in runners if r["role"] == "decode"]
     call = EngineCall(f"direct-{number}", "lookup", prompt, TOKENS, 0, {})
     began = time.monotonic()
-    prefilled = await VllmEngine(session, prefill[number % len(prefill)]).prefill(
+    engines = Engines(session, session)
+    prefilled = await engines.at(prefill[number % len(prefill)]).prefill(
         call, timeout_s=5.0
     )
     first = None
-    engine = VllmEngine(session, decode[number % len(decode)])
+    engine = engines.at(decode[number % len(decode)])
     async for _ in engine.decode(call, prefilled):
         first = first or time.monotonic() - began
     assert first is not None
