Tell a silent admission home from a slow decision by probes

Cause: a reservation waited up to 100 ms at its home inside a call of 150 ms.

One task for each home sends an empty progress call every 100 ms while calls wait; a reservation waits up to 1 s.

Two fleets started at once could meet on a port: each process now keeps blocks of ports for itself.

--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -37,7 +37,7 @@
 from .runner_watch import RunnerWatch
 
 TICK_S = 0.01
-MAX_WAIT_S = 0.25
+MAX_WAIT_S = 1.0
 
 
 def admission_home(pool: PoolName, members: MemberTable) -> HostName:
--- a/src/siskinlever/_internal/routing/reserving.py
+++ b/src/siskinlever/_internal/routing/reserving.py
@@ -21,6 +21,7 @@
 from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .home import AdmissionHome, admission_home
+from .liveness import HomeLiveness
 from .local_share import LocalShares
 from .messages import wish_of
 from .placement import Reservation
@@ -28,9 +29,9 @@
 from .retry_budget import RetryBudget
 from .wishes import Placed
 
-WAIT_MS = 100
+WAIT_MS = 1000
+RESERVE_TIMEOUT_S = 1.5
 CALL_TIMEOUT_S = 0.15
-HOME_SILENT_S = 1.0
 LONGEST_LATENESS_S = 0.1
 
 
@@ -88,7 +89,7 @@
         self._progress = ProgressReporter(self._send_progress, tasks, metrics)
         self._held_by_id: dict[ReservationId, HeldReservation] = {}
         self._home_by_pool: dict[PoolName, HostName] = {}
-        self._silent_until_by_home: dict[HostName, float] = {}
+        self._liveness = HomeLiveness(self._probe, tasks)
         members.subscribe(self._member_changed)
         current.subscribe(self._configured)
 
@@ -167,13 +168,10 @@
         due = request.first_token_due
         while due.remaining_s > -LONGEST_LATENESS_S:
             home = admission_home(pool, self._members)
-            if self._is_silent(home):
-                return await self._reserve_locally(held)
             try:
-                reply = await self._call(home, "Reserve", self._message(request))
+                reply = await self._ask(home, request)
             except PeerError:
-                self._silent_until_by_home[home] = monotonic() + HOME_SILENT_S
-                continue
+                return await self._reserve_locally(held)
             self._recorder.clock.observe(reply.stamp.wall_ms, reply.stamp.counter)
             if reply.decision == peer_pb2.GRANTED:
                 return self._granted(request, reply.prefill_runner, reply.decode_runner)
@@ -189,8 +187,22 @@
                 return await self._reserve_locally(held)
         return Error(Refused(Reason.TOO_LATE, 1.0, "waited past the target"))
 
-    def _is_silent(self, home: HostName) -> bool:
-        return monotonic() < self._silent_until_by_home.get(home, 0.0)
+    async def _ask(
+        self, home: HostName, request: PlacementRequest
+    ) -> peer_pb2.ReserveReply:
+        message = self._message(request)
+        if home == self._members.own_host:
+            return await self._own_home.reserve(message)
+        if self._liveness.is_silent(home):
+            raise PeerError(f"{home} was silent a moment ago")
+        call = self._peers.call(home, "Reserve", message, RESERVE_TIMEOUT_S)
+        return await self._liveness.call(home, call)
+
+    async def _probe(self, home: HostName) -> None:
+        """Have a home answer a call that asks for nothing."""
+        own = self._members.own
+        message = peer_pb2.ProgressRequest(host=own.host, incarnation=own.incarnation)
+        await self._peers.call(home, "Progress", message, CALL_TIMEOUT_S)
 
     async def _reserve_locally(self, held: HeldReservation) -> Result[Grant, Refused]:
         """Use this host's share of the slots: nobody answers for the whole."""
@@ -268,22 +280,14 @@
         self,
         home: HostName,
         rpc: str,
-        message: peer_pb2.ReserveRequest
-        | peer_pb2.ProgressRequest
-        | peer_pb2.AnnounceRequest,
-    ) -> peer_pb2.ReserveReply:
+        message: peer_pb2.ProgressRequest | peer_pb2.AnnounceRequest,
+    ) -> None:
         if home != self._members.own_host:
-            reply: peer_pb2.ReserveReply = await self._peers.call(
-                home, rpc, message, CALL_TIMEOUT_S
-            )
-            return reply
-        if isinstance(message, peer_pb2.ReserveRequest):
-            return await self._own_home.reserve(message)
-        if isinstance(message, peer_pb2.AnnounceRequest):
+            await self._peers.call(home, rpc, message, CALL_TIMEOUT_S)
+        elif isinstance(message, peer_pb2.AnnounceRequest):
             await self._own_home.announce(message)
         else:
             await self._own_home.progress(message)
-        return peer_pb2.ReserveReply()
 
     def _configured(self, configuration: Configuration) -> None:
         self._follow_homes()
--- a/src/siskinlever_testbed/bench/accounting.py
+++ b/src/siskinlever_testbed/bench/accounting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any
@@ -59,12 +60,15 @@
     goodput_by_kind : dict
     generator_lag_s : float
         The worst delay of the load generator's own event loop.
+    load_average : float
+        Of the machine, at the end of the run.
     """
 
     goodput_by_second: list[float]
     failed: int
     goodput_by_kind: dict[str, float]
     generator_lag_s: float
+    load_average: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,4 +230,5 @@
         by_second[int(result.ended_s)] += result.arrival.kind.worth
         by_kind[result.arrival.kind.name] += result.arrival.kind.worth  # type: ignore[assignment]
     failed = sum(r.reply.outcome == "may_have_run" for r in results)
-    return Details(by_second, failed, dict(by_kind), round(lag_s, 4))
+    load_average = os.getloadavg()[0]
+    return Details(by_second, failed, dict(by_kind), round(lag_s, 4), load_average)
--- a/src/siskinlever_testbed/bench/command.py
+++ b/src/siskinlever_testbed/bench/command.py
@@ -11,7 +11,7 @@
   --seeds=NUMBERS       Seeds of the arrivals [default: 1,2,3].
   --warmup=SECONDS      Part of a run that is not counted [default: 5].
   --window=SECONDS      Part of a run that is counted [default: 12].
-  --serial              One user's fleet at a time, not both side by side.
+  --serial              One user's fleet at a time, in this process.
   --output=DIRECTORY    Where the rows and plots go [default: build].
 """
 
@@ -40,6 +40,9 @@
 QUICK_SEEDS = (1,)
 QUICK_WINDOW = Window(4.0, 12.0)
 
+ROWS = "bench.json"
+DETAILS = "bench-details.json"
+
 Measured = list[tuple[Row, Details]]
 
 
@@ -52,25 +55,55 @@
     began = time.monotonic()
     print(f"load average before: {os.getloadavg()[0]:.1f}", flush=True)
     print_header()
+    output = Path(options["--output"])
     measured: Measured = []
     for group in _groups(experiments, options["--serial"]):
-        done = await asyncio.gather(*(_measure(experiment) for experiment in group))
+        done = await asyncio.gather(*(_measure(e, len(group)) for e in group))
         for row, details in done:
             print_row(row, details)
         measured += done
-    added_s = await measure_direct() if len(measured) > 1 else None
-    print_summary(measured, added_s)
-    output = Path(options["--output"])
-    _write(output, measured)
+        _write(output, measured)
+    write_plots(output, measured)
+    overhead = await measure_direct() if len(measured) > 1 else None
+    print_summary(measured, overhead)
     print(f"load average after: {os.getloadavg()[0]:.1f}")
     print(f"{len(measured)} runs in {time.monotonic() - began:.0f} s: {output}")
     broken = [row for row, _ in measured if row.lost or row.doubled]
     return 1 if broken else 0
 
 
-async def _measure(experiment: Experiment) -> tuple[Row, Details]:
+async def _measure(experiment: Experiment, side_by_side: int) -> tuple[Row, Details]:
     with tempfile.TemporaryDirectory() as directory:
-        return await run_experiment(experiment, Path(directory))
+        if side_by_side == 1:
+            return await run_experiment(experiment, Path(directory))
+        return await _measure_apart(experiment, Path(directory))
+
+
+async def _measure_apart(
+    experiment: Experiment, directory: Path
+) -> tuple[Row, Details]:
+    """Measure in a process of its own, so that generators do not delay others."""
+    window = experiment.window
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "siskinlever_testbed",
+        "bench",
+        f"--scenarios={experiment.scenario.name}",
+        f"--workloads={experiment.workload.name}",
+        f"--policies={experiment.policy}",
+        f"--seeds={experiment.seed}",
+        f"--warmup={window.start_s}",
+        f"--window={window.end_s - window.start_s}",
+        "--serial",
+        f"--output={directory}",
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    await process.wait()
+    (row,) = json.loads((directory / ROWS).read_text())
+    (details,) = json.loads((directory / DETAILS).read_text())
+    fields = {name: details[name] for name in Details.__dataclass_fields__}
+    return Row(**row), Details(**fields)
 
 
 def _experiments(options: dict[str, Any]) -> list[Experiment] | None:
@@ -126,12 +159,11 @@
 def _write(output: Path, measured: Measured) -> None:
     output.mkdir(parents=True, exist_ok=True)
     rows = [asdict(row) for row, _ in measured]
-    (output / "bench.json").write_text(json.dumps(rows, indent=2) + "\n")
+    (output / ROWS).write_text(json.dumps(rows, indent=2) + "\n")
     details = [
         {"scenario": r.scenario, "workload": r.workload, "policy": r.policy}
         | {"seed": r.seed}
         | asdict(d)
         for r, d in measured
     ]
-    (output / "bench-details.json").write_text(json.dumps(details, indent=2) + "\n")
-    write_plots(output, measured)
+    (output / DETAILS).write_text(json.dumps(details, indent=2) + "\n")
--- a/src/siskinlever_testbed/bench/table.py
+++ b/src/siskinlever_testbed/bench/table.py
@@ -11,7 +11,7 @@
 HEAD = (
     f"{'scenario':18}{'workload':9}{'policy':12}{'seed':>4}{'goodput':>9}{'limit':>8}"
     f"{'share':>7}{'wasted':>8}{'late':>7}{'ttft95':>8}{'tpot95':>8}{'answ':>6}"
-    f"{'refus':>6}{'fail':>5}{'lost':>5}{'dbl':>4}{'lag':>7}"
+    f"{'refus':>6}{'fail':>5}{'lost':>5}{'dbl':>4}{'lag':>7}{'load':>6}"
 )
 
 
@@ -27,7 +27,8 @@
         f"{row.goodput:9.2f}{row.limit:8.2f}{row.goodput / row.limit:7.3f}"
         f"{row.wasted_prefill:8.4f}{row.late_prefill:7.4f}{row.ttft_p95_s:8.3f}"
         f"{row.tpot_p95_s:8.4f}{row.answered:6}{row.refused:6}{details.failed:5}"
-        f"{row.lost:5}{row.doubled:4}{details.generator_lag_s:7.3f}",
+        f"{row.lost:5}{row.doubled:4}{details.generator_lag_s:7.3f}"
+        f"{details.load_average:6.1f}",
         flush=True,
     )
 
--- a/src/siskinlever_testbed/processes.py
+++ b/src/siskinlever_testbed/processes.py
@@ -16,7 +16,8 @@
 READY_TIMEOUT_S = 20.0
 END_TIMEOUT_S = 5.0
 POLL_S = 0.05
-SERVER_PORTS = range(12_000, 32_000)
+BLOCK_PORTS = 100
+SERVER_PORTS = range(12_000, 32_000, BLOCK_PORTS)
 
 
 class Process:
@@ -114,22 +115,38 @@
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses with ports that are free now.
 
-    Below the ports that the system gives to outgoing connections, any of which
-    could take a port before its process does.
+    Ports come out of blocks that this process keeps for itself, so that fleets
+    started side by side do not meet; and from below the ports that the system
+    gives to outgoing connections.
     """
-    sockets: list[socket.socket] = []
-    while len(sockets) < count:
-        sock = socket.socket()
+    return [f"127.0.0.1:{next(_ports)}" for _ in range(count)]
+
+
+def _own_ports() -> Iterator[int]:
+    while True:
+        first = random.choice(SERVER_PORTS)
+        # Holds the block as long as this process lives.
+        keeper = socket.socket()
         try:
-            sock.bind(("127.0.0.1", random.choice(SERVER_PORTS)))
+            keeper.bind(("127.0.0.1", first))
         except OSError:
-            sock.close()
+            keeper.close()
             continue
-        sockets.append(sock)
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
+        _keepers.append(keeper)
+        yield from filter(_is_free, range(first + 1, first + BLOCK_PORTS))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+_keepers: list[socket.socket] = []
+_ports = _own_ports()
 
 
 def standin_command(kind: str, *arguments: str) -> list[str]:
