Show that an ended stream is not a whole answer

A clean end of the engine's stream with no final marker had no scenario; the cut ones pass with the check off, since a reset is an error by itself. Check off: 1 failed; on: 1 passed.

--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -15,8 +15,9 @@
   --ignore-fencing        Take orders with old fencing tokens.
   --record=FILE           Append-only record of what was done.
 
-Faults beside those of all stand-ins: ``cut_stream_at`` and ``silence_at``
-(a position; the connection is cut, or says no more, once), ``double_at``,
+Faults beside those of all stand-ins: ``cut_stream_at``, ``end_stream_at`` and
+``silence_at`` (a position; the connection is cut, ends as if all were said, or
+says no more, once), ``double_at``,
 ``swap_at`` and ``foreign_at`` (a position; of every stream),
 ``stall_transfer_s`` and ``lose_aborts`` (a count of cancels whose answers are
 lost, all but the last of them before they took effect).
@@ -385,6 +386,9 @@
                     assert request.transport is not None
                     request.transport.abort()
                     return response
+                if self._due("end_stream_at", position):
+                    await response.write_eof()
+                    return response
                 if self._due("silence_at", position):
                     await asyncio.sleep(SILENCE_S)
             if generation.aborted:
--- a/tests/functional/features/whole_answer.feature
+++ b/tests/functional/features/whole_answer.feature
@@ -10,6 +10,7 @@
       | fault                              | kind     |
       | a cut stream                       | streamed |
       | a cut stream                       | whole    |
+      | an ended stream                    | whole    |
       | a silent stream                    | streamed |
       | doubled chunks                     | streamed |
       | reordered chunks                   | streamed |
--- a/tests/functional/test_request_outcomes.py
+++ b/tests/functional/test_request_outcomes.py
@@ -21,6 +21,7 @@
 RELEASED_WITHIN_S = 5.0
 FAULTS = {
     "a cut stream": {"cut_stream_at": 7},
+    "an ended stream": {"end_stream_at": 7},
     "a silent stream": {"silence_at": 7},
     "doubled chunks": {"double_at": 7},
     "reordered chunks": {"swap_at": 7},
