--- a/src/siskinlever_testbed/standins/key_value.py
+++ b/src/siskinlever_testbed/standins/key_value.py
@@ -136,7 +136,7 @@
         for kv in operations:
             if kv["Verb"] == "delete":
                 await self._drop(kv["Key"])
-            if kv["Verb"] not in ("cas", "lock"):
+            if kv["Verb"] not in ("cas", "lock", "set"):
                 continue
             value = base64.b64decode(kv["Value"])
             await self._set(kv["Key"], value, kv.get("Session", ""))
