--- a/tests/functional/features/deliveries.feature
+++ b/tests/functional/features/deliveries.feature
@@ -67,3 +67,9 @@
   Scenario: A large answer of the portal arrives whole
     When a delivery is asked whose answer has 3000000 characters
     Then the answer is whole
+
+  Scenario: A call that may be repeated is tried at another runner and answered once
+    Given a stock list of which one runner cuts its connections
+    When 10 calls of the stock list are asked at host-1 at once
+    Then all are answered
+    And none is answered again under its id at host-2
--- a/tests/functional/features/leaving.feature
+++ b/tests/functional/features/leaving.feature
@@ -30,3 +30,14 @@
     And callers that still use host-4 are answered in full
     And from 5 s later on no request is served by host-4
     And every caller is answered
+
+  Scenario Outline: A stream through a leaving host is broken
+    When the host list says that host-4 is leaving
+    And a caller streams through host-4 until <break>
+    Then its answer is not shown as complete
+    And the runners release what they hold for it within 5 s
+
+    Examples:
+      | break                            |
+      | the caller hangs up              |
+      | the peer that serves it is killed |
--- a/tests/functional/test_deliveries.py
+++ b/tests/functional/test_deliveries.py
@@ -21,11 +21,16 @@
     hosts=4,
     zones=ATELIER_ZONES,
     engines=(EnginePlan("critique-models", prefill=1, decode=1),),
-    services=(ServicePlan("client-portal", runners=2),),
+    services=(
+        ServicePlan("client-portal", runners=2),
+        ServicePlan("stock-list", runners=2, idempotent=True),
+    ),
 )
 PORTALS = ("client-portal-1", "client-portal-2")
 AT_ONCE_S = 2.0
 WAKE_S = 4.0
+# As many as the retry budget holds at first.
+STOCK_CALLS = 10
 
 
 @pytest.fixture(scope="module")
@@ -39,7 +44,7 @@
     shared.replies.clear()
     shared.notes = {"id": uuid.uuid4().hex}
     yield shared
-    for name in (KEY_VALUE, *PORTALS):
+    for name in (KEY_VALUE, *PORTALS, "stock-list-1"):
         shared.faults(name)
     for place in shared.fleet.place_by_host.values():
         process = shared.fleet.process_by_name[place.name]
@@ -256,3 +261,39 @@
     assert runs(world) == 0
     # Its claim is released, so the delivery is not lost.
     assert world.run(ask(world, "host-3")).outcome == "answered"
+
+
+@given("a stock list of which one runner cuts its connections")
+def cutting_runner(world):
+    world.faults("stock-list-1", down=False, lose_answers=True)
+
+
+def ask_stock(world: World, host: str) -> list:
+    """Ask calls that one runner, busy with the first, leaves to the other."""
+    caller, address = world.caller(), world.address(host)
+    names = [f"{world.notes['id']}:{number}" for number in range(STOCK_CALLS)]
+
+    async def calls():
+        return await asyncio.gather(
+            *(caller.call_service(address, "stock-list", {}, name) for name in names)
+        )
+
+    return world.run(calls())
+
+
+@when("10 calls of the stock list are asked at host-1 at once")
+def ask_stock_list(world):
+    world.replies += ask_stock(world, "host-1")
+
+
+@then("all are answered")
+def all_answered(world):
+    assert [r.outcome for r in world.replies] == ["answered"] * STOCK_CALLS
+    facts = world.fleet.record("stock-list-1")
+    assert any(fact["fact"] == "ran" for fact in facts), "no runner failed"
+
+
+@then("none is answered again under its id at host-2")
+def answered_once(world):
+    again = ask_stock(world, "host-2")
+    assert {(r.status, r.code) for r in again} == {(409, "already_answered")}
--- a/tests/functional/test_leaving.py
+++ b/tests/functional/test_leaving.py
@@ -31,6 +31,7 @@
 NEW_WORK = {"prefill_started", "queued", "ran"}
 PAUSE_S = 0.05
 CALLERS = 6
+BROKEN_PROMPT_TOKENS = 61
 
 
 @pytest.fixture(scope="module")
@@ -47,6 +48,9 @@
     shared.finish()
     for name in ("critique-models-5", "stock-list-1"):
         shared.faults(name)
+    for place in shared.fleet.place_by_host.values():
+        if shared.fleet.process_by_name[place.name].returncode is not None:
+            shared.run(shared.fleet.start_host(place).ready())
     shared.run(shared.fleet.list_hosts())
     assert shared.run(shared.fleet.apply()) == 0
 
@@ -172,3 +176,56 @@
     assert delivery.outcome == "answered"
     refused = world.run(caller.complete(address, "no-such-model", "x", 5))
     assert refused.code == "model_not_found"
+
+
+@when(parsers.parse("a caller streams through host-4 until {how}"))
+def broken_stream(world, how):
+    world.until(lambda: not any("host-4" in n for n in lookups(world)), TARGET_S)
+    prompt = " ".join(["word"] * BROKEN_PROMPT_TOKENS)
+
+    async def disturb(reply):
+        if len(reply.token_times) != 20:
+            return
+        if how == "the caller hangs up":
+            raise ConnectionError(how)
+        serving = broken_request(world)[0]["request_id"].partition("~")[0]
+        world.fleet.process_by_name[serving].kill()
+
+    work = world.caller().complete(
+        world.address("host-4"), "lookup", prompt, 900, on_piece=disturb
+    )
+    world.notes["broken"] = world.run(work)
+
+
+def broken_request(world: World) -> list[dict]:
+    return [
+        fact
+        for fact in world.fleet.records("critique-models")
+        if fact["fact"] == "prefill_started"
+        and fact["tokens"] == BROKEN_PROMPT_TOKENS
+        and fact["at"] > world.notes["at"]
+    ]
+
+
+@then("its answer is not shown as complete")
+def not_complete(world):
+    reply = world.notes["broken"]
+    assert len(reply.token_times) >= 20 and not reply.complete
+
+
+@then("the runners release what they hold for it within 5 s")
+def released(world):
+    (request,) = broken_request(world)
+    world.until(
+        lambda: any(
+            fact["fact"] == "released" and fact["request_id"] == request["request_id"]
+            for fact in world.fleet.records("critique-models")
+        ),
+        TARGET_S,
+    )
+    aborted = [
+        fact
+        for fact in world.fleet.records("critique-models")
+        if fact["fact"] == "finished" and fact["request_id"] == request["request_id"]
+    ]
+    assert aborted == []
