--- a/src/siskinlever/_internal/callers/forwarding.py
+++ b/src/siskinlever/_internal/callers/forwarding.py
@@ -9,6 +9,7 @@
 import asyncio
 import hmac
 import random
+import ssl
 from typing import Any
 
 import aiohttp
@@ -39,6 +40,8 @@
     peer_key : str
         Proves that a request was forwarded by a host.
     metrics : Metrics
+    tls : ssl.SSLContext or None
+        None if the callers' interfaces are plain.
     """
 
     def __init__(
@@ -47,11 +50,13 @@
         members: MemberTable,
         peer_key: str,
         metrics: Metrics,
+        tls: ssl.SSLContext | None,
     ) -> None:
         self._session = session
         self._members = members
         self._proof = key_digest(f"forward/{peer_key}")
         self._metrics = metrics
+        self._tls = tls
         self.in_progress = 0
 
     def is_due(self, request: Request) -> bool:
@@ -108,12 +113,14 @@
             if name.lower() not in NOT_FORWARDED
         ]
         query = f"?{request.query_string}" if request.query_string else ""
+        scheme = "https" if self._tls else "http"
         call = self._session.request(
             request.method,
-            f"http://{peer.callers_address}{request.path}{query}",
+            f"{scheme}://{peer.callers_address}{request.path}{query}",
             headers=[*headers, (HOP_HEADER, self._proof)],
             data=request.body,
             allow_redirects=False,
+            ssl=self._tls or True,
         )
         opening = asyncio.ensure_future(call)
         watch = asyncio.ensure_future(self._dead(peer))
