--- a/src/siskinlever/_internal/callers/errors.py
+++ b/src/siskinlever/_internal/callers/errors.py
@@ -37,6 +37,7 @@
     401: "authentication_error",
     403: "permission_error",
     404: "not_found_error",
+    408: "timeout_error",
     409: "conflict_error",
     413: "invalid_request_error",
     429: "rate_limit_error",
@@ -74,9 +75,11 @@
 
 
 def ending_body(ending: Refused | Failed) -> dict[str, Any]:
-    """Return the error body of an ending."""
+    """Return the error body of an ending; in a stream there is no header for it."""
     status = STATUS_BY_REASON[ending.reason]
-    return error_body(ending.message, status, ending.reason.value, ending.outcome)
+    body = error_body(ending.message, status, ending.reason.value, ending.outcome)
+    body["error"]["retry_after_s"] = ending.retry_after_s
+    return body
 
 
 def ending_response(ending: Refused | Failed) -> HTTPResponse:
--- a/src/siskinlever/_internal/daemon/host.py
+++ b/src/siskinlever/_internal/daemon/host.py
@@ -222,7 +222,7 @@
     executor = Executor(
         members, engines, placement, registrar, aborts, recorder, metrics, tasks
     )
-    services = ServiceClient(fresh)
+    services = ServiceClient(fresh, pooled)
     runners = RunnerFollower(
         current, members, engines, services, recorder, metrics, tasks
     )
--- a/src/siskinlever/_internal/services/client.py
+++ b/src/siskinlever/_internal/services/client.py
@@ -59,10 +59,15 @@
     ----------
     session : aiohttp.ClientSession
         Not pooled, so that a failed connect certainly means "not run".
+    probes : aiohttp.ClientSession
+        Pooled, for the questions after a runner's health.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, probes: aiohttp.ClientSession
+    ) -> None:
         self._session = session
+        self._probes = probes
 
     async def call(
         self, address: str, call: ServiceCall, timeout_s: float
@@ -100,7 +105,7 @@
         """
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                async with self._session.get(f"http://{address}/health") as response:
+                async with self._probes.get(f"http://{address}/health") as response:
                     body = await response.json(content_type=None)
         except ValueError:
             return False
