--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -27,8 +27,9 @@
 from ..utils.clock import MS_PER_S, monotonic
 from ..utils.rendezvous import ranked
 from ..utils.tasks import TaskSet
-from .book import Placed, PoolBook, Wish
+from .book import PoolBook
 from .orphans import Orphans
+from .wishes import Placed, Wish
 
 TICK_S = 0.01
 MAX_WAIT_S = 0.25
@@ -70,7 +71,7 @@
         """Give no new work to some runners."""
         self._leaving_runners = names
         for book in self._book_by_pool.values():
-            book.leaving = set(names)
+            book.closed = set(names)
 
     async def run(self, tasks: TaskSet) -> None:
         """Decide again at short intervals until cancelled."""
@@ -150,7 +151,7 @@
                 book = PoolBook(pool)
             else:
                 book.configure(pool)
-            book.leaving = set(self._leaving_runners)
+            book.closed = set(self._leaving_runners)
             self._book_by_pool[name] = book
 
     def _has_live_owner(self, name: str) -> bool:
