--- a/src/siskinlever/_internal/configuration/store.py
+++ b/src/siskinlever/_internal/configuration/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 from contextlib import suppress
 
 from ..exceptions import (
@@ -143,11 +144,13 @@
             stamp=(stamp.wall_ms, stamp.counter) if stamp else (0, 0),
         )
         try:
-            await self._write_root(root, applied, record)
+            accepted = await self._write_root(root, applied, record)
         except ConflictError:
             await self._delete_parts(set(parts))
             raise
-        return Generation(applied.generation)
+        if accepted.parts != parts:
+            await self._delete_parts(set(parts))
+        return Generation(accepted.generation)
 
     async def restore(self, record: Record | None, newest: Configuration) -> bool:
         """Put the newest configuration back into a store that holds an older one.
@@ -172,7 +175,8 @@
 
     async def _write_root(
         self, root: Root | None, applied: Applied, record: Record | None
-    ) -> None:
+    ) -> Applied:
+        """Return the apply as it was accepted."""
         new = next_root(root, applied)
         version = record.version if record else MUST_NOT_EXIST
         try:
@@ -180,13 +184,18 @@
                 self.root_key, new.model_dump_json().encode(), version
             )
         except (StoreConflictError, StoreOutcomeUnknownError) as error:
-            await self._check_own_write(applied, version, error)
+            applied = await self._check_own_write(applied, version, error)
         await self._delete_parts(dropped_parts(root, new))
+        return applied
 
     async def _check_own_write(
         self, applied: Applied, version: int, cause: PlatformError
-    ) -> None:
-        """Read back whose write took effect; the answer to ours was lost."""
+    ) -> Applied:
+        """Read back whose write took effect; the answer to ours was lost.
+
+        Another call with the same apply's id may have been accepted, as a
+        later generation than the one that this call tried.
+        """
         for _ in range(READ_BACK_TRIES):
             try:
                 record = await self._key_value.get(self.root_key)
@@ -194,8 +203,9 @@
             except StoreUnavailableError:
                 await asyncio.sleep(READ_BACK_PAUSE_S)
                 continue
-            if root is not None and root.find(ApplyId(applied.apply_id)) is not None:
-                return
+            found = root.find(ApplyId(applied.apply_id)) if root else None
+            if found is not None:
+                return found
             if record is not None and record.version != version:
                 assert root is not None
                 raise ConflictError(
@@ -212,16 +222,18 @@
 
     async def _write_parts(self, content: bytes, apply_id: ApplyId) -> tuple[str, ...]:
         names = []
+        # A call deletes its own parts only: another of the same apply may win.
+        call = uuid.uuid4().hex[:8]
         for start in range(0, len(content), PART_BYTES):
             part = content[start : start + PART_BYTES]
-            name = f"{apply_id}-{content_digest(part)}"
+            name = f"{apply_id}-{call}-{content_digest(part)}"
             names.append(name)
             try:
                 await self._key_value.put(
                     f"{self._part_prefix}/{name}", part, MUST_NOT_EXIST
                 )
             except StoreConflictError:
-                continue  # An earlier try of the same apply wrote it.
+                continue  # The HTTP client sent the write twice.
             except StoreOutcomeUnknownError:
                 await self._check_part(name)
         return tuple(names)
--- a/src/siskinlever_testbed/slopes/deciding.py
+++ b/src/siskinlever_testbed/slopes/deciding.py
@@ -35,7 +35,7 @@
 DECODE_RUNNERS = 40
 SLOTS = 20
 WAITING = (10, 100, 1_000)
-DECISIONS = 30
+DECISIONS = 5
 CALLS = 1_000
 ENTRIES = 10_000
 FAR_S = 100_000.0
@@ -53,9 +53,13 @@
     book = PoolBook(_pool())
     now = time.monotonic()
     held = PREFILL_RUNNERS + DECODE_RUNNERS * SLOTS
-    for number in range(held + waiting):
+    for number in range(held):
         book.ask(_wish(number, now), now)
         book.prefill_ended(ReservationId(f"reservation-{number}"), now)
+    for number in range(held, held + waiting):
+        # Not asked: each ask would decide about all that wait.
+        wish = _wish(number, now)
+        book.waiting_by_id[wish.reservation_id] = wish
     asked = list(book.placed_by_id)
     began = time.process_time()
     for number in range(DECISIONS):
