--- a/src/siskinlever_testbed/slopes/deciding.py
+++ b/src/siskinlever_testbed/slopes/deciding.py
@@ -4,6 +4,7 @@
 
 import time
 import tracemalloc
+from dataclasses import dataclass
 from typing import Any
 
 from siskinlever._internal.metrics.registry import Metrics
@@ -30,9 +31,6 @@
 from ..processes import free_addresses
 from .usage import Slope
 
-# A pool at the size of docs/CAPACITY.md: 600 runners behind 10 models.
-PREFILL_RUNNERS = 20
-DECODE_RUNNERS = 40
 SLOTS = 20
 WAITING = (10, 100, 1_000)
 DECISIONS = 5
@@ -41,18 +39,31 @@
 FAR_S = 100_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSize:
+    """How many runners a pool has."""
+
+    name: str
+    prefill: int
+    decode: int
+
+
+# One of 10 models before 600 runners, and a pool of today.
+POOL_SIZES = (PoolSize("60_runners", 20, 40), PoolSize("6_runners", 2, 4))
+
+
 async def measure() -> list[Slope]:
     """Measure decisions, calls between peers and entries kept."""
-    slopes = [_decision(waiting) for waiting in WAITING]
+    slopes = [_decision(size, waiting) for size in POOL_SIZES for waiting in WAITING]
     slopes += await _call("Exchange", _ping(), _ping())
     slopes += await _call("Reserve", _reserve(), peer_pb2.ReserveReply())
     return [*slopes, _entry()]
 
 
-def _decision(waiting: int) -> Slope:
-    book = PoolBook(_pool())
+def _decision(size: PoolSize, waiting: int) -> Slope:
+    book = PoolBook(_pool(size))
     now = time.monotonic()
-    held = PREFILL_RUNNERS + DECODE_RUNNERS * SLOTS
+    held = size.decode * SLOTS
     for number in range(held):
         book.ask(_wish(number, now), now)
         book.prefill_ended(ReservationId(f"reservation-{number}"), now)
@@ -66,8 +77,9 @@
         book.ask(_wish(held + waiting + number, now), now)
         book.release(asked[number], now)
     spent_s = (time.process_time() - began) / DECISIONS
-    how = f"ask and release, {len(book.waiting_by_id)} waiting, 60 runners all full"
-    return Slope(f"admission.decision.{waiting}_waiting", 1e6 * spent_s, "us", how)
+    how = f"ask and release, {len(book.waiting_by_id)} waiting, all slots held"
+    name = f"admission.decision.{size.name}.{waiting}_waiting"
+    return Slope(name, 1e6 * spent_s, "us", how)
 
 
 async def _call(rpc: str, message: Any, reply: Any) -> list[Slope]:
@@ -114,16 +126,16 @@
     return Slope("home.memory_per_request", size / ENTRIES, "B", how)
 
 
-def _pool() -> EnginePool:
+def _pool(size: PoolSize) -> EnginePool:
     runners = [
         {
             "name": f"runner-{number}",
             "address": "127.0.0.1:1",
             "zone": "hall-a",
-            "role": "prefill" if number < PREFILL_RUNNERS else "decode",
+            "role": "prefill" if number < size.prefill else "decode",
             "slots": SLOTS,
         }
-        for number in range(PREFILL_RUNNERS + DECODE_RUNNERS)
+        for number in range(size.prefill + size.decode)
     ]
     return EnginePool.model_validate({"name": "copy-llm", "runners": runners})
 
--- /dev/null
+++ b/tests/lib/engine_model.py
@@ -0,0 +1,152 @@
+"""A pool of engines in virtual time, for two policies and the same arrivals."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+
+from siskinlever._internal.models.declaration import EnginePool, Model
+from siskinlever._internal.routing.book import PoolBook
+from siskinlever._internal.routing.wishes import Wish
+from siskinlever_testbed.standins.answers import answer_text
+
+RETENTION_S = 0.8
+TOKEN_TIME_S = 0.02
+TICK_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request."""
+
+    number: int
+    at: float
+    prompt_tokens: int
+    max_tokens: int
+    due: float
+
+
+@dataclass
+class Engines:
+    """What engines did: answers by request, and prefills that nobody decoded."""
+
+    pool: EnginePool
+    now: float = 0.0
+    answer_by_number: dict[int, str] = field(default_factory=dict)
+    prefilled: int = 0
+    wasted: int = 0
+    in_time: int = 0
+
+    def __post_init__(self):
+        runners = self.pool.runners
+        self.rate = {r.name: r.prefill_tokens_per_s for r in runners}
+        self.free_at = {r.name: 0.0 for r in runners if r.role == "prefill"}
+        self.slots = {r.name: r.slots for r in runners if r.role == "decode"}
+        self.queue = {name: deque() for name in self.slots}
+        self._order = itertools.count()
+        self._events = []
+
+    def at(self, moment, action, *arguments):
+        heapq.heappush(self._events, (moment, next(self._order), action, arguments))
+
+    def run(self):
+        while self._events:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+
+    def prefill(self, runner, arrival, ended):
+        start = max(self.now, self.free_at[runner])
+        self.free_at[runner] = start + arrival.prompt_tokens / self.rate[runner]
+        self.prefilled += 1
+        self.at(self.free_at[runner], ended)
+
+    def decode(self, runner, arrival, released):
+        self.queue[runner].append((arrival, self.now + RETENTION_S, released))
+        self._start_next(runner)
+
+    def _start_next(self, runner):
+        while self.slots[runner] and self.queue[runner]:
+            arrival, evicted_at, released = self.queue[runner].popleft()
+            if evicted_at < self.now:
+                self.wasted += 1
+                released()
+                continue
+            self.slots[runner] -= 1
+            self.in_time += self.now <= arrival.due
+            end = self.now + arrival.max_tokens * TOKEN_TIME_S
+            self.at(end, self._finish, runner, arrival, released)
+
+    def _finish(self, runner, arrival, released):
+        self.slots[runner] += 1
+        prompt = f"prompt {arrival.number}"
+        assert arrival.number not in self.answer_by_number
+        self.answer_by_number[arrival.number] = answer_text(prompt, arrival.max_tokens)
+        released()
+        self._start_next(runner)
+
+
+def serve_naive(engines: Engines, arrivals: list[Arrival]) -> None:
+    """Round robin prefill, least loaded decode, no reservation."""
+    turns = itertools.cycle(sorted(engines.free_at))
+    load = dict.fromkeys(engines.slots, 0)
+
+    def arrive(arrival):
+        engines.prefill(next(turns), arrival, lambda: decode(arrival))
+
+    def decode(arrival):
+        runner = min(load, key=load.__getitem__)
+        load[runner] += 1
+        engines.decode(runner, arrival, lambda: leave(runner))
+
+    def leave(runner):
+        load[runner] -= 1
+
+    for arrival in arrivals:
+        engines.at(arrival.at, arrive, arrival)
+    engines.run()
+
+
+def serve_by_book(engines: Engines, arrivals: list[Arrival], model: Model) -> None:
+    """Reservations of a `PoolBook`."""
+    book = PoolBook(engines.pool)
+    arrival_by_id = {f"reservation-{a.number}": a for a in arrivals}
+    started = set()
+
+    def arrive(arrival):
+        reservation_id = f"reservation-{arrival.number}"
+        sizes = (model, arrival.prompt_tokens, arrival.max_tokens, (arrival.number,))
+        ids = (reservation_id, f"request-{arrival.number}", "host-a", 1)
+        book.ask(Wish(*ids, *sizes, arrival.due), engines.now)
+        start_granted()
+
+    def start_granted():
+        for reservation_id in [i for i in book.placed_by_id if i not in started]:
+            started.add(reservation_id)
+            placed = book.placed_by_id[reservation_id]
+            arrival = arrival_by_id[reservation_id]
+            engines.prefill(
+                placed.prefill_runner, arrival, lambda p=placed, a=arrival: decode(p, a)
+            )
+
+    def decode(placed, arrival):
+        reservation_id = placed.wish.reservation_id
+        book.prefill_ended(reservation_id, engines.now)
+        engines.decode(placed.decode_runner, arrival, lambda: release(reservation_id))
+        start_granted()
+
+    def release(reservation_id):
+        book.release(reservation_id, engines.now)
+        start_granted()
+
+    def tick():
+        book.decide(engines.now)
+        start_granted()
+        if book.waiting_by_id or engines.now < arrivals[-1].at:
+            engines.at(engines.now + TICK_S, tick)
+
+    for arrival in arrivals:
+        engines.at(arrival.at, arrive, arrival)
+    engines.at(0.0, tick)
+    engines.run()
