--- a/src/siskinlever/_internal/configuration/parts.py
+++ b/src/siskinlever/_internal/configuration/parts.py
@@ -35,9 +35,9 @@
     return content_digest(content)[:DIGEST_DIGITS]
 
 
-def part_name(apply_id: str, part: bytes) -> str:
-    """Return the name of a part that an apply wrote."""
-    return f"{apply_id}-{short_digest(part)}"
+def part_name(call: str, part: bytes) -> str:
+    """Return the name of a part that one call of an apply wrote."""
+    return f"{call}-{short_digest(part)}"
 
 
 def digest_of(name: str) -> str:
