Keep decisions cheap when many requests wait

Cause: each arrival, end of a prefill and release went through the whole queue and computed each waiting request's cost at every prefill runner twice.

The cost that decides the order is kept from the arrival, and a queue of more than 16 is gone through at most every 5 ms. Larger pools need cells.

--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from ..models.declaration import EnginePool, Role
@@ -26,6 +27,8 @@
 LONGEST_RETRY_S = 30.0
 LEAST_SPARE = 0.05
 MOST_REFUSALS_KEPT = 1000
+LONG_QUEUE = 16
+LONG_QUEUE_PAUSE_S = 0.005
 # Part of the per-token target that a token takes, until measured.
 USUAL_TOKEN_PART = 0.7
 
@@ -48,7 +51,11 @@
         self.leaving: set[str] = set()
         # Runners that do not answer.
         self.closed: set[str] = set()
+        self._decided_at = -math.inf
         self._pressure = Pressure()
+        # What each waiting request took by prediction when it arrived: its order
+        # is decided again and again, which must stay cheap.
+        self._cost_by_id: dict[ReservationId, Cost] = {}
         self._token_s_by_model: dict[ModelName, Estimate] = {}
         self.configure(pool)
 
@@ -57,6 +64,8 @@
         self.pool = pool
         prefill = [r for r in pool.runners if r.role is Role.PREFILL]
         decode = [r for r in pool.runners if r.role is Role.DECODE]
+        rates = [runner.transfer_bytes_per_s for runner in prefill]
+        self._transfer_rate = min(rates, default=math.inf)
         lanes = self.prefill_by_runner
         self.prefill_by_runner = {
             r.name: lanes.get(r.name) or PrefillLane(r) for r in prefill
@@ -78,8 +87,10 @@
         if not self._prefill_lanes(wish) or not self._decode_lanes(wish):
             self._refuse(wish, Reason.NO_RUNNER, 1.0, "no runner takes new work")
             return
+        cost = self._least_cost(wish)
         self.waiting_by_id[known] = wish
-        self._pressure.add(wish, self._least_cost(wish), now)
+        self._cost_by_id[known] = cost
+        self._pressure.add(wish, cost, now)
         self.decide(now)
 
     def decide(self, now: float) -> None:
@@ -88,8 +99,9 @@
         A request that waits keeps the first slot that frees in thought, so
         that no later one with a longer prefill takes it.
         """
-        if not self.waiting_by_id:
+        if not self.waiting_by_id or self._decided_just_now(now):
             return
+        self._decided_at = now
         prefill = [ln for ln in self.prefill_by_runner.values() if self._open(ln)]
         decode = [ln for ln in self.decode_by_runner.values() if self._open(ln)]
         forecast = Forecast(prefill, decode, now)
@@ -107,6 +119,14 @@
             if plan.start_at <= now + LOOKAHEAD_S:
                 self._place(wish, plan, now)
 
+    def _decided_just_now(self, now: float) -> bool:
+        """Tell whether a long queue can wait for the next tick.
+
+        Each decision goes through the whole queue.
+        """
+        long = len(self.waiting_by_id) > LONG_QUEUE
+        return long and now - self._decided_at < LONG_QUEUE_PAUSE_S
+
     def prefill_ended(self, reservation_id: ReservationId, now: float) -> None:
         """Note that a prefill ended."""
         placed = self.placed_by_id.get(reservation_id)
@@ -121,7 +141,7 @@
 
     def release(self, reservation_id: ReservationId, now: float) -> Placed | None:
         """Free all that a reservation holds."""
-        self.waiting_by_id.pop(reservation_id, None)
+        self._no_longer_waits(reservation_id)
         self.refused_by_id.pop(reservation_id, None)
         placed = self.placed_by_id.pop(reservation_id, None)
         if placed is None:
@@ -166,12 +186,11 @@
         ]
 
     def _ordered(self, now: float) -> list[Wish]:
-        capacity = self._capacity()
+        scarcity = self._pressure.scarcity(self._capacity(), now)
 
         def key(wish: Wish) -> tuple[bool, int, float]:
-            cost = self._least_cost(wish)
-            density = self._pressure.density(wish, cost, capacity, now)
-            return order_key(wish, density, now)
+            cost = self._cost_by_id[wish.reservation_id]
+            return order_key(wish, scarcity.density(wish, cost), now)
 
         return sorted(self.waiting_by_id.values(), key=key)
 
@@ -184,7 +203,7 @@
             wish.reservation_id, wish.prefix_hashes, plan.cost.prefill_s, now
         )
         decode.hold(wish.reservation_id, arrival + plan.cost.decode_s)
-        del self.waiting_by_id[wish.reservation_id]
+        self._no_longer_waits(wish.reservation_id)
         self.placed_by_id[wish.reservation_id] = Placed(
             wish, plan.lane.runner.name, decode.runner.name
         )
@@ -200,8 +219,12 @@
         ready_s = plan.cost.prefill_s + plan.cost.transfer_s
         return now + wait_s + ready_s + TARGET_MARGIN_S - wish.due
 
+    def _no_longer_waits(self, reservation_id: ReservationId) -> None:
+        self.waiting_by_id.pop(reservation_id, None)
+        self._cost_by_id.pop(reservation_id, None)
+
     def _give_up(self, wish: Wish, late_s: float, now: float) -> None:
-        del self.waiting_by_id[wish.reservation_id]
+        self._no_longer_waits(wish.reservation_id)
         retry_after_s = self._retry_after_s(late_s, now)
         self._refuse(wish, Reason.OVERLOADED, retry_after_s, "pool is full")
 
@@ -258,11 +281,7 @@
 
     def _transfer_s(self, wish: Wish) -> float:
         size = wish.prompt_tokens * self.pool.kv_bytes_per_token
-        rate = min(
-            (ln.runner.transfer_bytes_per_s for ln in self.prefill_by_runner.values()),
-            default=1e9,
-        )
-        return size / rate + TRANSFER_MARGIN_S
+        return size / self._transfer_rate + TRANSFER_MARGIN_S
 
     def _token_s(self, wish: Wish) -> Estimate:
         """Return the time of a decode for each token that it may have."""
--- a/src/siskinlever/_internal/routing/ordering.py
+++ b/src/siskinlever/_internal/routing/ordering.py
@@ -32,6 +32,19 @@
     decode: int
 
 
+@dataclass(frozen=True, slots=True)
+class Scarcity:
+    """Prices of a second of a prefill runner and of a decode slot."""
+
+    prefill: float
+    decode: float
+
+    def density(self, wish: Wish, cost: Cost) -> float:
+        """Return a request's worth for what it takes of scarce resources."""
+        taken = self.prefill * cost.prefill_s + self.decode * cost.hold_s
+        return wish.model.worth / max(taken, 1e-12)
+
+
 @dataclass(slots=True)
 class Pressure:
     """The load offered to each resource of a pool."""
@@ -63,13 +76,13 @@
             self.interactive_decode.share(capacity.decode, now),
         )
 
-    def density(self, wish: Wish, cost: Cost, capacity: Capacity, now: float) -> float:
-        """Return a request's worth for what it takes of scarce resources."""
+    def scarcity(self, capacity: Capacity, now: float) -> Scarcity:
+        """Return what a second of each resource is worth, one to the other."""
         prefill = self.prefill.share(capacity.prefill, now) ** SCARCITY_POWER
         decode = self.decode.share(capacity.decode, now) ** SCARCITY_POWER
-        taken = prefill * cost.prefill_s / max(capacity.prefill, 1)
-        taken += decode * cost.hold_s / max(capacity.decode, 1)
-        return wish.model.worth / max(taken, 1e-12)
+        return Scarcity(
+            prefill / max(capacity.prefill, 1), decode / max(capacity.decode, 1)
+        )
 
 
 def order_key(wish: Wish, density: float, now: float) -> tuple[bool, int, float]:
