--- a/src/siskinlever/_internal/callers/generation.py
+++ b/src/siskinlever/_internal/callers/generation.py
@@ -10,7 +10,7 @@
 from ..models.declaration import Urgency
 from ..models.outcome import Answered, Outcome
 from ..models.work import ModelRequest
-from ..network.sockets import detect_silence_of
+from ..network.sockets import detect_close_of, detect_silence_of
 from .bodies import ChatBody, CompletionBody
 from .context import host_of
 from .drafts import post_draft, wants_draft
@@ -44,6 +44,7 @@
     body = parse_body(request, body_type)
     asked = model_request(request, caller, body)
     detect_silence_of(request.transport)
+    detect_close_of(request.transport)
     with host.access.admitted(caller.workspace) as admitted:
         if admitted.is_error():
             return named(ending_response(admitted.error), caller.request_id)
--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -29,6 +29,9 @@
 MOST_REFUSALS_KEPT = 1000
 LONG_QUEUE = 16
 LONG_QUEUE_PAUSE_S = 0.005
+RELEASES_KEPT_S = 10.0
+# Before any moment of the clock, so the slot counts as held until released.
+UNKNOWN_END = 0.0
 # Part of the per-token target that a token takes, until measured.
 USUAL_TOKEN_PART = 0.7
 
@@ -52,6 +55,8 @@
         # Runners that do not answer.
         self.closed: set[str] = set()
         self._decided_at = -math.inf
+        # An ask can arrive after its release, over another connection.
+        self._released_at_by_id: dict[ReservationId, float] = {}
         self._pressure = Pressure()
         # What each waiting request took by prediction when it arrived: its order
         # is decided again and again, which must stay cheap.
@@ -78,12 +83,15 @@
             self.prefill_by_runner[runner.name].runner = runner
         for runner in decode:
             self.decode_by_runner[runner.name].runner = runner
+        self._hold_again()
 
     def ask(self, wish: Wish, now: float) -> None:
         """Queue a wish, or refuse it if its target cannot be met."""
         known = wish.reservation_id
         if known in self.waiting_by_id or known in self.placed_by_id:
             return
+        if known in self.refused_by_id or self._was_released(known, now):
+            return
         if not self._prefill_lanes(wish) or not self._decode_lanes(wish):
             self._refuse(wish, Reason.NO_RUNNER, 1.0, "no runner takes new work")
             return
@@ -141,6 +149,8 @@
 
     def release(self, reservation_id: ReservationId, now: float) -> Placed | None:
         """Free all that a reservation holds."""
+        self._released_at_by_id.pop(reservation_id, None)
+        self._released_at_by_id[reservation_id] = now
         self._no_longer_waits(reservation_id)
         self.refused_by_id.pop(reservation_id, None)
         placed = self.placed_by_id.pop(reservation_id, None)
@@ -303,6 +313,20 @@
         length_s = wish.max_tokens * self._token_s(wish).value
         decode.hold(wish.reservation_id, starts + length_s)
 
+    def _hold_again(self) -> None:
+        """Hold the slots of runners that were not declared for a while."""
+        for known, placed in self.placed_by_id.items():
+            lane = self.decode_by_runner.get(placed.decode_runner)
+            if lane is not None and known not in lane.end_by_reservation:
+                lane.hold(known, UNKNOWN_END)
+
+    def _was_released(self, reservation_id: ReservationId, now: float) -> bool:
+        oldest = now - RELEASES_KEPT_S
+        released = self._released_at_by_id
+        while released and next(iter(released.values())) <= oldest:
+            del released[next(iter(released))]
+        return reservation_id in released
+
     def _refuse(
         self, wish: Wish, reason: Reason, retry_after_s: float, message: str
     ) -> None:
