--- a/src/siskinlever_testbed/bench/accounting.py
+++ b/src/siskinlever_testbed/bench/accounting.py
@@ -62,6 +62,8 @@
         The worst delay of the load generator's own event loop.
     load_average : float
         Of the machine, at the end of the run.
+    disturbed_at_s : float
+        When a scenario's disturbance begins.
     """
 
     goodput_by_second: list[float]
@@ -69,6 +71,7 @@
     goodput_by_kind: dict[str, float]
     generator_lag_s: float
     load_average: float
+    disturbed_at_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,8 +223,9 @@
     )
 
 
-def make_details(results: list[Result], duration_s: float, lag_s: float) -> Details:
+def make_details(results: list[Result], window: Window, lag_s: float) -> Details:
     """Return what the table does not show."""
+    duration_s = window.end_s
     by_second = [0.0] * (int(duration_s) + 1)
     by_kind: Counter[str] = Counter()
     for result in results:
@@ -231,4 +235,11 @@
         by_kind[result.arrival.kind.name] += result.arrival.kind.worth  # type: ignore[assignment]
     failed = sum(r.reply.outcome == "may_have_run" for r in results)
     load_average = os.getloadavg()[0]
-    return Details(by_second, failed, dict(by_kind), round(lag_s, 4), load_average)
+    return Details(
+        goodput_by_second=by_second,
+        failed=failed,
+        goodput_by_kind=dict(by_kind),
+        generator_lag_s=round(lag_s, 4),
+        load_average=load_average,
+        disturbed_at_s=window.start_s,
+    )
--- a/src/siskinlever_testbed/bench/experiment.py
+++ b/src/siskinlever_testbed/bench/experiment.py
@@ -81,7 +81,7 @@
         workload,
         limit(workload, rate),
     )
-    details = make_details(results, duration_s, generator.worst_lag_s)
+    details = make_details(results, experiment.window, generator.worst_lag_s)
     return row, details, results
 
 
--- a/src/siskinlever_testbed/bench/table.py
+++ b/src/siskinlever_testbed/bench/table.py
@@ -7,6 +7,7 @@
 
 from .accounting import Details, Row
 from .direct import Overhead
+from .scenarios import SCENARIO_BY_NAME
 
 HEAD = (
     f"{'scenario':18}{'workload':9}{'policy':12}{'seed':>4}{'goodput':>9}{'limit':>8}"
@@ -49,9 +50,26 @@
             f"{mean(r.wasted_prefill for r in rows):8.4f}"
             f"{mean(r.late_prefill for r in rows):8.4f}"
         )
+    _print_disturbed(measured)
     if overhead is not None:
         print(
             f"\nfirst token at low load, median: router {overhead.routed_s * 1e3:.1f} "
             f"ms, engines directly {overhead.direct_s * 1e3:.1f} ms, added "
             f"{overhead.added_s * 1e3:.1f} ms (target: at most 5 ms)"
         )
+
+
+def _print_disturbed(measured: list[tuple[Row, Details]]) -> None:
+    """Print how the worth a second goes on after a disturbance."""
+    disturbed = [
+        (row, details)
+        for row, details in measured
+        if SCENARIO_BY_NAME[row.scenario].disturbance is not None
+    ]
+    if disturbed:
+        print("\nworth of good answers in each second; the disturbance is marked |")
+    for row, details in disturbed:
+        start = int(details.disturbed_at_s)
+        seconds = [f"{worth:.0f}" for worth in details.goodput_by_second]
+        shown = " ".join([*seconds[:start], "|", *seconds[start:]])
+        print(f"{row.scenario:18}{row.workload:9}{row.policy:12}{row.seed:4} {shown}")
