--- a/tests/lib/pools.py
+++ b/tests/lib/pools.py
@@ -19,11 +19,12 @@
 
 def pool(prefill: int = 1, decode: int = 1, slots: int = 2) -> EnginePool:
     """Return a pool; its links cost no time worth a mention."""
+    ports = count(1)
     names = [("p", "prefill", prefill), ("d", "decode", decode)]
     runners = tuple(
         Runner(
             name=f"{letter}{number}",
-            address=f"127.0.0.1:{number + 1}",
+            address=f"127.0.0.1:{next(ports)}",
             zone="hall-a",
             role=role,
             slots=slots,
