--- a/src/siskinlever/_internal/requests/home.py
+++ b/src/siskinlever/_internal/requests/home.py
@@ -19,6 +19,7 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..timeline.recorder import Recorder
+from ..utils.clock import Deadline, monotonic
 from ..utils.tasks import TaskSet
 from .aborts import AbortQueue
 from .attempts import AttemptState, AttemptTable, Decision, Entry, Registration
@@ -27,6 +28,9 @@
 from .messages import from_message, request_key, to_handles, to_message
 
 EXPIRE_PERIOD_S = 30.0
+CANCEL_PERIOD_S = 0.2
+# Hosts that were wrongly believed dead say so within this time of a rejoin.
+REJOIN_S = 1.0
 COUNTER_BITS = 16
 HAND_OVER_TRIES = 5
 HAND_OVER_PAUSE_S = 0.3
@@ -79,18 +83,27 @@
         self._tasks = tasks
         self._locks = KeyedLocks()
         self._pair_by_key: dict[str, Pair] = {}
+        self._departed_by_host: dict[HostName, Incarnation] = {}
+        self._majority_lost_at = float("-inf")
         members.subscribe(self._member_changed)
 
     async def run(self) -> None:
-        """Forget old requests until cancelled."""
+        """Forget old requests and cancel those of dead hosts until cancelled."""
+        expiry = Deadline(EXPIRE_PERIOD_S)
         while True:
-            await asyncio.sleep(EXPIRE_PERIOD_S)
-            self.table.expire()
-            kept = self.table.by_key
-            self._pair_by_key = {
-                key: pair for key, pair in self._pair_by_key.items() if key in kept
-            }
-            self._metrics.gauge("home_entries", len(kept))
+            await asyncio.sleep(CANCEL_PERIOD_S)
+            self._cancel_departed()
+            if expiry.passed:
+                expiry = Deadline(EXPIRE_PERIOD_S)
+                self._expire()
+
+    def _expire(self) -> None:
+        self.table.expire()
+        kept = self.table.by_key
+        self._pair_by_key = {
+            key: pair for key, pair in self._pair_by_key.items() if key in kept
+        }
+        self._metrics.gauge("home_entries", len(kept))
 
     async def register(
         self, request: peer_pb2.RegisterRequest
@@ -193,8 +206,9 @@
             return
         member = self._members.by_host.get(entry.host)
         dead = member is not None and member.state is MemberState.DEAD
-        if dead and member is not None and entry.incarnation <= member.incarnation:
-            self._cancel(key, entry)
+        if dead and member is not None:
+            self._departed_by_host[entry.host] = member.incarnation
+            self._cancel_departed()
 
     async def _learn(self, key: str) -> bool:
         """Ask the request's former home and backup, if they changed of late.
@@ -259,17 +273,39 @@
 
     def _member_changed(self, before: Member | None, after: Member) -> None:
         gone = departed_incarnation(before, after)
-        if gone is not None and self._members.has_majority:
-            for key, entry in self.table.of_host(after.host, gone):
-                self._cancel(key, entry)
+        if gone is not None:
+            self._departed_by_host[after.host] = gone
+            self._cancel_departed()
         restarted = before is not None and after.started > before.started
         if restarted or _keeps(before) != _keeps(after):
             self._hand_over(after.host)
 
-    def _cancel(self, key: str, entry: Entry) -> None:
-        """Release what an attempt of a host that is gone holds at engines."""
+    def _cancel_departed(self) -> None:
+        """Cancel the attempts of hosts that are gone.
+
+        A host that is cut off, or has just been paused, believes all others to
+        be gone; it waits until it knows better.
+        """
         if not self._members.has_majority:
+            self._majority_lost_at = monotonic()
+        if monotonic() - self._majority_lost_at < REJOIN_S:
             return
+        for host, gone in self._departed_by_host.items():
+            if not self._is_gone(host, gone):
+                continue
+            for key, entry in self.table.of_host(host, gone):
+                self._cancel(key, entry)
+        self._departed_by_host.clear()
+
+    def _is_gone(self, host: HostName, incarnation: Incarnation) -> bool:
+        """Tell whether a process is still believed to be gone."""
+        member = self._members.by_host.get(host)
+        if member is None or member.state is MemberState.DEAD:
+            return True
+        return member.started > incarnation
+
+    def _cancel(self, key: str, entry: Entry) -> None:
+        """Release what an attempt of a host that is gone holds at engines."""
         for handle in entry.handles:
             self._aborts.add(handle.address, handle.engine_request_id)
         self._recorder.record(
