--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -25,6 +25,7 @@
 SHORTEST_RETRY_S = 0.1
 LONGEST_RETRY_S = 30.0
 LEAST_SPARE = 0.05
+MOST_REFUSALS_KEPT = 1000
 RELEASES_KEPT_S = 10.0
 # Before any moment of the clock, so the slot counts as held until released.
 UNKNOWN_END = 0.0
@@ -46,7 +47,9 @@
         self.refused_by_id: dict[ReservationId, Refused] = {}
         self.prefill_by_runner: dict[str, PrefillLane] = {}
         self.decode_by_runner: dict[str, DecodeLane] = {}
-        # Runners that said that they leave, or that do not answer.
+        # Runners that said that they leave.
+        self.leaving: set[str] = set()
+        # Runners that do not answer.
         self.closed: set[str] = set()
         # An ask can arrive after its release, over another connection.
         self._released_at_by_id: dict[ReservationId, float] = {}
@@ -223,10 +226,9 @@
         lane: PrefillLane | DecodeLane,
         excluded: frozenset[str] = frozenset(),
     ) -> bool:
-        runner = lane.runner
-        return not (
-            runner.leaving or runner.name in self.closed or runner.name in excluded
-        )
+        name = lane.runner.name
+        unusable = self.leaving | self.closed | excluded
+        return not lane.runner.leaving and name not in unusable
 
     def _prefill_lanes(self, wish: Wish) -> list[PrefillLane]:
         lanes = self.prefill_by_runner.values()
@@ -312,3 +314,6 @@
         self.refused_by_id[wish.reservation_id] = Refused(
             reason, retry_after_s, message
         )
+        if len(self.refused_by_id) > MOST_REFUSALS_KEPT:
+            # Their hosts did not come for them.
+            del self.refused_by_id[next(iter(self.refused_by_id))]
