--- a/tests/functional/test_request_outcomes.py
+++ b/tests/functional/test_request_outcomes.py
@@ -21,6 +21,7 @@
 RELEASED_WITHIN_S = 5.0
 FAULTS = {
     "a cut stream": {"cut_stream_at": 7},
+    "an ended stream": {"end_stream_at": 7},
     "a silent stream": {"silence_at": 7},
     "doubled chunks": {"double_at": 7},
     "reordered chunks": {"swap_at": 7},
@@ -32,8 +33,14 @@
     "prefill": {},
     "transfer": {},
     "decode": {"tokens": 250, "model": "brief-review"},
+    "long decode": {"tokens": LONG},
+}
+FACT_BY_STAGE = {
+    "prefill": "prefill_started",
+    "transfer": "held",
+    "decode": "held",
+    "long decode": "held",
 }
-FACT_BY_STAGE = {"prefill": "prefill_started", "transfer": "held", "decode": "held"}
 names = (f"request-{number}" for number in itertools.count())
 
 
@@ -113,7 +120,7 @@
     def there():
         held = {fact for _, fact in bench.held(case.id)}
         pieces = bench.reply_by_id[case.id].text.count(" ")
-        return FACT_BY_STAGE[stage] in held and (stage != "decode" or pieces >= 10)
+        return FACT_BY_STAGE[stage] in held and ("decode" not in stage or pieces >= 10)
 
     bench.wait(there, 10.0, f"the request is in {stage}")
 
@@ -257,10 +264,10 @@
     bench.caller_leaves(case.id)
 
 
-@when("its caller leaves and cancels' answers are lost")
+@when("its caller leaves and cancels are lost")
 def _(bench, case):
     for role in ("prefill", "decode"):
-        bench.faults(role, lose_abort_answers=2)
+        bench.faults(role, lose_aborts=2)
     bench.caller_leaves(case.id)
 
 
