Let requests wait for a new admission home; make sure of "not run"

Cause: while a new admission home waits for announcements it presumed all slots held and had no moment at which they are free, so it refused every request, with 30 s to come back, on an idle pool. Presumed slots are now free at the end of the wait. A caller that asks twice could be told "not run" by the one host while the other ran it; before a refusal of an id that the caller named, a keeper of the request now confirms that no later attempt replaced this one. Ruled out: slow estimates after a frozen runner (retry was 30 s, the value for no slot at all).

--- a/src/siskinlever/_internal/requests/execution.py
+++ b/src/siskinlever/_internal/requests/execution.py
@@ -12,7 +12,7 @@
 from ..metrics.registry import Metrics
 from ..models.events import EventKind
 from ..models.ids import Attempt, ReservationId
-from ..models.outcome import Answered, Ending, Failed, Reason
+from ..models.outcome import Answered, Ending, Failed, Reason, Refused
 from ..models.work import ModelRequest, PlacementRequest
 from ..routing.placement import AdoptingPlacement, Placement, Reservation
 from ..timeline.recorder import Recorder
@@ -74,6 +74,23 @@
         )
         return self._ended(request, await self._run(running, sink), began)
 
+    async def _certain(self, running: Running, ending: Ending) -> Ending:
+        """Make sure that "not run" is still true of an id that its caller named.
+
+        The caller may have asked at another host meanwhile, and this host may
+        have been frozen since it was refused.
+        """
+        if not isinstance(ending, Refused) or running.request.generated_id:
+            return ending
+        standing = await self._registrar.confirm(
+            running.request, running.registered, running.handles
+        )
+        if standing is Standing.CURRENT:
+            return ending
+        if standing is Standing.REPLACED:
+            return taken_over()
+        return Failed(ending.reason, ending.message, ending.retry_after_s)
+
     def stop(self, workspace: str, request_id: str, newer: Attempt) -> bool:
         """Stop an attempt that a newer one has replaced."""
         running = self.running_by_key.get(f"{workspace}/{request_id}")
@@ -85,7 +102,8 @@
     async def _run(self, running: Running, sink: Sink) -> Ending:
         try:
             with self._attempt(running):
-                return await self._serve(running, sink)
+                ending = await self._serve(running, sink)
+                return await self._certain(running, ending)
         except AttemptEndedError as error:
             return error.ending
         except asyncio.CancelledError:
--- a/src/siskinlever/_internal/routing/decode_lane.py
+++ b/src/siskinlever/_internal/routing/decode_lane.py
@@ -21,6 +21,7 @@
         self.end_by_reservation: dict[ReservationId, float] = {}
         # Slots presumed held under an earlier home that did not tell yet.
         self.unannounced = 0
+        self.unannounced_until = 0.0
 
     @property
     def free_slots(self) -> int:
@@ -40,7 +41,9 @@
 
     def slot_times(self, now: float) -> list[float]:
         """Return when each slot is free, by prediction; free ones now."""
-        ends = sorted(max(end, now) for end in self.end_by_reservation.values())
+        ends = [max(end, now) for end in self.end_by_reservation.values()]
+        ends += [max(self.unannounced_until, now)] * self.unannounced
+        ends.sort()
         free = self.free_slots
         if free >= 0:
             return [now] * free + ends
--- a/src/siskinlever/_internal/routing/handover.py
+++ b/src/siskinlever/_internal/routing/handover.py
@@ -57,3 +57,4 @@
         part = len(self._missing) / self._hosts
         for lane in self._book.decode_by_runner.values():
             lane.unannounced = math.ceil(lane.runner.slots * part)
+            lane.unannounced_until = self._until
--- a/src/siskinlever_testbed/client.py
+++ b/src/siskinlever_testbed/client.py
@@ -23,6 +23,8 @@
         broke.
     token_times : list of float
         Seconds since sending, one for each piece.
+    ended_at : float
+        Seconds of the wall clock, to compare with a stand-in's record.
     """
 
     status: int = 0
@@ -37,6 +39,7 @@
     last_event_id: int = -1
     token_times: list[float] = field(default_factory=list)
     elapsed_s: float = 0.0
+    ended_at: float = 0.0
 
 
 class Caller:
@@ -89,6 +92,7 @@
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             pass
         reply.elapsed_s = time.monotonic() - began
+        reply.ended_at = time.time()
         return reply
 
     async def call_service(
@@ -108,6 +112,7 @@
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             pass
         reply.elapsed_s = time.monotonic() - began
+        reply.ended_at = time.time()
         return reply
 
     def _headers(
--- a/tests/unit/test_pool_book.py
+++ b/tests/unit/test_pool_book.py
@@ -158,6 +158,17 @@
     assert lane.free_slots == 20
 
 
+def test_new_home_lets_requests_wait_for_the_announcements():
+    book = PoolBook(pool(slots=2))
+    Handover(book).begin(["host-1"], 10.0)
+    early = wish(LOOKUP, due=10.7)
+    book.ask(early, 10.0)
+    assert early.reservation_id in book.waiting_by_id
+    hasty = wish(LOOKUP, due=10.3)
+    book.ask(hasty, 10.0)
+    assert hasty.reservation_id in book.refused_by_id
+
+
 def test_local_shares_stay_within_the_slots():
     share = share_of(pool(slots=20), hosts=8)
     assert {runner.slots for runner in share.runners} == {2}
