Leave no draft held by a host that does not work on it

Cause: two ways left a draft under a lease that stays open while the host has other drafts: more drafts accepted at once than there was room for when they were to start, and a lost answer to taking a draft, or a failed read of its body after that. Found by reading the code for what happens between each call. Now accepted drafts start, the body is read before the draft is taken, and a host's scan also finds drafts under its own lease that it does not work on. Ruled out: closing the lease in doubt, which would stop the host's other drafts.

--- a/src/siskinlever/_internal/platform/leases.py
+++ b/src/siskinlever/_internal/platform/leases.py
@@ -93,6 +93,11 @@
         self._lease = ""
         self._opening = asyncio.Lock()
 
+    @property
+    def held(self) -> str:
+        """The lease that is open, or ""."""
+        return self._lease
+
     async def current(self) -> str:
         """Return the lease to hold records by; raises `PlatformError`."""
         async with self._opening:
--- a/src/siskinlever/_internal/requests/draft_recovery.py
+++ b/src/siskinlever/_internal/requests/draft_recovery.py
@@ -74,7 +74,7 @@
     async def _resume(self, shard: str) -> None:
         if not self._drafts.has_room:
             return
-        for digest in await self._store.without_worker(shard):
+        for digest in await self._drafts.without_worker(shard):
             if not self._drafts.has_room:
                 return
             await self._drafts.resume(digest)
--- a/src/siskinlever/_internal/requests/draft_store.py
+++ b/src/siskinlever/_internal/requests/draft_store.py
@@ -168,11 +168,13 @@
         record = await self._key_value.get(self._held_key(digest))
         return bool(record.session) if record else None
 
-    async def without_worker(self, shard: str) -> list[str]:
-        """List the drafts of a shard that no worker holds."""
+    async def without_worker(self, shard: str, own_lease: str = "") -> list[str]:
+        """List the drafts of a shard that no other worker holds."""
         prefix = f"{self._prefix}/held/"
         records = await self._key_value.list_prefix(prefix + shard)
-        return [r.key.removeprefix(prefix) for r in records if not r.session]
+        return [
+            r.key.removeprefix(prefix) for r in records if r.session in ("", own_lease)
+        ]
 
     async def take(self, digest: str, lease: str) -> bool:
         """Hold a draft; False if another worker does."""
--- a/src/siskinlever/_internal/requests/drafts.py
+++ b/src/siskinlever/_internal/requests/drafts.py
@@ -151,18 +151,28 @@
         # It may have ended between the two calls.
         return held if held is not None else await self._store.read_result(digest)
 
+    async def without_worker(self, shard: str) -> list[str]:
+        """List the drafts of a shard that nobody works on.
+
+        Those that this host holds count too: the answer to its taking of a
+        draft may have been lost.
+        """
+        digests = await self._store.without_worker(shard, self.lease.held)
+        return [
+            digest
+            for digest in digests
+            if digest not in self._running_by_digest and digest not in self._finishing
+        ]
+
     async def resume(self, digest: str) -> None:
-        """Take over a draft that no worker holds; raises `PlatformError`."""
-        if digest in self._running_by_digest or digest in self._finishing:
-            return
-        if not await self._store.take(digest, await self.lease.current()):
-            return
+        """Take over a draft that nobody works on; raises `PlatformError`."""
         body = await self._store.read_body(digest)
         if body is None:
             await self._store.drop(digest)
             return
-        self._metrics.count("drafts_resumed")
-        self._start(body)
+        if await self._store.take(digest, await self.lease.current()):
+            self._metrics.count("drafts_resumed")
+            self._start(body)
 
     async def hand_back(self) -> None:
         """Stop all work on drafts and free them for other hosts."""
@@ -225,7 +235,7 @@
 
     def _start(self, body: DraftBody) -> None:
         digest = body.digest
-        if not self.has_room or digest in self._running_by_digest:
+        if self._stopping or digest in self._running_by_digest:
             return
         task = self._tasks.start(self._run(body), f"draft-{digest[:8]}")
         self._running_by_digest[digest] = task
--- a/tests/unit/test_draft_store.py
+++ b/tests/unit/test_draft_store.py
@@ -71,6 +71,7 @@
     leases = [await key_value.open_lease(name, 15, False) for name in ("a", "b")]
     assert await first.store(body(), leases[0]) is Stored.STORED
     assert await second.without_worker(digest[0]) == []
+    assert await first.without_worker(digest[0], leases[0]) == [digest]
     assert not await second.take(digest, leases[1])
     await key_value.close_lease(leases[0])
     assert await second.without_worker(digest[0]) == [digest]
