--- a/tests/functional/test_tls.py
+++ b/tests/functional/test_tls.py
@@ -15,7 +15,7 @@
 from siskinlever._internal.network.tls import client_context, peer_client_context
 from siskinlever._internal.peers import peer_pb2
 from siskinlever._internal.peers.link import PeerLink
-from siskinlever_testbed.fleet import PEER_KEY, running_fleet
+from siskinlever_testbed.fleet import OPERATOR_KEY, PEER_KEY, caller_key, running_fleet
 from siskinlever_testbed.plans import ATELIER_ZONES, FleetPlan
 
 
@@ -57,6 +57,24 @@
                 assert not allowed
             finally:
                 link.close()
+        place = fleet.place_by_host["host-2"]
+        trust = {"ssl": client_context(authority.path)}
+        fleet.process_by_name["host-2"].leave()
+        asked = {
+            "json": {"model": "none", "prompt": "Which stock?"},
+            "headers": {"Authorization": f"Bearer {caller_key('atelier')}"},
+        }
+        forwarded = "siskinlever_requests_forwarded_total 1"
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        async with asyncio.timeout(5):
+            text = ""
+            while forwarded not in text:
+                url = f"https://{place.callers}/v1/completions"
+                async with fleet.session.post(url, **asked, **trust) as got:
+                    assert got.status == 404  # No such model.
+                url = f"https://{place.operators}/metrics"
+                async with fleet.session.get(url, headers=headers, **trust) as got:
+                    text = await got.text()
 
 
 async def test_check_names_what_is_wrong_with_tls_files(tmp_path):
