--- a/src/siskinlever/_internal/configuration/store.py
+++ b/src/siskinlever/_internal/configuration/store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import TypeVar
@@ -150,11 +151,13 @@
             stamp=(stamp.wall_ms, stamp.counter) if stamp else (0, 0),
         )
         try:
-            await self._write_root(root, applied, record)
+            accepted = await self._write_root(root, applied, record)
         except ConflictError:
             await self._delete_parts(set(parts) - set(unchanged))
             raise
-        return Generation(applied.generation)
+        if accepted.parts != parts:
+            await self._delete_parts(set(parts) - {*unchanged, *accepted.parts})
+        return Generation(accepted.generation)
 
     async def restore(self, record: Record | None, newest: Configuration) -> bool:
         """Put the newest configuration back into a store that holds an older one.
@@ -179,7 +182,8 @@
 
     async def _write_root(
         self, root: Root | None, applied: Applied, record: Record | None
-    ) -> None:
+    ) -> Applied:
+        """Return the apply as it was accepted."""
         new = next_root(root, applied)
         version = record.version if record else MUST_NOT_EXIST
         try:
@@ -187,13 +191,18 @@
                 self.root_key, new.model_dump_json().encode(), version
             )
         except (StoreConflictError, StoreOutcomeUnknownError) as error:
-            await self._check_own_write(applied, version, error)
+            applied = await self._check_own_write(applied, version, error)
         await self._delete_parts(dropped_parts(root, new))
+        return applied
 
     async def _check_own_write(
         self, applied: Applied, version: int, cause: PlatformError
-    ) -> None:
-        """Read back whose write took effect; the answer to ours was lost."""
+    ) -> Applied:
+        """Read back whose write took effect; the answer to ours was lost.
+
+        Another call with the same apply's id may have been accepted, as a
+        later generation than the one that this call tried.
+        """
         for _ in range(READ_BACK_TRIES):
             try:
                 record = await self._key_value.get(self.root_key)
@@ -201,8 +210,9 @@
             except StoreUnavailableError:
                 await asyncio.sleep(READ_BACK_PAUSE_S)
                 continue
-            if root is not None and root.find(ApplyId(applied.apply_id)) is not None:
-                return
+            found = root.find(ApplyId(applied.apply_id)) if root else None
+            if found is not None:
+                return found
             if record is not None and record.version != version:
                 assert root is not None
                 raise ConflictError(
@@ -225,10 +235,12 @@
         None of these can be deleted before the root's version changes, and then
         the write of the root fails.
         """
+        # A call deletes its own parts only: another of the same apply may win.
+        call = f"{apply_id}-{uuid.uuid4().hex[:8]}"
         name_by_digest = {digest_of(name): name for name in unchanged}
         parts = split(content)
         names = [
-            name_by_digest.get(short_digest(part)) or part_name(apply_id, part)
+            name_by_digest.get(short_digest(part)) or part_name(call, part)
             for part in parts
         ]
         new = {n: p for n, p in zip(names, parts, strict=True) if n not in unchanged}
@@ -245,7 +257,7 @@
                 f"{self._part_prefix}/{name}", part, MUST_NOT_EXIST
             )
         except StoreConflictError:
-            return  # An earlier try of the same apply wrote it.
+            return  # The HTTP client sent the write twice.
         except StoreOutcomeUnknownError:
             await self._check_part(name)
 
--- a/src/siskinlever_testbed/bench/accounting.py
+++ b/src/siskinlever_testbed/bench/accounting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any
@@ -59,12 +60,18 @@
     goodput_by_kind : dict
     generator_lag_s : float
         The worst delay of the load generator's own event loop.
+    load_average : float
+        Of the machine, at the end of the run.
+    disturbed_at_s : float
+        When a scenario's disturbance begins.
     """
 
     goodput_by_second: list[float]
     failed: int
     goodput_by_kind: dict[str, float]
     generator_lag_s: float
+    load_average: float
+    disturbed_at_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,8 +223,9 @@
     )
 
 
-def make_details(results: list[Result], duration_s: float, lag_s: float) -> Details:
+def make_details(results: list[Result], window: Window, lag_s: float) -> Details:
     """Return what the table does not show."""
+    duration_s = window.end_s
     by_second = [0.0] * (int(duration_s) + 1)
     by_kind: Counter[str] = Counter()
     for result in results:
@@ -226,4 +234,12 @@
         by_second[int(result.ended_s)] += result.arrival.kind.worth
         by_kind[result.arrival.kind.name] += result.arrival.kind.worth  # type: ignore[assignment]
     failed = sum(r.reply.outcome == "may_have_run" for r in results)
-    return Details(by_second, failed, dict(by_kind), round(lag_s, 4))
+    load_average = os.getloadavg()[0]
+    return Details(
+        goodput_by_second=by_second,
+        failed=failed,
+        goodput_by_kind=dict(by_kind),
+        generator_lag_s=round(lag_s, 4),
+        load_average=load_average,
+        disturbed_at_s=window.start_s,
+    )
