--- a/src/siskinlever/_internal/requests/deliveries.py
+++ b/src/siskinlever/_internal/requests/deliveries.py
@@ -16,7 +16,7 @@
 from ..models.declaration import Service, ServiceRunner
 from ..models.events import EventKind
 from ..models.ids import RequestId, WorkspaceName
-from ..models.outcome import Failed, Reason, Refused
+from ..models.outcome import Failed, Reason, Refused, uncertain
 from ..routing.retry_budget import RetryBudget
 from ..services.client import ServiceAnswer, ServiceCall, ServiceClient
 from ..timeline.recorder import Recorder
@@ -148,6 +148,9 @@
         if result.is_ok() and standing is not Standing.CURRENT:
             message = "another attempt replaced this one"
             return Error(Failed(Reason.TAKEN_OVER, message))
+        if result.is_error() and registered.ran:
+            # An earlier attempt with this id may have run.
+            return Error(uncertain(result.error))
         return result
 
     async def _run_idempotent(self, request: ServiceRequest) -> ServiceResult:
--- /dev/null
+++ b/src/siskinlever/_internal/requests/handover.py
@@ -0,0 +1,108 @@
+"""Gives entries to the hosts that a change of members made their keepers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+
+from ..exceptions import PeerError
+from ..membership.members import Member, MemberState, MemberTable
+from ..metrics.registry import Metrics
+from ..models.ids import HostName
+from ..peers import peer_pb2
+from ..peers.link import Peers
+from ..utils.tasks import TaskSet
+from .attempts import AttemptTable
+from .homes import Homes, Pair
+from .messages import to_message
+
+HAND_OVER_TRIES = 5
+HAND_OVER_PAUSE_S = 0.3
+ENTRIES_PER_MESSAGE = 500
+
+
+class HandOver:
+    """Follows who keeps the entries of a table.
+
+    Parameters
+    ----------
+    table : AttemptTable
+    homes : Homes
+    members : MemberTable
+    peers : Peers
+    metrics : Metrics
+    tasks : TaskSet
+    """
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        homes: Homes,
+        members: MemberTable,
+        peers: Peers,
+        metrics: Metrics,
+        tasks: TaskSet,
+    ) -> None:
+        self._table = table
+        self._homes = homes
+        self._members = members
+        self._peers = peers
+        self._metrics = metrics
+        self._tasks = tasks
+        self._pair_by_key: dict[str, Pair] = {}
+        members.subscribe(self._member_changed)
+
+    def keep(self, key: str) -> None:
+        """Note who keeps a request now."""
+        self._pair_by_key.setdefault(key, self._homes.of(key))
+
+    def expire(self) -> None:
+        """Forget requests that the table has forgotten."""
+        kept = self._table.by_key
+        self._pair_by_key = {
+            key: pair for key, pair in self._pair_by_key.items() if key in kept
+        }
+
+    def _member_changed(self, before: Member | None, after: Member) -> None:
+        restarted = before is not None and after.started > before.started
+        if restarted or _keeps(before) != _keeps(after):
+            self._send_moved(after.host)
+
+    def _send_moved(self, changed: HostName) -> None:
+        """Give entries to the hosts that a change made their home or backup."""
+        own = self._members.own_host
+        messages: dict[HostName, list[peer_pb2.Entry]] = defaultdict(list)
+        for key, old in list(self._pair_by_key.items()):
+            new = self._homes.moved(key, old, changed)
+            entry = self._table.by_key.get(key)
+            if entry is None or (new == old and changed not in new):
+                continue
+            self._pair_by_key[key] = new
+            for host in new:
+                if host is not None and host != own:
+                    messages[host].append(to_message(key, entry))
+        for host, entries in messages.items():
+            self._tasks.start(self._send_entries(host, entries), "hand-over")
+
+    async def _send_entries(
+        self, host: HostName, entries: list[peer_pb2.Entry]
+    ) -> None:
+        for first in range(0, len(entries), ENTRIES_PER_MESSAGE):
+            message = peer_pb2.HandOverRequest(
+                host=self._members.own_host,
+                entries=entries[first : first + ENTRIES_PER_MESSAGE],
+            )
+            for _ in range(HAND_OVER_TRIES):
+                try:
+                    await self._peers.call(host, "HandOver", message)
+                    self._metrics.count("entries_handed_over", len(message.entries))
+                    break
+                except PeerError:
+                    await asyncio.sleep(HAND_OVER_PAUSE_S)
+
+
+def _keeps(member: Member | None) -> bool:
+    """Tell whether a host may be the home of requests."""
+    if member is None or member.leaving:
+        return False
+    return member.state is not MemberState.DEAD
--- a/src/siskinlever/_internal/requests/home.py
+++ b/src/siskinlever/_internal/requests/home.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
 from dataclasses import replace
 
 from ..exceptions import PeerError
@@ -23,7 +22,8 @@
 from ..utils.tasks import TaskSet
 from .aborts import AbortQueue
 from .attempts import AttemptState, AttemptTable, Decision, Entry, Registration
-from .homes import Homes, Pair
+from .handover import HandOver
+from .homes import Homes
 from .locks import KeyedLocks
 from .messages import from_message, request_key, to_handles, to_message
 
@@ -32,9 +32,6 @@
 # Hosts that were wrongly believed dead say so within this time of a rejoin.
 REJOIN_S = 1.0
 COUNTER_BITS = 16
-HAND_OVER_TRIES = 5
-HAND_OVER_PAUSE_S = 0.3
-ENTRIES_PER_MESSAGE = 500
 # Two tries at a keeper end before the caller of this home loses patience.
 KEEPER_TIMEOUT_S = 0.2
 
@@ -82,7 +79,9 @@
         self._metrics = metrics
         self._tasks = tasks
         self._locks = KeyedLocks()
-        self._pair_by_key: dict[str, Pair] = {}
+        self._hand_over = HandOver(
+            self.table, self.homes, members, peers, metrics, tasks
+        )
         self._departed_by_host: dict[HostName, Incarnation] = {}
         self._majority_lost_at = float("-inf")
         members.subscribe(self._member_changed)
@@ -99,11 +98,8 @@
 
     def _expire(self) -> None:
         self.table.expire()
-        kept = self.table.by_key
-        self._pair_by_key = {
-            key: pair for key, pair in self._pair_by_key.items() if key in kept
-        }
-        self._metrics.gauge("home_entries", len(kept))
+        self._hand_over.expire()
+        self._metrics.gauge("home_entries", len(self.table.by_key))
 
     async def register(
         self, request: peer_pb2.RegisterRequest
@@ -200,7 +196,7 @@
 
     def _kept(self, key: str) -> None:
         """Note who else keeps a request, and cancel it if its host is gone."""
-        self._pair_by_key.setdefault(key, self.homes.of(key))
+        self._hand_over.keep(key)
         entry = self.table.by_key[key]
         if entry.state is not AttemptState.RUNNING:
             return
@@ -247,7 +243,7 @@
         self, key: str, registration: Registration
     ) -> None:
         """Tell the backup, and the former keepers too, of a new attempt."""
-        self._pair_by_key[key] = self.homes.of(key)
+        self._hand_over.keep(key)
         if registration.decision not in (Decision.START, Decision.TAKE_OVER):
             return
         copy = replace(registration.entry)
@@ -276,9 +272,6 @@
         if gone is not None:
             self._departed_by_host[after.host] = gone
             self._cancel_departed()
-        restarted = before is not None and after.started > before.started
-        if restarted or _keeps(before) != _keeps(after):
-            self._hand_over(after.host)
 
     def _cancel_departed(self) -> None:
         """Cancel the attempts of hosts that are gone.
@@ -313,45 +306,6 @@
         )
         self.table.abandon(key, entry.nonce, ran=True)
 
-    def _hand_over(self, changed: HostName) -> None:
-        """Give entries to the hosts that a change made their home or backup."""
-        own = self._members.own_host
-        messages: dict[HostName, list[peer_pb2.Entry]] = defaultdict(list)
-        for key, old in list(self._pair_by_key.items()):
-            new = self.homes.moved(key, old, changed)
-            entry = self.table.by_key.get(key)
-            if entry is None or (new == old and changed not in new):
-                continue
-            self._pair_by_key[key] = new
-            for host in new:
-                if host is not None and host != own:
-                    messages[host].append(to_message(key, entry))
-        for host, entries in messages.items():
-            self._tasks.start(self._send_entries(host, entries), "hand-over")
-
-    async def _send_entries(
-        self, host: HostName, entries: list[peer_pb2.Entry]
-    ) -> None:
-        for first in range(0, len(entries), ENTRIES_PER_MESSAGE):
-            message = peer_pb2.HandOverRequest(
-                host=self._members.own_host,
-                entries=entries[first : first + ENTRIES_PER_MESSAGE],
-            )
-            for _ in range(HAND_OVER_TRIES):
-                try:
-                    await self._peers.call(host, "HandOver", message)
-                    self._metrics.count("entries_handed_over", len(message.entries))
-                    break
-                except PeerError:
-                    await asyncio.sleep(HAND_OVER_PAUSE_S)
-
-
-def _keeps(member: Member | None) -> bool:
-    """Tell whether a host may be the home of requests."""
-    if member is None or member.leaving:
-        return False
-    return member.state is not MemberState.DEAD
-
 
 def _register_reply(registration: Registration, stamp: Stamp) -> peer_pb2.RegisterReply:
     entry = registration.entry
--- a/src/siskinlever/_internal/requests/running.py
+++ b/src/siskinlever/_internal/requests/running.py
@@ -9,7 +9,7 @@
 
 from ..engines.base import Chunk
 from ..exceptions import SiskinleverError
-from ..models.outcome import Failed, Reason, Refused
+from ..models.outcome import Failed, Reason, Refused, uncertain
 from ..models.work import ModelRequest
 from ..routing.placement import MovableReservation, Reservation
 from .attempts import EngineHandle
@@ -97,9 +97,7 @@
 
     def refusal(self, refused: Refused | Failed) -> Refused | Failed:
         """Return a refusal, which is no certain "not run" if an engine may have run."""
-        if not self.started:
-            return refused
-        return Failed(refused.reason, refused.message, refused.retry_after_s)
+        return uncertain(refused) if self.started else refused
 
 
 def taken_over() -> Failed:
--- /dev/null
+++ b/tests/unit/test_repeated_calls.py
@@ -0,0 +1,48 @@
+"""A repeated call to a plain service is not said to be not run if one ran."""
+
+from __future__ import annotations
+
+import pytest
+from expression import Ok
+
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.models.declaration import Service, ServiceRunner
+from siskinlever._internal.models.outcome import Outcome
+from siskinlever._internal.requests.deliveries import Deliveries, ServiceRequest
+from siskinlever._internal.requests.registration import Registered
+from siskinlever._internal.services.client import ServiceCall
+from siskinlever._internal.timeline.recorder import Recorder
+from siskinlever._internal.utils.clock import HybridClock
+from siskinlever._internal.utils.tasks import task_set
+
+
+class StubRegistrar:
+    """A home that tells whether an earlier attempt may have run."""
+
+    def __init__(self, ran):
+        self.ran = ran
+
+    async def register(self, request):
+        return Ok(Registered(1, "nonce", self.ran, None, ()))
+
+    async def abandon(self, request, registered, ran):
+        return False
+
+
+@pytest.mark.parametrize(
+    ("ran", "outcome"), [(True, Outcome.MAY_HAVE_RUN), (False, Outcome.NOT_RUN)]
+)
+async def test_refusal_after_an_earlier_attempt(ran, outcome):
+    runner = ServiceRunner(
+        name="stock-1", address="127.0.0.1:9", zone="hall-a", leaving=True
+    )
+    service = Service(name="stock", runners=(runner,), idempotent=True)
+    call = ServiceCall("POST", "", {}, b"{}", "lookup-1")
+    request = ServiceRequest("brosur", "lookup-1", service, call, named=True)
+    recorder = Recorder("host-1", HybridClock())
+    async with task_set() as tasks:
+        deliveries = Deliveries(
+            None, None, StubRegistrar(ran), recorder, Metrics(), tasks, set()
+        )
+        result = await deliveries.run(request)
+    assert result.error.outcome is outcome
