--- a/src/siskinlever_testbed/bench/command.py
+++ b/src/siskinlever_testbed/bench/command.py
@@ -38,7 +38,7 @@
 from .workloads import WORKLOAD_BY_NAME
 
 QUICK_SEEDS = (1,)
-QUICK_WINDOW = Window(4.0, 12.0)
+QUICK_WINDOW = Window(5.0, 13.0)
 
 ROWS = "bench.json"
 DETAILS = "bench-details.json"
