Keep an attempt's handles when the home's copy comes late

Cause: the home copies a registration to its backup in the background; the copy, which has no handles, could come after the serving host's own word and drop them.

Not explained by this: 503 overloaded with 30 s at once in an idle fleet.

--- a/src/siskinlever/_internal/requests/attempts.py
+++ b/src/siskinlever/_internal/requests/attempts.py
@@ -152,6 +152,9 @@
         if known is not None and known.nonce == news.nonce:
             if known.state is not AttemptState.ANSWERED:
                 news.ran |= known.ran
+                if news.state is AttemptState.RUNNING and not news.handles:
+                    # The home's copy may come after the server's own word.
+                    news.handles = known.handles
                 self.by_key[key] = news
             return True
         return self.merge(key, news)
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -63,6 +63,13 @@
     assert answered.decision is Decision.ALREADY_ANSWERED
 
 
+def test_a_late_copy_of_the_home_does_not_drop_handles():
+    table = AttemptTable()
+    table.hold(KEY, entry("a", handles=(HANDLE,)))
+    table.hold(KEY, entry("a"))
+    assert table.by_key[KEY].handles == (HANDLE,)
+
+
 OPERATIONS = st.lists(
     st.tuples(
         st.sampled_from(["register", "complete", "abandon", "lose_home", "late_hold"]),
