Let an idle admission home rest; run test files on four workers

It now ticks at 10 ms only while requests or announcements are awaited, and otherwise 4 times a second.

--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,10 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 
+# Tests of one file stay on one worker: many of them share a fleet.
+WORKERS ?= 4
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
 
 # Fuzzes for longer; SEED makes a run repeatable, each run prints its own.
 SEED ?= $(shell date +%s)
--- a/src/siskinlever/_internal/routing/handover.py
+++ b/src/siskinlever/_internal/routing/handover.py
@@ -29,6 +29,11 @@
         self._hosts = 1
         self._until = 0.0
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether hosts are still waited for."""
+        return bool(self._missing)
+
     def begin(self, hosts: list[HostName], now: float) -> None:
         """Become home among some live hosts."""
         self._hosts = max(len(hosts), 1)
--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 
 from ..configuration.current import Configuration, CurrentConfiguration
@@ -37,6 +37,7 @@
 from .runner_watch import RunnerWatch
 
 TICK_S = 0.01
+IDLE_TICK_S = 0.25
 MAX_WAIT_S = 1.0
 
 
@@ -60,6 +61,11 @@
         book = PoolBook(pool)
         return cls(book, Handover(book))
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the next tick may decide something."""
+        return bool(self.book.waiting_by_id) or self.handover.is_pending
+
 
 class AdmissionHome:
     """Grants slots of pools."""
@@ -85,6 +91,7 @@
         self._leaving_runners: frozenset[str] = frozenset()
         self._state_by_pool: dict[PoolName, HomePool] = {}
         self._decided_by_id: dict[ReservationId, asyncio.Event] = {}
+        self._asked = asyncio.Event()
         current.subscribe(self._configure)
         members.subscribe(self._member_changed)
 
@@ -109,7 +116,17 @@
                 if state.book.waiting_by_id:
                     state.book.decide(now)
             self._wake()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the next tick; while nothing waits, for the next request."""
+        if any(state.is_waiting for state in self._state_by_pool.values()):
             await asyncio.sleep(TICK_S)
+            return
+        self._asked.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._asked.wait()
 
     async def reserve(self, request: peer_pb2.ReserveRequest) -> peer_pb2.ReserveReply:
         """Grant or refuse a reservation, or answer that it still waits."""
@@ -159,6 +176,7 @@
         now = monotonic()
         wish = wish_of(request, model, now)
         state.book.ask(wish, now)
+        self._asked.set()
         self._wake()
         wait_s = min(request.wait_ms / MS_PER_S, MAX_WAIT_S)
         await self._decided(state.book, wish.reservation_id, wait_s)
