Ask keepers that joined of late what they know of a request

Cause: a new home asked the pair of before all changes of the last 10 s, which leaves out hosts that joined in that time. Ruled out: the handles dropped by a late copy (mended before, still failed), a cancel by the orphan check (the owner is alive). Before: the unit test finds host-5, the backup, missing among those asked; after: 9 passed.

--- a/src/siskinlever/_internal/requests/home.py
+++ b/src/siskinlever/_internal/requests/home.py
@@ -207,7 +207,7 @@
             self._cancel_departed()
 
     async def _learn(self, key: str) -> bool:
-        """Ask the request's former home and backup, if they changed of late.
+        """Ask the request's former homes and backups, if they changed of late.
 
         Returns
         -------
@@ -216,12 +216,12 @@
         """
         own = self._members.own_host
         former = self.homes.former(key)
-        if former.home == own:
+        if all(pair.home == own for pair in former):
             return True
-        alive = {m.host for m in self._members.alive()}
-        asked = [h for h in former if h is not None and h != own and h in alive]
+        keepers = {host for pair in former for host in pair if host is not None}
+        asked = keepers & {m.host for m in self._members.alive()} - {own}
         if not asked:
-            return own in former or self.homes.settled
+            return own in keepers or self.homes.settled
         replies = await asyncio.gather(*(self._fetch(host, key) for host in asked))
         return all(replies)
 
--- a/src/siskinlever/_internal/requests/homes.py
+++ b/src/siskinlever/_internal/requests/homes.py
@@ -51,16 +51,19 @@
         """Tell whether this host is the home of a request."""
         return self.of(key).home == self._members.own_host
 
-    def former(self, key: str) -> Pair:
-        """Return the home and the backup before the changes of late."""
+    def former(self, key: str) -> tuple[Pair, ...]:
+        """Return who may have kept a request before the changes of late.
+
+        A host that joined and became a keeper before another one left is found
+        only with the hosts that joined, an older keeper only without them.
+        """
         self._expire()
-        if not self._joined_at and not self._left_at:
-            return self.of(key)
-        zones = {
-            h: z for h, z in self._zone_by_host.items() if h not in self._joined_at
+        left = {host: zone for host, (zone, _) in self._left_at.items()}
+        with_joined = self._zone_by_host | left
+        without_joined = {
+            h: z for h, z in with_joined.items() if h not in self._joined_at
         }
-        zones |= {host: zone for host, (zone, _) in self._left_at.items()}
-        return _pair(key, zones)
+        return (_pair(key, without_joined), _pair(key, with_joined))
 
     def moved(self, key: str, pair: Pair, changed: HostName) -> Pair:
         """Return a request's pair after a change of one host.
--- /dev/null
+++ b/tests/unit/test_homes.py
@@ -0,0 +1,29 @@
+"""Which hosts are asked about a request after changes of members."""
+
+from __future__ import annotations
+
+from siskinlever._internal.membership.members import Member, MemberState, MemberTable
+from siskinlever._internal.requests import homes
+from siskinlever._internal.requests.homes import Homes
+
+HOSTS = {f"host-{n}": f"hall-{'abc'[n % 3]}" for n in range(6)}
+
+
+def member(name, incarnation=1, state=MemberState.ALIVE):
+    return Member(name, HOSTS[name], incarnation, state, "", "")
+
+
+def test_a_keeper_that_joined_of_late_is_asked(monkeypatch):
+    monkeypatch.setattr(homes, "INTRODUCTION_S", -1.0)
+    table = MemberTable(member("host-0"))
+    found = Homes(table)
+    for name in sorted(HOSTS)[1:-1]:
+        table.merge(member(name))
+    found._joined_at.clear()
+    table.merge(member("host-5"))
+    keys = [f"atelier/{number}" for number in range(200)]
+    pair_by_key = {key: found.of(key) for key in keys}
+    table.merge(member("host-1", state=MemberState.DEAD))
+    for key, pair in pair_by_key.items():
+        if "host-1" in pair:
+            assert set(pair) <= {host for old in found.former(key) for host in old}
