--- a/src/siskinlever_testbed/bench/limit.py
+++ b/src/siskinlever_testbed/bench/limit.py
@@ -11,7 +11,7 @@
 from itertools import product
 
 from ..plans import EnginePlan
-from ..standins.engine import PREFIX_BLOCK_TOKENS
+from ..standins.engine_parts import PREFIX_BLOCK_TOKENS
 from .workloads import RequestKind, Workload
 
 TOLERANCE = 1e-9
--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -26,117 +26,28 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
-import json
 import time
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
-from hashlib import blake2b
+from collections import deque
 from typing import Any
 
 import aiohttp
 from aiohttp import web
 
 from .answers import answer_tokens, prompt_tokens
+from .engine_parts import (
+    Exported,
+    Generation,
+    PrefixCache,
+    PriorityGate,
+    event_bytes,
+)
 from .faults import Faults
 from .record import Record
 
-PREFIX_BLOCK_TOKENS = 64
 TICK_S = 0.005
 SILENCE_S = 3600.0
 
 
-@dataclass(slots=True)
-class Exported:
-    """A KV cache waiting to be pulled."""
-
-    prompt: str
-    tokens: int
-    expires_at: float
-    pulled: bool = False
-
-
-@dataclass(slots=True)
-class Generation:
-    """One decode, read by whoever asks for its stream."""
-
-    request_id: str
-    tokens: list[str]
-    produced: int = 0
-    done: bool = False
-    aborted: bool = False
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def advance(self) -> None:
-        """Wake readers."""
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
-class PriorityGate:
-    """Lets a number of holders in, the lowest priority value first."""
-
-    def __init__(self, places: int) -> None:
-        self.places = places
-        self.held = 0
-        self._order = itertools.count()
-        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
-
-    @property
-    def waiting(self) -> int:
-        return sum(not future.done() for _, _, future in self._waiting)
-
-    async def enter(self, priority: int) -> None:
-        """Wait for a place."""
-        if self.held < self.places:
-            self.held += 1
-            return
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, (priority, next(self._order), future))
-        try:
-            await future
-        except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                self.leave()
-            raise
-
-    def leave(self) -> None:
-        """Give a place back."""
-        while self._waiting:
-            _, _, future = heapq.heappop(self._waiting)
-            if not future.done():
-                future.set_result(None)
-                return
-        self.held -= 1
-
-
-class PrefixCache:
-    """Tokens of prompt prefixes kept, the least recently used dropped first."""
-
-    def __init__(self, capacity_tokens: int) -> None:
-        self._capacity = capacity_tokens // PREFIX_BLOCK_TOKENS
-        self._blocks: OrderedDict[bytes, None] = OrderedDict()
-
-    def reuse(self, prompt: str) -> int:
-        """Return how many tokens were cached, and cache the prompt."""
-        words = prompt.split(" ")
-        digest = blake2b(digest_size=12)
-        hits = 0
-        missed = False
-        for start in range(0, len(words) - PREFIX_BLOCK_TOKENS, PREFIX_BLOCK_TOKENS):
-            block = " ".join(words[start : start + PREFIX_BLOCK_TOKENS])
-            digest.update(block.encode())
-            key = digest.digest()
-            missed = missed or key not in self._blocks
-            hits += not missed
-            self._blocks[key] = None
-            self._blocks.move_to_end(key)
-        while len(self._blocks) > self._capacity:
-            self._blocks.popitem(last=False)
-        return hits * PREFIX_BLOCK_TOKENS
-
-
 class Engine:
     """The engine's state and routes."""
 
@@ -407,12 +318,12 @@
     def _events(self, generation: Generation, position: int) -> list[bytes]:
         """Return what is sent at a position, as the faults have it."""
         faults = self.faults.values
-        event = _event(generation, position)
+        event = event_bytes(generation, position)
         last = len(generation.tokens) - 1
         if faults.get("swap_at") == position < last:
             return []
         if position and faults.get("swap_at") == position - 1:
-            return [event, _event(generation, position - 1)]
+            return [event, event_bytes(generation, position - 1)]
         if faults.get("double_at") == position:
             return [event, event]
         if faults.get("foreign_at") == position:
@@ -499,22 +410,6 @@
         self.record.add("load_ended", kind=kind)
 
 
-def _event(generation: Generation, position: int) -> bytes:
-    last = position == len(generation.tokens) - 1
-    data = {
-        "id": generation.request_id,
-        "object": "text_completion",
-        "choices": [
-            {
-                "index": 0,
-                "text": generation.tokens[position],
-                "finish_reason": "length" if last else None,
-            }
-        ],
-    }
-    return f"id: {position}\ndata: {json.dumps(data)}\n\n".encode()
-
-
 async def start(arguments: dict[str, Any]) -> tuple[web.Application, Any]:
     """Return the application and its background work."""
     engine = Engine(arguments)
--- /dev/null
+++ b/src/siskinlever_testbed/standins/engine_parts.py
@@ -0,0 +1,120 @@
+"""What the stand-in engine holds: exported caches, generations, places."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import json
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+PREFIX_BLOCK_TOKENS = 64
+
+
+@dataclass(slots=True)
+class Exported:
+    """A KV cache waiting to be pulled."""
+
+    prompt: str
+    tokens: int
+    expires_at: float
+    pulled: bool = False
+
+
+@dataclass(slots=True)
+class Generation:
+    """One decode, read by whoever asks for its stream."""
+
+    request_id: str
+    tokens: list[str]
+    produced: int = 0
+    done: bool = False
+    aborted: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def advance(self) -> None:
+        """Wake readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class PriorityGate:
+    """Lets a number of holders in, the lowest priority value first."""
+
+    def __init__(self, places: int) -> None:
+        self.places = places
+        self.held = 0
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def waiting(self) -> int:
+        return sum(not future.done() for _, _, future in self._waiting)
+
+    async def enter(self, priority: int) -> None:
+        """Wait for a place."""
+        if self.held < self.places:
+            self.held += 1
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (priority, next(self._order), future))
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Give a place back."""
+        while self._waiting:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+        self.held -= 1
+
+
+class PrefixCache:
+    """Tokens of prompt prefixes kept, the least recently used dropped first."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity = capacity_tokens // PREFIX_BLOCK_TOKENS
+        self._blocks: OrderedDict[bytes, None] = OrderedDict()
+
+    def reuse(self, prompt: str) -> int:
+        """Return how many tokens were cached, and cache the prompt."""
+        words = prompt.split(" ")
+        digest = blake2b(digest_size=12)
+        hits = 0
+        missed = False
+        for start in range(0, len(words) - PREFIX_BLOCK_TOKENS, PREFIX_BLOCK_TOKENS):
+            block = " ".join(words[start : start + PREFIX_BLOCK_TOKENS])
+            digest.update(block.encode())
+            key = digest.digest()
+            missed = missed or key not in self._blocks
+            hits += not missed
+            self._blocks[key] = None
+            self._blocks.move_to_end(key)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+        return hits * PREFIX_BLOCK_TOKENS
+
+
+def event_bytes(generation: Generation, position: int) -> bytes:
+    """Return one event of a stream."""
+    last = position == len(generation.tokens) - 1
+    data = {
+        "id": generation.request_id,
+        "object": "text_completion",
+        "choices": [
+            {
+                "index": 0,
+                "text": generation.tokens[position],
+                "finish_reason": "length" if last else None,
+            }
+        ],
+    }
+    return f"id: {position}\ndata: {json.dumps(data)}\n\n".encode()
