--- a/src/siskinlever/_internal/cli/daemon.py
+++ b/src/siskinlever/_internal/cli/daemon.py
@@ -27,7 +27,7 @@
 from docopt import docopt
 
 from ... import __version__
-from ..daemon.host import serve
+from ..daemon.server import serve
 from ..exceptions import SettingsError
 from ..models.settings import Settings
 from ..network.tls import tls_faults
--- /dev/null
+++ b/src/siskinlever/_internal/daemon/server.py
@@ -0,0 +1,141 @@
+"""Runs one host: its parts, in the order in which they start."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from absl import logging
+
+from ..callers.access import Access
+from ..callers.app import callers_app
+from ..callers.context import CallerContext
+from ..callers.in_progress import Receiving
+from ..models.events import EventKind
+from ..models.ids import Attempt
+from ..models.settings import Settings
+from ..network.http_server import App, http_server
+from ..network.tls import (
+    listener_context,
+    peer_listener_context,
+)
+from ..operators.app import OperatorContext, operators_app
+from ..peers import peer_pb2
+from ..peers.server import Handler, peer_server
+from ..utils.tasks import task_set
+from .assembly import assemble
+from .host import Host
+
+
+@asynccontextmanager
+async def running_host(settings: Settings) -> AsyncIterator[Host]:
+    """Run a host for the length of a block."""
+    async with AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(task_set())
+        host = await assemble(settings, stack, tasks)
+        tls = listener_context(settings.tls)
+        await stack.enter_async_context(
+            peer_server(
+                settings.peers.address,
+                settings.peers.key,
+                peer_listener_context(settings.tls),
+                _handlers(host),
+            )
+        )
+        await host.detector.join()
+        tasks.start(host.detector.run(tasks), "membership")
+        tasks.start(host.follower.run(), "configuration")
+        tasks.start(
+            host.follower.confirm_by_majority(lambda: host.members.has_majority),
+            "majority",
+        )
+        tasks.start(host.orders.run(tasks), "orders")
+        tasks.start(host.request_home.run(), "request-home")
+        tasks.start(host.admission_home.run(tasks), "admission-home")
+        tasks.start(host.draft_recovery.scan(), "draft-scan")
+        tasks.start(host.draft_recovery.sweep(), "draft-sweep")
+        await stack.enter_async_context(
+            http_server(_operators(host), settings.operators.address, tls)
+        )
+        await stack.enter_async_context(
+            http_server(_callers(host), settings.callers.address, tls)
+        )
+        host.recorder.record(EventKind.HOST_STARTED)
+        logging.info("host started host=%s zone=%s", settings.host, settings.zone)
+        yield host
+        host.recorder.record(EventKind.HOST_STOPPED)
+        logging.info("host stopped host=%s", settings.host)
+
+
+async def serve(settings: Settings) -> None:
+    """Run a host until a signal asks it to leave, then drain it."""
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    async with running_host(settings) as host:
+        replaced = asyncio.create_task(host.detector.replaced.wait())
+        left = asyncio.create_task(leave.wait())
+        await asyncio.wait([replaced, left], return_when=asyncio.FIRST_COMPLETED)
+        await host.drain()
+
+
+def _handlers(host: Host) -> dict[str, Handler]:
+    async def stop_attempt(
+        request: peer_pb2.StopAttemptRequest,
+    ) -> peer_pb2.StopAttemptReply:
+        stopped = host.executor.stop(
+            request.workspace, request.request_id, Attempt(request.attempt)
+        )
+        return peer_pb2.StopAttemptReply(stopped=stopped)
+
+    return {
+        "Exchange": host.detector.exchange,
+        "PingIndirectly": host.detector.ping_indirectly,
+        "FetchConfiguration": host.follower.serve,
+        "Register": host.request_home.register,
+        "Hold": host.request_home.hold,
+        "Complete": host.request_home.complete,
+        "Abandon": host.request_home.abandon,
+        "FetchEntry": host.request_home.fetch_entry,
+        "HandOver": host.request_home.hand_over,
+        "StopAttempt": stop_attempt,
+        "Reserve": host.admission_home.reserve,
+        "Progress": host.admission_home.progress,
+        "Announce": host.admission_home.announce,
+    }
+
+
+def _operators(host: Host) -> App:
+    return operators_app(
+        OperatorContext(
+            host.settings.operators.key_digests,
+            host.current,
+            host.store,
+            host.members,
+            host.detector,
+            host.executor,
+            host.recorder,
+            host.metrics,
+            host.orders.pools_held,
+        )
+    )
+
+
+def _callers(host: Host) -> App:
+    return callers_app(
+        CallerContext(
+            host.current,
+            host.members,
+            host.executor,
+            host.deliveries,
+            host.drafts,
+            Access(host.current),
+            host.forwarder,
+            host.in_progress,
+            Receiving(),
+            host.metrics,
+        )
+    )
--- a/src/siskinlever/_internal/models/settings.py
+++ b/src/siskinlever/_internal/models/settings.py
@@ -63,8 +63,6 @@
         The interfaces of this process.
     tls : Tls or None
         Without it all interfaces are plain.
-    time_scale : float
-        Makes time limits of requests shorter, for tests.
     clock_offset_s : float
         Added to the wall clock in the time line, for tests.
     """
@@ -78,5 +76,4 @@
     platform: Platform
     tls: Tls | None = None
     policy: Annotated[Policy, Field(strict=False)] = Policy.SISKINLEVER
-    time_scale: Annotated[float, Field(gt=0, le=1)] = 1.0
     clock_offset_s: Annotated[float, Field(ge=-86400, le=86400)] = 0.0
--- a/src/siskinlever_testbed/slopes/floor.py
+++ b/src/siskinlever_testbed/slopes/floor.py
@@ -11,7 +11,7 @@
 PRINT_RESIDENT = "print(open('/proc/self/statm').read().split()[1])"
 LIBRARIES = "import uvloop, sanic, aiohttp, grpclib.server, google.protobuf.message"
 MORE_LIBRARIES = "import expression, absl.logging, pydantic, hdrh.histogram, docopt"
-OWN = "import siskinlever._internal.daemon.host"
+OWN = "import siskinlever._internal.daemon.server"
 
 
 async def measure() -> list[Slope]:
