Keep cancels of peer calls away from the callers' requests

The host's log shows a CancelledError raised in grpclib's wait for headers, in the caller's own task, with the connection open. grpclib cancels the task of a call whose connection another call closed; beside the time limit's own cancel that can count as a cancel from outside. Each peer call now runs in a task of its own, and a cancelled handler whose caller is still there gets an error in the interface's shape.

--- a/src/siskinlever/_internal/callers/app.py
+++ b/src/siskinlever/_internal/callers/app.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import uuid
 
 from sanic import Request, Sanic
-from sanic.exceptions import SanicException
+from sanic.exceptions import RequestCancelled, SanicException
 from sanic.response import HTTPResponse, json
 
 from ..models.outcome import Failed, Reason
@@ -38,11 +39,12 @@
     app.add_route(
         served, "/v1/services/<name:str>/<path:path>", methods=METHODS, name="path"
     )
+    app.error_handler.add(asyncio.CancelledError, on_cancel)  # type: ignore[arg-type]
     app.exception(Exception)(on_error)
     return app
 
 
-async def on_error(request: Request, error: Exception) -> HTTPResponse:
+async def on_error(request: Request, error: BaseException) -> HTTPResponse:
     """Turn an exception into an error of the interface."""
     if isinstance(error, InvalidRequestError):
         return error.response
@@ -52,6 +54,16 @@
     return ending_response(Failed(Reason.INTERNAL, f"internal error: {error!r}"))
 
 
+async def on_cancel(request: Request, error: asyncio.CancelledError) -> HTTPResponse:
+    """Answer a request whose handler was cancelled.
+
+    Sanic cancels it when the caller is gone; any other cancel is a fault.
+    """
+    if isinstance(error, RequestCancelled):
+        return ending_response(Failed(Reason.CALLER_GONE, "the caller is gone"))
+    return await on_error(request, error)
+
+
 async def models(request: Request) -> HTTPResponse:
     """List the models that the caller's workspace may use."""
     caller = find_caller(request)
--- a/src/siskinlever/_internal/peers/link.py
+++ b/src/siskinlever/_internal/peers/link.py
@@ -91,8 +91,16 @@
         self._metrics.count("peer_calls", rpc=rpc)
         stub = peer_grpc.PeerStub(channel)
         metadata = {"authorization": f"Bearer {self._key}"}
-        async with asyncio.timeout(timeout_s):
-            reply = await getattr(stub, rpc)(message, metadata=metadata)
+        # In a task of its own: grpclib cancels the task of a call whose
+        # connection is closed, and the caller's must not count as cancelled.
+        call = asyncio.ensure_future(getattr(stub, rpc)(message, metadata=metadata))
+        call.add_done_callback(_retrieve)
+        try:
+            await asyncio.wait({call}, timeout=timeout_s)
+        finally:
+            if not call.done():
+                call.cancel()
+        reply = _result(call)
         size = message.ByteSize() + reply.ByteSize()
         self._metrics.count("peer_message_bytes", size, rpc=rpc)
         return reply
@@ -118,6 +126,25 @@
             channel.close()
 
 
+def _retrieve(call: asyncio.Future[Any]) -> None:
+    """Take the error of a call that nobody waits for any more."""
+    if not call.cancelled():
+        call.exception()
+
+
+def _result(call: asyncio.Future[Any]) -> Any:
+    """Return a call's reply; a call that has none yet timed out."""
+    if not call.done():
+        raise TimeoutError
+    if call.cancelled():
+        raise StreamTerminatedError("the connection was closed")
+    try:
+        return call.result()
+    except RuntimeError as error:
+        # uvloop's word for a write to a transport that was just closed.
+        raise StreamTerminatedError(str(error)) from error
+
+
 class Peers:
     """The links to all peers, opened when first used."""
 
--- a/tests/functional/test_peer_links.py
+++ b/tests/functional/test_peer_links.py
@@ -64,3 +64,19 @@
         with pytest.raises(PeerError, match="UNAUTHENTICATED"):
             await link.call("Exchange", PING)
         link.close()
+
+
+async def test_calls_that_time_out_together_are_not_cancelled():
+    (address,) = free_addresses(1)
+    async with peer_server(address, KEY, None, {"Exchange": echo}):
+        async with silent_proxy(address) as proxy:
+            link = PeerLink(proxy.address, KEY, None, Metrics())
+            await link.call("Exchange", PING)
+            proxy.silence()
+            calls = [
+                asyncio.create_task(link.call("Exchange", PING)) for _ in range(50)
+            ]
+            await asyncio.wait(calls)
+            link.close()
+    assert not [call for call in calls if call.cancelled()]
+    assert {call.result().host for call in calls} == {"host-1"}
