Let scenarios without room wait for what they presume

The fault "down" of decode engines also fails their load reports, so the admission home closed the runners within 0.25 s: fillers sent before they were opened again were refused and never sent again, and in one of four trials the request itself was refused before any prefill, rightly not run. A slot was also counted as held for a KV cache that was about to be released. Now engines refuse generations only and go on reporting, fillers that are told to come back do, and the failed attempt's memory must be free within its 5 s before slots are counted, which is stricter than before. Ruled out: a leak of slots (the engines' records release each one).

--- a/src/siskinlever_testbed/standins/engine.py
+++ b/src/siskinlever_testbed/standins/engine.py
@@ -20,7 +20,8 @@
 says no more, once), ``double_at``,
 ``swap_at`` and ``foreign_at`` (a position; of every stream),
 ``stall_transfer_s`` and ``lose_aborts`` (a count of cancels whose answers are
-lost, all but the last of them before they took effect).
+lost, all but the last of them before they took effect) and
+``refuse_completions`` (all are refused for want of room, reports go on).
 """
 
 from __future__ import annotations
@@ -110,6 +111,8 @@
             await asyncio.sleep(TICK_S)
 
     async def _completions(self, request: web.Request) -> web.StreamResponse:
+        if self.faults.values.get("refuse_completions"):
+            return web.json_response({"error": "no room"}, status=503)
         body = await request.json()
         request_id = request.headers["X-Request-Id"]
         if request_id in self._aborted:
--- a/tests/functional/test_request_outcomes.py
+++ b/tests/functional/test_request_outcomes.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import random
+import time
 from collections import Counter
 from dataclasses import replace
 
@@ -19,6 +20,7 @@
 
 LONG_PROMPT = "visit " * 40_000
 LONG = 1500
+SLOTS_TAKEN_WITHIN_S = 10.0
 RELEASED_WITHIN_S = 5.0
 FAULTS = {
     "a cut stream": {"cut_stream_at": 7},
@@ -96,13 +98,24 @@
     free = slots - bool(bench.held(case.id))
     case.fillers = [f"{case.id}-filler-{n}" for n in range(free)]
     other = bench.bystander(case.id, avoid=(case.host,))
-    for filler in case.fillers:
-        bench.send(filler, other, tokens=LONG)
 
-    def taken():
-        return all(bench.count(filler, "decode_started") for filler in case.fillers)
+    def started(filler):
+        return bench.count(filler, "decode_started") > 0
+
+    def settled():
+        return all(started(f) or bench.task_by_id[f].done() for f in case.fillers)
 
-    bench.wait(taken, 10.0, "all slots are taken")
+    # A runner that refused all calls until now is not used again at once: its
+    # callers come back.
+    limit = time.monotonic() + SLOTS_TAKEN_WITHIN_S
+    waiting = case.fillers
+    while waiting:
+        assert time.monotonic() < limit, waiting
+        for filler in waiting:
+            bench.send(filler, other, tokens=LONG)
+        bench.wait(settled, SLOTS_TAKEN_WITHIN_S, "all slots are taken")
+        bench.run(asyncio.sleep(0.1))
+        waiting = [filler for filler in waiting if not started(filler)]
 
 
 # What is given.
@@ -180,13 +193,16 @@
 
 @given("decode engines refuse all calls")
 def _(bench):
-    bench.faults("decode", down=True)
+    # Their load reports go on, or the runners would be closed before the call.
+    bench.faults("decode", refuse_completions=True)
 
 
 @given("a request that failed after its prefill")
 def _(bench, case):
     case.send(model="brief-review")
     assert bench.reply(case.first).outcome == "may_have_run"
+    released = "the failed attempt's memory is free"
+    bench.wait(lambda: not bench.held(case.id), RELEASED_WITHIN_S, released)
 
 
 @given("all slots are taken")
