Let slopes queue wishes as the book does

Ruled out: a default cost, which would hide such a slip. PoolBook.enqueue is now the one way into the queue.

--- a/src/siskinlever/_internal/routing/book.py
+++ b/src/siskinlever/_internal/routing/book.py
@@ -95,11 +95,15 @@
         if not self._prefill_lanes(wish) or not self._decode_lanes(wish):
             self._refuse(wish, Reason.NO_RUNNER, 1.0, "no runner takes new work")
             return
+        self.enqueue(wish, now)
+        self.decide(now)
+
+    def enqueue(self, wish: Wish, now: float) -> None:
+        """Let a wish wait, with no decision yet."""
         cost = self._least_cost(wish)
-        self.waiting_by_id[known] = wish
-        self._cost_by_id[known] = cost
+        self.waiting_by_id[wish.reservation_id] = wish
+        self._cost_by_id[wish.reservation_id] = cost
         self._pressure.add(wish, cost, now)
-        self.decide(now)
 
     def decide(self, now: float) -> None:
         """Place what can start now and refuse what will not be in time.
--- a/src/siskinlever_testbed/slopes/deciding.py
+++ b/src/siskinlever_testbed/slopes/deciding.py
@@ -69,8 +69,7 @@
         book.prefill_ended(ReservationId(f"reservation-{number}"), now)
     for number in range(held, held + waiting):
         # Not asked: each ask would decide about all that wait.
-        wish = _wish(number, now)
-        book.waiting_by_id[wish.reservation_id] = wish
+        book.enqueue(_wish(number, now), now)
     asked = list(book.placed_by_id)
     began = time.process_time()
     for number in range(DECISIONS):
