--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -12,6 +12,7 @@
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import RetryBudget
 from ..fleet.configuration import ConfigurationInForce
+from ..fleet.demand import DemandMeter
 from ..fleet.hosts import HostStatus, HostTable
 from ..fleet.in_progress import InProgress
 from ..fleet.lookup import LIFETIME_S, addresses_for
@@ -33,6 +34,9 @@
 from ..platform import dialect
 from ..platform.records import decode_configuration
 from ..platform.store import MetadataStore
+from ..stages.lease import OrderLease
+from ..stages.orders import StageOrders
+from ..stages.switching import Switching
 from ..utils.clock import MS_PER_S
 from ..utils.tasks import TaskSet, task_set
 
@@ -54,6 +58,8 @@
     follower: StoreFollower
     sync: PeerSync
     stopping: Stopping
+    lease: OrderLease
+    orders: StageOrders
     log: LogLines
 
 
@@ -80,6 +86,8 @@
         tasks.start(host.follower.register_host(), "register")
         tasks.start(host.follower.follow_hosts(), "hosts")
         tasks.start(host.sync.watch_news(), "news")
+        tasks.start(host.lease.run(), "order-lease")
+        tasks.start(host.orders.run(), "stage-orders")
         await _listen(host, metrics, stack)
         log.write("process.started", zone=settings.zone, peers=listeners.peers)
         yield host
@@ -117,7 +125,8 @@
     configuration = ConfigurationInForce(decode_configuration, log)
     runners = RunnerDirectory(settings.bounds.lapse_recovery_s, log)
     hosts = HostTable(settings.host, log)
-    in_progress = InProgress()
+    in_progress, demand, switching = InProgress(), DemandMeter(), Switching()
+    store = MetadataStore(settings.store.address)
     incarnation = Incarnation(int(time.time() * MS_PER_S))
 
     def own_status() -> HostStatus:
@@ -133,7 +142,7 @@
     links = await stack.enter_async_context(peer_links(PEER_KEY, None, metrics))
     follower = StoreFollower(
         settings,
-        MetadataStore(settings.store.address),
+        store,
         configuration,
         runners,
         StoreLink(log, metrics),
@@ -147,6 +156,8 @@
         runners,
         hosts,
         in_progress,
+        demand,
+        switching,
         follower,
         log,
         tasks,
@@ -161,13 +172,17 @@
         runners=runners,
         hosts=hosts,
         in_progress=in_progress,
+        demand=demand,
+        switching=switching,
         budget=budget,
         plain=PlainPlacement(settings.zone, lambda key: context.load_at(key).requests),
         log=log,
         metrics=metrics,
         tasks=tasks,
     )
-    return GatewayHost(settings, context, follower, sync, stopping, log)
+    lease = OrderLease(store, settings.host, settings.bounds.order_lease_s, log)
+    orders = StageOrders(context, lease, sync.announce)
+    return GatewayHost(settings, context, follower, sync, stopping, lease, orders, log)
 
 
 async def _listen(host: GatewayHost, metrics: Metrics, stack: AsyncExitStack) -> None:
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..logs.lines import LogLines
-from ..models.ids import HostName, Incarnation, ZoneName
+from ..models.ids import HostName, Incarnation, ServiceName, ZoneName
 from ..models.upstreams import Address, RunnerKey
 from ..utils.clock import monotonic
+from .demand import Demand
 
 # Hosts exchange their state about each second; two losses are borne.
 ALIVE_FOR_S = 2.4
@@ -56,13 +57,31 @@
     serving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class HostWork:
+    """What a host has in progress.
+
+    Parameters
+    ----------
+    load_by_runner : dict of RunnerKey to RunnerLoad
+    demand_by_service : dict of ServiceName to Demand
+    switching_s_by_runner : dict of RunnerKey to float
+        Engines that the host has ordered to change their stage, and the
+        seconds that they take no requests.
+    """
+
+    load_by_runner: Mapping[RunnerKey, RunnerLoad] = field(default_factory=dict)
+    demand_by_service: Mapping[ServiceName, Demand] = field(default_factory=dict)
+    switching_s_by_runner: Mapping[RunnerKey, float] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class KnownHost:
     """A host that was heard, its latest word and when it came."""
 
     status: HostStatus
+    work: HostWork
     heard_at: float
-    load_by_runner: dict[RunnerKey, RunnerLoad] = field(default_factory=dict)
 
 
 class HostTable:
@@ -80,7 +99,7 @@
         self.by_host: dict[HostName, KnownHost] = {}
         self._alive: set[HostName] = set()
 
-    def hear(self, status: HostStatus, loads: dict[RunnerKey, RunnerLoad]) -> None:
+    def hear(self, status: HostStatus, work: HostWork) -> None:
         """Take in a host's own word, unless a later start has spoken."""
         known = self.by_host.get(status.host)
         if status.host == self._own_host:
@@ -89,7 +108,7 @@
             return
         if known is None or known.status.serving != status.serving:
             self._log.write("host.status", of=status.host, serving=status.serving)
-        self.by_host[status.host] = KnownHost(status, monotonic(), loads)
+        self.by_host[status.host] = KnownHost(status, work, monotonic())
         self.note_alive()
 
     def alive(self) -> list[KnownHost]:
@@ -112,9 +131,26 @@
 
     def load_at(self, runner: RunnerKey) -> RunnerLoad:
         """Return what the other hosts have in progress at a runner."""
-        loads = [known.load_by_runner.get(runner) for known in self.alive()]
+        loads = [known.work.load_by_runner.get(runner) for known in self.alive()]
         return _total(load for load in loads if load is not None)
 
+    def demand(self, service: ServiceName) -> Demand:
+        """Return what callers of the other hosts ask of a service's engines."""
+        prompts = tokens = 0.0
+        for known in self.alive():
+            demand = known.work.demand_by_service.get(service, Demand())
+            prompts += demand.prompt_tokens_per_s
+            tokens += demand.decode_tokens
+        return Demand(prompts, tokens)
+
+    def is_switching(self, runner: RunnerKey) -> bool:
+        """Tell whether another host has ordered an engine to change its stage."""
+        now = monotonic()
+        return any(
+            now - known.heard_at < known.work.switching_s_by_runner.get(runner, 0.0)
+            for known in self.by_host.values()
+        )
+
 
 def _total(loads: Iterable[RunnerLoad]) -> RunnerLoad:
     requests = decode = prefill = 0
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -8,14 +8,16 @@
 
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
-from ..models.ids import HostName, Incarnation, RunnerName, ZoneName
+from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
 from ..models.upstreams import Address, RunnerKey, StartedAt
 from ..peers import peer_pb2
 from ..peers.link import Peers
+from ..stages.switching import Switching
 from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
-from .hosts import FORGET_S, HostStatus, HostTable, RunnerLoad
+from .demand import Demand, DemandMeter
+from .hosts import FORGET_S, HostStatus, HostTable, HostWork, RunnerLoad
 from .in_progress import InProgress
 from .runners import RunnerDirectory
 from .store_follower import StoreFollower
@@ -38,6 +40,9 @@
     runners : RunnerDirectory
     hosts : HostTable
     in_progress : InProgress
+    demand : DemandMeter
+    switching : Switching
+        Engines that this host has ordered to change their stage.
     follower : StoreFollower
         Its last reading of the runners is handed to hosts that start.
     log : LogLines
@@ -52,6 +57,8 @@
         runners: RunnerDirectory,
         hosts: HostTable,
         in_progress: InProgress,
+        demand: DemandMeter,
+        switching: Switching,
         follower: StoreFollower,
         log: LogLines,
         tasks: TaskSet,
@@ -62,6 +69,8 @@
         self._runners = runners
         self._hosts = hosts
         self._in_progress = in_progress
+        self._demand = demand
+        self._switching = switching
         self._follower = follower
         self._log = log
         self._tasks = tasks
@@ -170,7 +179,19 @@
                 peers_address=Address(host.peers_address),
                 serving=host.serving,
             ),
-            {_key(load.runner): _load(load) for load in state.loads},
+            HostWork(
+                {_key(load.runner): _load(load) for load in state.loads},
+                {
+                    ServiceName(demand.service): Demand(
+                        demand.prompt_tokens_per_s, demand.decode_tokens
+                    )
+                    for demand in state.demands
+                },
+                {
+                    _key(switch.runner): switch.remaining_ms / MS_PER_S
+                    for switch in state.switches
+                },
+            ),
         )
         for runner in state.leaving:
             self._runners.note_leaving(
@@ -204,6 +225,20 @@
                 )
                 for key, load in self._in_progress.load_by_runner.items()
             ],
+            demands=[
+                peer_pb2.FleetDemand(
+                    service=service,
+                    prompt_tokens_per_s=int(demand.prompt_tokens_per_s),
+                    decode_tokens=int(demand.decode_tokens),
+                )
+                for service, demand in self._demand.by_service().items()
+            ],
+            switches=[
+                peer_pb2.FleetSwitch(
+                    runner=_runner(key), remaining_ms=int(seconds * MS_PER_S)
+                )
+                for key, seconds in self._switching.remaining_by_runner().items()
+            ],
             peers=[known.status.peers_address for known in self._hosts.alive()],
         )
 
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -10,6 +10,7 @@
 from ..dispatch.retry_budget import RetryBudget
 from ..dispatch.waiting_line import WaitingLine
 from ..fleet.configuration import ConfigurationInForce
+from ..fleet.demand import Demand, DemandMeter
 from ..fleet.hosts import HostTable, RunnerLoad
 from ..fleet.in_progress import InProgress
 from ..fleet.runners import RunnerDirectory
@@ -18,9 +19,10 @@
 from ..models.host_settings import HostSettings
 from ..models.ids import ServiceName
 from ..models.routes import Route
-from ..models.upstreams import RunnerKey
+from ..models.upstreams import Registration, RunnerKey
 from ..network.http1_server import ReceivedRequest
 from ..platform import dialect
+from ..stages.switching import Switching
 from ..utils.clock import monotonic
 from ..utils.tasks import TaskSet
 
@@ -34,6 +36,8 @@
     runners: RunnerDirectory
     hosts: HostTable
     in_progress: InProgress
+    demand: DemandMeter
+    switching: Switching
     budget: RetryBudget
     plain: PlainPlacement
     log: LogLines
@@ -42,6 +46,24 @@
     engines_by_service: dict[ServiceName, EnginePlacement] = field(default_factory=dict)
     line_by_service: dict[ServiceName, WaitingLine] = field(default_factory=dict)
 
+    def steady(self, runners: list[Registration]) -> list[Registration]:
+        """Return the runners that are not changing their stage."""
+        return [
+            runner
+            for runner in runners
+            if not self.switching.is_switching(runner.key)
+            and not self.hosts.is_switching(runner.key)
+        ]
+
+    def fleet_demand(self, service: ServiceName) -> Demand:
+        """Return what callers of all hosts ask of a service's engines."""
+        own = self.demand.by_service().get(service, Demand())
+        others = self.hosts.demand(service)
+        return Demand(
+            own.prompt_tokens_per_s + others.prompt_tokens_per_s,
+            own.decode_tokens + others.decode_tokens,
+        )
+
     def load_at(self, runner: RunnerKey) -> RunnerLoad:
         """Return what all hosts have in progress at a runner."""
         own, others = self.in_progress.at(runner), self.hosts.load_at(runner)
--- a/src/siskinlever/_internal/gateway/endings.py
+++ b/src/siskinlever/_internal/gateway/endings.py
@@ -18,6 +18,7 @@
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     REJECTED = "rejected_by_runner"
+    FAILED_BY_RUNNER = "failed_by_runner"
     UNREACHABLE = "runner_unreachable"
     BROKEN = "answer_broken"
     FOREIGN = "answer_foreign"
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -14,7 +14,7 @@
     ExchangeError,
     InvalidRecordError,
 )
-from ..models.routes import EngineTraits
+from ..models.routes import EngineTraits, Route
 from ..models.upstreams import Registration, RunnerKey, Stage
 from ..network.http1_client import Exchange, exchange
 from ..network.http1_server import CallerConnection
@@ -40,6 +40,13 @@
 PREFILL_PATIENCE = 4.0
 MIN_PREFILL_TIMEOUT_S = 0.8
 PREFILL_ANSWER_BYTES = 65_536
+# Callers leave a stream that shows no event for the longest of these: seconds,
+# multiples of the target latency, and of the longest pause between events.
+CALLER_PATIENCE_S = 2.0
+CALLER_PATIENCE_LATENCIES = 4.0
+CALLER_PATIENCE_GAPS = 8.0
+# The caller's clock started when it sent its request.
+PATIENCE_MARGIN_S = 0.25
 
 
 @dataclass(slots=True)
@@ -86,6 +93,12 @@
         """
         if self._needed_tokens() > self._traits.kv_capacity:
             raise refused(Reason.TOO_LARGE, "larger than an engine's memory", 5.0)
+        with self._context.demand.generation(
+            self._job.service, self._asked.prompt_tokens, self._needed_tokens()
+        ):
+            return await self._serve()
+
+    async def _serve(self) -> str:
         while True:
             async with self._room() as room:
                 ending = await self._run(room)
@@ -125,7 +138,10 @@
         began = monotonic()
         line = self._context.line(job.service)
         on_time_until = job.arrived_at + job.route.target_latency_s - FIRST_EVENT_S
-        give_up_at = began + WAIT_SHARE * max(0.0, job.time_left_s)
+        give_up_at = min(
+            began + WAIT_SHARE * max(0.0, job.time_left_s),
+            job.arrived_at + _patience_s(job.route) - FIRST_EVENT_S - PATIENCE_MARGIN_S,
+        )
         ticket = Ticket(job.route.priority, job.arrived_at, on_time_until)
         with line.joined(ticket):
             while True:
@@ -148,6 +164,7 @@
         usable = self._context.runners.usable(self._job.service)
         if not usable:
             raise refused(Reason.NO_RUNNER, f"no engine of {self._job.service}", 1.0)
+        usable = self._context.steady(usable)
         held = self._asked.prompt_tokens + int(
             HELD_OUTPUT_SHARE * self._asked.likely_output_tokens
         )
@@ -197,7 +214,7 @@
         """
         usable = self._context.runners.usable(self._job.service)
         runner = self._placement.prefill_candidate(
-            usable, self._asked.prompt_tokens, decode.zone
+            self._context.steady(usable), self._asked.prompt_tokens, decode.zone
         )
         handle = await self._prefill(runner) if runner is not None else None
         if runner is None or handle is None:
@@ -299,3 +316,12 @@
         if job.sends >= route.max_attempts:
             return False
         return self._context.budget.spend(job.service)
+
+
+def _patience_s(route: Route) -> float:
+    """Return how long a caller waits for the first event of a stream."""
+    return max(
+        CALLER_PATIENCE_S,
+        CALLER_PATIENCE_LATENCIES * route.target_latency_s,
+        CALLER_PATIENCE_GAPS * route.target_gap_s,
+    )
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -9,10 +9,12 @@
 from ..platform import dialect
 from .context import GatewayContext, Job
 from .endings import EndedError, Reason, failed, refused
-from .relay import relay_plain
+from .relay import KeptAnswer, relay_plain
 
 # A caller that was refused by a full or lost runner finds another one then.
 RETRY_AFTER_S = 0.1
+# Runners of a service without any take seconds to come.
+NO_RUNNER_RETRY_S = 1.0
 # Connections that may fail before a request is refused; each costs its caller
 # up to the connect time-out.
 MAX_CONNECT_FAILURES = 3
@@ -34,6 +36,7 @@
         self._close = close
         self._tried: set[RunnerKey] = set()
         self._connect_failures = 0
+        self._kept: KeptAnswer | None = None
 
     async def serve(self) -> str:
         """Answer the request; return the name of the runner that did.
@@ -44,14 +47,18 @@
             There is no runner's answer.
         CallerGoneError
         """
+        ending: EndedError | None = None
         while True:
-            runner = self._choose()
+            usable = self._context.runners.usable(self._job.service)
+            runner = self._context.plain.choose(usable, self._tried)
+            if runner is None:
+                break
             self._tried.add(runner.key)
             ending = await self._try(runner)
             if ending is None:
                 return runner.key.name
             if not self._may_send_again(ending):
-                raise ending
+                break
             self._context.log.write(
                 "request.resent",
                 self._job.id,
@@ -59,17 +66,14 @@
                 reason=ending.reason.value,
                 sends=self._job.sends,
             )
+        if self._kept is not None:
+            await self._kept.hand_over(self._connection, self._close)
+            return self._kept.runner
+        raise ending or self._no_runner()
 
-    def _choose(self) -> Registration:
-        job = self._job
-        usable = self._context.runners.usable(job.service)
-        runner = self._context.plain.choose(usable, self._tried)
-        if runner is None:
-            message = f"no runner of {job.service} left of {len(usable)}"
-            if job.may_have_run:
-                raise failed(Reason.NO_RUNNER, message)
-            raise refused(Reason.NO_RUNNER, message, 1.0)
-        return runner
+    def _no_runner(self) -> EndedError:
+        service = self._job.service
+        return refused(Reason.NO_RUNNER, f"no runner of {service}", NO_RUNNER_RETRY_S)
 
     async def _try(self, runner: Registration) -> EndedError | None:
         """Send the request once; return why there is no answer, or None."""
@@ -105,8 +109,11 @@
         if not dialect.answers(head, self._job.request) or not dialect.is_signed(head):
             plain.note_outcome(runner.key, failed=True)
             return failed(Reason.FOREIGN, f"not this request's answer: {head.status}")
-        await relay_plain(answer, self._connection, self._close)
         plain.note_outcome(runner.key, failed=head.status >= 500)
+        if head.status >= 500 and self._kept is None:
+            self._kept = await KeptAnswer.read(runner.key.name, answer)
+            return failed(Reason.FAILED_BY_RUNNER, f"status {head.status}")
+        await relay_plain(answer, self._connection, self._close)
         return None
 
     def _may_send_again(self, ending: EndedError) -> bool:
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ..exceptions import AnswerBrokenError
 from ..network.http1_client import AnswerHead, Exchange, Header
 from ..network.http1_server import CallerConnection
@@ -36,6 +38,32 @@
     return len(body)
 
 
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A runner's answer that is held back while another runner is tried.
+
+    Parameters
+    ----------
+    runner : str
+    head : AnswerHead
+    body : bytes
+    """
+
+    runner: str
+    head: AnswerHead
+    body: bytes
+
+    @classmethod
+    async def read(cls, runner: str, answer: Exchange) -> KeptAnswer:
+        """Read an answer whole; raises `AnswerBrokenError`."""
+        return cls(runner, answer.head, await answer.read(WHOLE_ANSWER_BYTES))
+
+    async def hand_over(self, connection: CallerConnection, close: bool) -> None:
+        """Give the answer to the caller; raises `CallerGoneError`."""
+        headers = dialect.answer_headers(self.head)
+        await connection.answer(self.head.status, headers, self.body, close)
+
+
 async def _relay_large(
     head: AnswerHead, first: bytes, rest: object, connection: CallerConnection
 ) -> int:
--- /dev/null
+++ b/src/siskinlever/_internal/stages/lease.py
@@ -0,0 +1,123 @@
+"""The lease that lets one host give orders to engines."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from ..exceptions import (
+    LeaseLapsedError,
+    PlatformError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+)
+from ..logs.lines import LogLines
+from ..models.ids import HostName
+from ..platform.store import MetadataStore, Write
+from ..utils.clock import boot_time
+
+ORDERS_KEY = "siskinlever/orders"
+# A renewal may fail twice before the lease ends.
+RENEWALS_PER_LEASE = 4
+# An order must arrive before the lease ends.
+SEND_MARGIN_S = 0.5
+# Between two looks at the record while another host holds it.
+LOOK_PERIOD_S = 2.0
+
+
+class OrderLease:
+    """Holds the right to give orders, by a lease of the store.
+
+    Parameters
+    ----------
+    store : MetadataStore
+    host : str
+    ttl_s : float
+    log : LogLines
+    """
+
+    def __init__(
+        self, store: MetadataStore, host: HostName, ttl_s: float, log: LogLines
+    ) -> None:
+        self._store = store
+        self._host = host
+        self._ttl_s = ttl_s
+        self._log = log
+        self._lease = 0
+        self._valid_until = float("-inf")
+        self._orders_from = float("inf")
+        self.fencing_token = 0
+
+    @property
+    def may_order(self) -> bool:
+        """Whether this host certainly holds the right now.
+
+        To be asked right before each order. The clock counts suspensions, so a
+        host that slept does not believe its old lease.
+        """
+        now = boot_time()
+        return self._orders_from <= now < self._valid_until - SEND_MARGIN_S
+
+    def give_up(self, reason: str) -> None:
+        """Stop to order; the record ends with its lease."""
+        if self._lease:
+            self._log.write("orders.lost", token=self.fencing_token, reason=reason)
+        self._lease = 0
+        self._valid_until = float("-inf")
+
+    async def run(self) -> None:
+        """Acquire the lease and keep it until cancelled."""
+        while True:
+            try:
+                if self._lease:
+                    await self._renew()
+                else:
+                    await self._acquire()
+            except PlatformError as error:
+                self._note_failure(error)
+            period_s = (
+                self._ttl_s / RENEWALS_PER_LEASE if self._lease else LOOK_PERIOD_S
+            )
+            await asyncio.sleep(period_s)
+
+    async def _renew(self) -> None:
+        began = boot_time()
+        try:
+            await self._store.renew_lease(self._lease)
+        except LeaseLapsedError as error:
+            self.give_up(error.message)
+            return
+        if began >= self._valid_until:
+            # Another host may have held the right meanwhile.
+            self.give_up("renewed too late")
+            return
+        self._valid_until = began + self._ttl_s
+
+    async def _acquire(self) -> None:
+        if await self._store.read(ORDERS_KEY) is not None:
+            return
+        began = boot_time()
+        lease = await self._store.open_lease(self._ttl_s)
+        value = f"{self._host} {secrets.token_hex(8)}".encode()
+        try:
+            token = await self._store.transact(
+                {ORDERS_KEY: 0}, [Write(ORDERS_KEY, value, lease)]
+            )
+        except StoreConflictError:
+            await self._store.end_lease(lease)
+            return
+        except StoreOutcomeUnknownError:
+            found = await self._store.read(ORDERS_KEY)
+            if found is None or found.value != value:
+                raise
+            token = found.revision
+        self._lease = lease
+        self.fencing_token = token
+        self._valid_until = began + self._ttl_s
+        # The orders of an earlier holder have arrived by then.
+        self._orders_from = boot_time() + self._ttl_s
+        self._log.write("orders.held", token=token, lease=lease)
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if self._lease and boot_time() >= self._valid_until:
+            self.give_up(error.message)
--- /dev/null
+++ b/src/siskinlever/_internal/stages/orders.py
@@ -0,0 +1,172 @@
+"""Gives the orders that change engines' stages, if this host holds the right."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+
+from ..dispatch.stage_plan import StageChange, Work, next_change
+from ..exceptions import ExchangeError, InvalidRecordError
+from ..gateway import engine_calls
+from ..gateway.context import GatewayContext
+from ..models.ids import ServiceName
+from ..models.routes import EngineTraits
+from ..models.upstreams import EngineReport, RunnerKey
+from ..network.http1_client import fetch
+from ..platform import dialect
+from ..utils.clock import monotonic
+from .lease import OrderLease
+
+PLAN_PERIOD_S = 0.5
+# Runners register each 1.2 s; a fleet that starts is whole after that.
+SETTLE_S = 1.7
+# Weight of the newest measurement of the work; about 6 s of memory.
+WORK_WEIGHT = 0.08
+# The other hosts send nothing more to the engine by then.
+TELL_S = 0.15
+# Beyond the switch itself an engine first ends what it has; runs take seconds.
+MAX_DRAIN_S = 6.0
+ORDER_TIMEOUT_S = 1.0
+ACCEPTED = frozenset({200, 202})
+REFUSED_TOKEN = 412
+
+
+class StageOrders:
+    """Plans and orders stages, one engine of a service at a time.
+
+    Parameters
+    ----------
+    context : GatewayContext
+    lease : OrderLease
+    announce : callable
+        Tells the other hosts which engine is about to change.
+    """
+
+    def __init__(
+        self, context: GatewayContext, lease: OrderLease, announce: Callable[[], None]
+    ) -> None:
+        self._context = context
+        self._lease = lease
+        self._announce = announce
+        self._work_by_service: dict[ServiceName, Work] = defaultdict(
+            lambda: Work(0.0, 0.0)
+        )
+        self._seen_by_service: dict[
+            ServiceName, tuple[frozenset[RunnerKey], float]
+        ] = {}
+
+    async def run(self) -> None:
+        """Order what the plan asks for until cancelled."""
+        while True:
+            await asyncio.sleep(PLAN_PERIOD_S)
+            configuration = self._context.configuration.current
+            services = configuration.service_by_name.values() if configuration else ()
+            for service in services:
+                if service.engine is not None:
+                    self._measure(service.name, service.engine)
+                    if self._lease.may_order:
+                        await self._plan(service.name, service.engine)
+
+    def _measure(self, service: ServiceName, traits: EngineTraits) -> None:
+        demand = self._context.fleet_demand(service)
+        rate = self._context.engines(service).prefill_rate
+        now = Work(
+            demand.prompt_tokens_per_s / rate,
+            demand.decode_tokens / traits.kv_capacity,
+        )
+        work = self._work_by_service[service]
+        self._work_by_service[service] = Work(
+            work.prefill + WORK_WEIGHT * (now.prefill - work.prefill),
+            work.decode + WORK_WEIGHT * (now.decode - work.decode),
+        )
+
+    async def _plan(self, service: ServiceName, traits: EngineTraits) -> None:
+        usable = self._context.runners.usable(service)
+        if len(self._context.steady(usable)) < len(usable):
+            return
+        if not self._is_settled(service, frozenset(runner.key for runner in usable)):
+            return
+        change = next_change(usable, self._work_by_service[service])
+        if change is not None:
+            await self._order(service, change, traits)
+
+    def _is_settled(self, service: ServiceName, keys: frozenset[RunnerKey]) -> bool:
+        known, since = self._seen_by_service.get(service, (frozenset(), 0.0))
+        if keys != known:
+            self._seen_by_service[service] = (keys, monotonic())
+            return False
+        return monotonic() - since >= SETTLE_S
+
+    async def _order(
+        self, service: ServiceName, change: StageChange, traits: EngineTraits
+    ) -> None:
+        runner = change.runner
+        try:
+            report = await engine_calls.read_report(runner.address)
+        except (ExchangeError, InvalidRecordError) as error:
+            self._log(change, "unknown", error.message)
+            return
+        if report.switching or report.stage is change.stage:
+            self._context.switching.begin(runner.key, traits.stage_switch_s)
+            return
+        self._context.switching.begin(runner.key, traits.stage_switch_s + MAX_DRAIN_S)
+        self._announce()
+        await asyncio.sleep(TELL_S)
+        work = self._work_by_service[service]
+        outcome = await self._send(change, report)
+        self._log(
+            change,
+            outcome,
+            f"prefill work {work.prefill:.2f}, decode work {work.decode:.2f} engines",
+        )
+        if outcome == "accepted":
+            await self._wait_for_end(change, traits)
+        self._context.switching.end(runner.key)
+        self._announce()
+
+    async def _wait_for_end(self, change: StageChange, traits: EngineTraits) -> None:
+        """Return when an engine serves its new stage, or takes too long."""
+        await asyncio.sleep(traits.stage_switch_s)
+        last = monotonic() + MAX_DRAIN_S
+        while monotonic() < last:
+            try:
+                report = await engine_calls.read_report(change.runner.address)
+            except (ExchangeError, InvalidRecordError) as error:
+                self._log(change, "unknown", error.message)
+                return
+            if report.stage is change.stage and not report.switching:
+                self._log(change, "done", f"orders accepted {report.orders_accepted}")
+                return
+            await asyncio.sleep(PLAN_PERIOD_S)
+        self._log(change, "late", f"not done {MAX_DRAIN_S} s after its time")
+
+    async def _send(self, change: StageChange, report: EngineReport) -> str:
+        runner, lease = change.runner, self._lease
+        call = dialect.stage_order_call(
+            runner.address,
+            runner.key.name,
+            change.stage,
+            self._context.settings.host,
+            lease.fencing_token,
+            report.orders_accepted,
+        )
+        if not lease.may_order:
+            return "not sent"
+        try:
+            head, _ = await fetch(runner.address, call, ORDER_TIMEOUT_S)
+        except ExchangeError as error:
+            return f"unanswered: {error.message}"
+        if head.status == REFUSED_TOKEN:
+            lease.give_up("a higher fencing token was used")
+        return "accepted" if head.status in ACCEPTED else f"status {head.status}"
+
+    def _log(self, change: StageChange, outcome: str, detail: str) -> None:
+        self._context.log.write(
+            "order.stage",
+            runner=change.runner.key.name,
+            stage=change.stage.value,
+            token=self._lease.fencing_token,
+            outcome=outcome,
+            detail=detail,
+        )
--- a/src/siskinlever/_internal/utils/clock.py
+++ b/src/siskinlever/_internal/utils/clock.py
@@ -15,6 +15,11 @@
     return time.monotonic()
 
 
+def boot_time() -> float:
+    """Return seconds of a clock that also counts while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Deadline:
     """A moment of the monotonic clock.
 
