--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -102,6 +102,8 @@
         Whether a runner may have begun to work on it.
     sends : int
         Times that it was sent to a runner.
+    steps : dict
+        What happened on the way, for the log.
     """
 
     request: ReceivedRequest
@@ -111,6 +113,7 @@
     deadline: float
     may_have_run: bool = False
     sends: int = 0
+    steps: dict[str, str | int | float] = field(default_factory=dict)
 
     @property
     def id(self) -> str:
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -77,8 +77,6 @@
         self._relay = StreamRelay(connection, job.route.resumable)
         self._placement = context.engines(job.service)
         self._failed_engines: set[RunnerKey] = set()
-        self.waited_s = 0.0
-        self.prefill_runner = ""
 
     async def serve(self) -> str:
         """Answer the request; return the name of the decode engine.
@@ -118,6 +116,9 @@
                 sends=self._job.sends,
             )
 
+    def _note(self, step: str) -> None:
+        self._job.steps[step] = round(monotonic() - self._job.arrived_at, 3)
+
     def _needed_tokens(self) -> int:
         return self._asked.prompt_tokens + self._asked.likely_output_tokens
 
@@ -143,13 +144,14 @@
             job.arrived_at + _patience_s(job.route) - FIRST_EVENT_S - PATIENCE_MARGIN_S,
         )
         ticket = Ticket(job.route.priority, job.arrived_at, on_time_until)
+        job.steps["waiting_before"] = len(line)
         with line.joined(ticket):
             while True:
                 line.update()
                 if ticket.turn.is_set():
                     room = await self._try_engines(tokens)
                     if room is not None:
-                        self.waited_s += monotonic() - began
+                        self._note("room_s")
                         return room
                 if monotonic() >= give_up_at:
                     raise refused(
@@ -161,9 +163,10 @@
                 await asyncio.sleep(POLL_S)
 
     async def _try_engines(self, tokens: int) -> Room | None:
-        usable = self._context.runners.usable(self._job.service)
+        job = self._job
+        usable = self._context.runners.usable(job.service)
         if not usable:
-            raise refused(Reason.NO_RUNNER, f"no engine of {self._job.service}", 1.0)
+            raise refused(Reason.NO_RUNNER, f"no engine of {job.service}", 1.0)
         usable = self._context.steady(usable)
         held = self._asked.prompt_tokens + int(
             HELD_OUTPUT_SHARE * self._asked.likely_output_tokens
@@ -186,6 +189,7 @@
                 continue
             if hold is not None:
                 return Room(runner, hold)
+            job.steps["holds_refused"] = int(job.steps.get("holds_refused", 0)) + 1
             self._placement.note_full(runner.key)
         return None
 
@@ -220,7 +224,8 @@
         if runner is None or handle is None:
             yield None
             return
-        self.prefill_runner = runner.key.name
+        self._note("prefilled_s")
+        self._job.steps["prefill"] = runner.key.name
         taken = False
         try:
             yield dialect.kv_source(runner.address, handle)
@@ -298,6 +303,7 @@
             message = f"{runner.key.name} answered {head.status}"
             return refused(Reason.REJECTED, message, RETRY_AFTER_S)
         self._job.may_have_run = True
+        self._note("first_event_s")
         if not dialect.answers(head, self._job.request) or not dialect.is_signed(head):
             return failed(Reason.FOREIGN, f"not this request's answer: {head.status}")
         if self._relay.started and head.status != 200:
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -167,6 +167,7 @@
                 "taken_s": round(taken_s, 3),
                 "sends": job.sends,
             }
+            fields |= job.steps
         context.log.write(
             "request.ended",
             dialect.request_id(request),
