Give late generations left-over room only; order idle engines together

A generation is late by its caller's age: a caller that comes back has less time left than the longest seen on its route. Late ones use an engine up to 0.8 of its memory. Orders to engines that hardly have work go out together.

--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -26,6 +26,10 @@
 # Until prompts were measured, in tokens a second; hosts learn it in use.
 INITIAL_PREFILL_RATE = 25_000.0
 RATE_WEIGHT = 0.2
+# Shares of an engine's memory that generations may be expected to take in the
+# end. Few of them end at once, and the engine itself refuses what has no room.
+ON_TIME_CAPACITY_SHARE = 1.15
+LATE_CAPACITY_SHARE = 0.8
 # A decode engine reads prompts at this share of a prefill engine's speed.
 DIRECT_SPEED = 0.5
 
@@ -52,6 +56,7 @@
         runners: Iterable[Registration],
         traits: EngineTraits,
         tokens: int,
+        is_late: bool = False,
         excluded: Collection[RunnerKey] = (),
     ) -> list[Registration]:
         """Return engines that may have room for a generation, best first.
@@ -62,15 +67,19 @@
         traits : EngineTraits
         tokens : int
             KV cache that the generation is expected to take in the end.
+        is_late : bool
+            Its first event cannot be on time any more: it gets room that is
+            left over, on whichever host those wait that can be on time.
         excluded : collection of RunnerKey
         """
+        share = LATE_CAPACITY_SHARE if is_late else ON_TIME_CAPACITY_SHARE
         found = [
             (self._free_share(runner, traits), runner)
             for runner in runners
             if runner.stage is Stage.DECODE
             and runner.key not in excluded
             and self._is_open(runner.key)
-            and self._fits(runner, traits, tokens)
+            and self._fits(runner, traits, tokens, share)
         ]
         return [runner for _, runner in sorted(found, key=lambda item: -item[0])]
 
@@ -117,10 +126,12 @@
     def _is_open(self, runner: RunnerKey) -> bool:
         return monotonic() >= self.avoid_until_by_runner.get(runner, float("-inf"))
 
-    def _fits(self, runner: Registration, traits: EngineTraits, tokens: int) -> bool:
+    def _fits(
+        self, runner: Registration, traits: EngineTraits, tokens: int, share: float
+    ) -> bool:
         load = self.load_at(runner.key)
         has_slot = load.requests < traits.slots
-        return has_slot and load.decode_tokens + tokens <= traits.kv_capacity
+        return has_slot and load.decode_tokens + tokens <= share * traits.kv_capacity
 
     def _free_share(self, runner: Registration, traits: EngineTraits) -> float:
         used = self.load_at(runner.key).decode_tokens / max(1, traits.kv_capacity)
--- a/src/siskinlever/_internal/dispatch/stage_plan.py
+++ b/src/siskinlever/_internal/dispatch/stage_plan.py
@@ -29,6 +29,11 @@
     prefill: float
     decode: float
 
+    @property
+    def is_small(self) -> bool:
+        """Whether an engine that changes its stage is hardly missed."""
+        return self.prefill + self.decode < MIN_WORK_ENGINES
+
     @property
     def prefill_share(self) -> float:
         """The share of the engines that prefill should have."""
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -27,6 +27,26 @@
 from ..utils.tasks import TaskSet
 
 
+class CallerAges:
+    """Tells how long callers have waited already, over earlier requests.
+
+    A caller that comes back after a refusal has less time left than one that
+    comes for the first time.
+    """
+
+    def __init__(self) -> None:
+        self._longest_s_by_route: dict[str, float] = {}
+
+    def age_s(self, job: Job) -> float:
+        """Return the seconds since a caller's first request, as far as known."""
+        told = job.caller_waits_s
+        if told is None:
+            return 0.0
+        longest = max(told, self._longest_s_by_route.get(job.route.name, 0.0))
+        self._longest_s_by_route[job.route.name] = longest
+        return longest - told
+
+
 @dataclass(slots=True)
 class GatewayContext:
     """The parts that requests of a host share."""
@@ -44,6 +64,7 @@
     metrics: Metrics
     tasks: TaskSet
     engines_by_service: dict[ServiceName, EnginePlacement] = field(default_factory=dict)
+    caller_ages: CallerAges = field(default_factory=CallerAges)
     line_by_service: dict[ServiceName, WaitingLine] = field(default_factory=dict)
 
     def steady(self, runners: list[Registration]) -> list[Registration]:
@@ -98,6 +119,8 @@
         Chosen among the route's services.
     arrived_at, deadline : float
         Monotonic times.
+    caller_waits_s : float or None
+        How long the caller waits from now, if it says so.
     may_have_run : bool
         Whether a runner may have begun to work on it.
     sends : int
@@ -111,6 +134,7 @@
     service: ServiceName
     arrived_at: float
     deadline: float
+    caller_waits_s: float | None = None
     may_have_run: bool = False
     sends: int = 0
     steps: dict[str, str | int | float] = field(default_factory=dict)
@@ -133,4 +157,4 @@
     limit_s = route.timeout_s if told is None else min(told, route.timeout_s)
     shares = route.shares
     chosen = random.choices(shares, [share.weight for share in shares])[0]
-    return Job(request, route, chosen.service, now, now + limit_s)
+    return Job(request, route, chosen.service, now, now + limit_s, told)
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -33,7 +33,7 @@
 # Share of the caller's time for which it is kept waiting for room; the rest
 # is needed for the answer.
 WAIT_SHARE = 0.4
-POLL_S = 0.05
+POLL_S = 0.025
 # Retry-After of a refusal for want of room: about the time of one run.
 RETRY_AFTER_S = 2.0
 # A prefill call that takes this many times as long as expected is given up.
@@ -138,7 +138,10 @@
         job = self._job
         began = monotonic()
         line = self._context.line(job.service)
-        on_time_until = job.arrived_at + job.route.target_latency_s - FIRST_EVENT_S
+        age_s = self._context.caller_ages.age_s(job)
+        on_time_until = (
+            job.arrived_at - age_s + job.route.target_latency_s - FIRST_EVENT_S
+        )
         give_up_at = min(
             began + WAIT_SHARE * max(0.0, job.time_left_s),
             job.arrived_at + _patience_s(job.route) - FIRST_EVENT_S - PATIENCE_MARGIN_S,
@@ -149,7 +152,8 @@
             while True:
                 line.update()
                 if ticket.turn.is_set():
-                    room = await self._try_engines(tokens)
+                    is_late = monotonic() > on_time_until
+                    room = await self._try_engines(tokens, is_late)
                     if room is not None:
                         self._note("room_s")
                         return room
@@ -162,7 +166,7 @@
                     )
                 await asyncio.sleep(POLL_S)
 
-    async def _try_engines(self, tokens: int) -> Room | None:
+    async def _try_engines(self, tokens: int, is_late: bool) -> Room | None:
         job = self._job
         usable = self._context.runners.usable(job.service)
         if not usable:
@@ -172,7 +176,7 @@
             HELD_OUTPUT_SHARE * self._asked.likely_output_tokens
         )
         for runner in self._placement.decode_candidates(
-            usable, self._traits, tokens, self._failed_engines
+            usable, self._traits, tokens, is_late, self._failed_engines
         ):
             try:
                 hold = await engine_calls.take_hold(
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -20,8 +20,9 @@
 Header = tuple[bytes, bytes]
 
 READ_BYTES = 65_536
-# One lost packet is sent again within this time; hosts are 1 ms apart.
-CONNECT_TIMEOUT_S = 0.6
+# Hosts are 1 ms apart; the kernel sends a lost first packet again only after a
+# second, so a new connection is sooner.
+CONNECT_TIMEOUT_S = 0.3
 # Larger than the limit for callers' headers; runners add a few of their own.
 MAX_ANSWER_HEAD_BYTES = 65_536
 
--- a/src/siskinlever/_internal/stages/orders.py
+++ b/src/siskinlever/_internal/stages/orders.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..dispatch.stage_plan import StageChange, Work, next_change
 from ..exceptions import ExchangeError, InvalidRecordError
@@ -12,7 +13,7 @@
 from ..gateway.context import GatewayContext
 from ..models.ids import ServiceName
 from ..models.routes import EngineTraits
-from ..models.upstreams import EngineReport, RunnerKey
+from ..models.upstreams import EngineReport, Registration, RunnerKey, Stage
 from ..network.http1_client import fetch
 from ..platform import dialect
 from ..utils.clock import monotonic
@@ -52,6 +53,7 @@
         self._work_by_service: dict[ServiceName, Work] = defaultdict(
             lambda: Work(0.0, 0.0)
         )
+        self._target_by_runner: dict[RunnerKey, Stage] = {}
         self._seen_by_service: dict[
             ServiceName, tuple[frozenset[RunnerKey], float]
         ] = {}
@@ -66,7 +68,7 @@
                 if service.engine is not None:
                     self._measure(service.name, service.engine)
                     if self._lease.may_order:
-                        await self._plan(service.name, service.engine)
+                        self._plan(service.name, service.engine)
 
     def _measure(self, service: ServiceName, traits: EngineTraits) -> None:
         demand = self._context.fleet_demand(service)
@@ -81,15 +83,32 @@
             work.decode + WORK_WEIGHT * (now.decode - work.decode),
         )
 
-    async def _plan(self, service: ServiceName, traits: EngineTraits) -> None:
+    def _plan(self, service: ServiceName, traits: EngineTraits) -> None:
         usable = self._context.runners.usable(service)
-        if len(self._context.steady(usable)) < len(usable):
-            return
         if not self._is_settled(service, frozenset(runner.key for runner in usable)):
             return
-        change = next_change(usable, self._work_by_service[service])
-        if change is not None:
+        work = self._work_by_service[service]
+        if len(self._context.steady(usable)) < len(usable) and not work.is_small:
+            return
+        planned = [self._with_target(runner) for runner in usable]
+        change = next_change(planned, work)
+        if change is None or change.runner.key in self._target_by_runner:
+            return
+        self._target_by_runner[change.runner.key] = change.stage
+        self._context.tasks.start(self._change(service, change, traits), "stage-order")
+
+    def _with_target(self, runner: Registration) -> Registration:
+        """Return a runner with the stage that it is changing to, if it is."""
+        target = self._target_by_runner.get(runner.key, runner.stage)
+        return replace(runner, stage=target)
+
+    async def _change(
+        self, service: ServiceName, change: StageChange, traits: EngineTraits
+    ) -> None:
+        try:
             await self._order(service, change, traits)
+        finally:
+            del self._target_by_runner[change.runner.key]
 
     def _is_settled(self, service: ServiceName, keys: frozenset[RunnerKey]) -> bool:
         known, since = self._seen_by_service.get(service, (frozenset(), 0.0))
