See resets behind the end of data; keep a timed-out send in doubt

An answer without a length that was reset was handed over as complete: the event loop reports the end of the data, while the socket's state is closed and its error is ECONNRESET. A request whose runner had not answered by the deadline was refused as not run, since only an answer's head counted as a send.

Ruled out: a runner's clean close as the end of a broken answer; the sockets of all six such answers in a traced run show state 8 and no error for whole ones, 7 and 104 for broken ones.

A request counts the runners it was sent to, so a second send to the same engine takes no attempt.

--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from ..dispatch.engine_placement import EnginePlacement
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import RetryBudget
 from ..dispatch.waiting_line import WaitingLine
+from ..exceptions import ConnectFailedError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
 from ..fleet.hosts import HostTable, RunnerLoad
@@ -121,10 +124,12 @@
         Monotonic times.
     caller_waits_s : float or None
         How long the caller waits from now, if it says so.
-    may_have_run : bool
-        Whether a runner may have begun to work on it.
-    sends : int
-        Times that it was sent to a runner.
+    ran : bool
+        Whether a runner has begun to work on it.
+    in_doubt : bool
+        Whether it is on its way to a runner that has not answered.
+    sent_to : set of RunnerKey
+        The runners that it was sent to.
     steps : dict
         What happened on the way, for the log.
     """
@@ -135,8 +140,9 @@
     arrived_at: float
     deadline: float
     caller_waits_s: float | None = None
-    may_have_run: bool = False
-    sends: int = 0
+    ran: bool = False
+    in_doubt: bool = False
+    sent_to: set[RunnerKey] = field(default_factory=set)
     steps: dict[str, str | int | float] = field(default_factory=dict)
 
     @property
@@ -144,6 +150,42 @@
         """The caller's id of the request."""
         return dialect.request_id(self.request)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a runner may have begun to work on it."""
+        return self.ran or self.in_doubt
+
+    @contextmanager
+    def sending(self, runner: RunnerKey) -> Iterator[None]:
+        """Send the request within the block; its outcome is in doubt until known.
+
+        A block that is left by a time-out leaves the request in doubt.
+        """
+        self.in_doubt = True
+        known = runner in self.sent_to
+        self.sent_to.add(runner)
+        try:
+            yield
+        except ConnectFailedError:
+            self.in_doubt = False
+            if not known:
+                self.sent_to.discard(runner)
+            raise
+
+    def not_run(self) -> None:
+        """Note the word of a runner that it did not run the request."""
+        self.in_doubt = False
+
+    def has_run(self) -> None:
+        """Note that a runner has begun to answer."""
+        self.in_doubt = False
+        self.ran = True
+
+    @property
+    def has_attempts_left(self) -> bool:
+        """Whether the route allows one more runner."""
+        return len(self.sent_to) < self.route.max_attempts
+
     @property
     def time_left_s(self) -> float:
         """Seconds until the deadline."""
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -113,7 +113,7 @@
                 runner=room.runner.key.name,
                 reason=ending.reason.value,
                 after_event=self._relay.last_event,
-                sends=self._job.sends,
+                runners=len(self._job.sent_to),
             )
 
     def _note(self, step: str) -> None:
@@ -290,23 +290,24 @@
         # A hold is used up by the request that names it.
         room.hold = None
         try:
-            async with exchange(runner.address, call) as answer:
-                job.sends += 1
-                return await self._take(runner, answer)
+            with job.sending(runner.key):
+                async with exchange(runner.address, call) as answer:
+                    return await self._take(runner, answer)
         except ConnectFailedError as error:
             self._placement.note_unreachable(runner.key)
             return refused(Reason.UNREACHABLE, error.message, RETRY_AFTER_S)
         except AnswerBrokenError as error:
-            job.may_have_run = True
+            job.ran = True
             return failed(Reason.BROKEN, error.message)
 
     async def _take(self, runner: Registration, answer: Exchange) -> EndedError | None:
         head = answer.head
         if dialect.is_not_run(head):
+            self._job.not_run()
             self._placement.note_full(runner.key)
             message = f"{runner.key.name} answered {head.status}"
             return refused(Reason.REJECTED, message, RETRY_AFTER_S)
-        self._job.may_have_run = True
+        self._job.has_run()
         self._note("first_event_s")
         if not dialect.answers(head, self._job.request) or not dialect.is_signed(head):
             return failed(Reason.FOREIGN, f"not this request's answer: {head.status}")
@@ -323,7 +324,7 @@
             return True
         if job.may_have_run and not route.repeatable:
             return False
-        if job.sends >= route.max_attempts:
+        if not job.has_attempts_left:
             return False
         return self._context.budget.spend(job.service)
 
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -64,7 +64,7 @@
                 self._job.id,
                 runner=runner.key.name,
                 reason=ending.reason.value,
-                sends=self._job.sends,
+                runners=len(self._job.sent_to),
             )
         if self._kept is not None:
             await self._kept.hand_over(self._connection, self._close)
@@ -82,16 +82,15 @@
             job.request, dialect.SendOptions(runner.key, job.time_left_s)
         )
         try:
-            with self._context.in_progress.request(runner.key):
+            with self._context.in_progress.request(runner.key), job.sending(runner.key):
                 async with exchange(runner.address, call) as answer:
-                    job.sends += 1
                     return await self._take(runner, answer)
         except ConnectFailedError as error:
             self._connect_failures += 1
             plain.note_unreachable(runner.key)
             return refused(Reason.UNREACHABLE, error.message, RETRY_AFTER_S)
         except AnswerBrokenError as error:
-            job.may_have_run = True
+            job.ran = True
             plain.note_outcome(runner.key, failed=True)
             return failed(Reason.BROKEN, error.message)
 
@@ -103,9 +102,10 @@
         if dialect.is_not_run(head):
             if not dialect.is_other_runner(head):
                 plain.note_outcome(runner.key, failed=True)
+            self._job.not_run()
             message = f"{runner.key.name} answered {head.status}"
             return refused(Reason.REJECTED, message, RETRY_AFTER_S)
-        self._job.may_have_run = True
+        self._job.has_run()
         if not dialect.answers(head, self._job.request) or not dialect.is_signed(head):
             plain.note_outcome(runner.key, failed=True)
             return failed(Reason.FOREIGN, f"not this request's answer: {head.status}")
@@ -124,6 +124,6 @@
             return self._connect_failures < MAX_CONNECT_FAILURES
         if job.may_have_run and not route.repeatable:
             return False
-        if job.sends >= route.max_attempts:
+        if not job.has_attempts_left:
             return False
         return self._context.budget.spend(job.service)
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -112,7 +112,7 @@
         except TimeoutError as error:
             if self._connection.answer_started:
                 raise AnswerBrokenError("the answer took too long") from error
-            raise timed_out(job.may_have_run or job.sends > 0) from error
+            raise timed_out(job.may_have_run) from error
 
     def _forward(self, job: Job) -> Awaitable[str]:
         context, close = self._context, self._stopping.is_stopping
@@ -165,7 +165,7 @@
                 "route": job.route.name,
                 "service": job.service,
                 "taken_s": round(taken_s, 3),
-                "sends": job.sends,
+                "runners": len(job.sent_to),
             }
             fields |= job.steps
         context.log.write(
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -15,7 +15,7 @@
 import h11
 
 from ..exceptions import AnswerBrokenError, ConnectFailedError
-from .sockets import detect_silence_of, split_address
+from .sockets import detect_silence_of, split_address, was_reset
 
 Header = tuple[bytes, bytes]
 
@@ -94,9 +94,15 @@
 
 
 class _AnswerReader:
-    def __init__(self, parser: h11.Connection, reader: asyncio.StreamReader) -> None:
+    def __init__(
+        self,
+        parser: h11.Connection,
+        reader: asyncio.StreamReader,
+        transport: asyncio.BaseTransport,
+    ) -> None:
         self._parser = parser
         self._reader = reader
+        self._transport = transport
 
     async def next_event(self) -> object:
         while True:
@@ -107,7 +113,10 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                self._parser.receive_data(await self._reader.read(READ_BYTES))
+                data = await self._reader.read(READ_BYTES)
+                if not data and was_reset(self._transport):
+                    raise AnswerBrokenError("connection reset")
+                self._parser.receive_data(data)
             except OSError as error:
                 raise AnswerBrokenError(f"connection lost: {error!r}") from error
             except RuntimeError as error:
@@ -143,7 +152,7 @@
         writer.write(_encoded(parser, call))
         # An answer may come before the far end has read the whole body.
         sending = asyncio.ensure_future(_drain(writer))
-        answer = _AnswerReader(parser, reader)
+        answer = _AnswerReader(parser, reader, writer.transport)
         yield Exchange(await answer.head(), answer)
     finally:
         if sending is not None:
--- a/src/siskinlever/_internal/network/sockets.py
+++ b/src/siskinlever/_internal/network/sockets.py
@@ -11,6 +11,8 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# The kernel's number of the state of a connection that is gone in both directions.
+TCP_STATE_CLOSED = 7
 
 
 def detect_silence(sock: socket.socket) -> None:
@@ -31,6 +33,23 @@
         detect_silence(sock)
 
 
+def was_reset(transport: asyncio.BaseTransport) -> bool:
+    """Tell whether a connection whose end was read was reset.
+
+    The event loop may report the end of the data where the far end has reset
+    the connection; the socket knows better.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return True
+    try:
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True
+    return bool(error) or state == TCP_STATE_CLOSED
+
+
 def detect_close_of(transport: Any) -> None:
     """Read on, so that a caller's close is seen while its request is served.
 
