Wait for a prefill engine while on time; tell the hosts which runner is dark

Cause: prompts that decode engines read slow all that run there, and were sent there whenever a prefill engine had a short queue. After a runner went dark, each host found out by itself, at 0.3 s a request.

A prompt waits at a prefill engine as long as its first event stays on time. A runner that took no connection is told to the other hosts, which take it last. Calls to the store are shared: a host in contact with others that read it reads less often, and looks at the record of orders only if no host says that it holds it.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -17,6 +17,7 @@
 from ..fleet.in_progress import InProgress
 from ..fleet.lookup import LIFETIME_S, addresses_for
 from ..fleet.peer_sync import PeerSync
+from ..fleet.reach import Reach
 from ..fleet.runners import RunnerDirectory
 from ..fleet.store_follower import StoreFollower, StoreLink
 from ..gateway.context import GatewayContext
@@ -129,8 +130,10 @@
     configuration = ConfigurationInForce(decode_configuration, log)
     runners = RunnerDirectory(settings.bounds.lapse_recovery_s, log)
     hosts = HostTable(settings.host, log)
-    in_progress, demand, switching = InProgress(), DemandMeter(), Switching()
+    in_progress, demand = InProgress(), DemandMeter()
+    switching, reach = Switching(), Reach()
     store = MetadataStore(settings.store.address)
+    link = StoreLink(log, metrics)
     incarnation = Incarnation(int(time.time() * MS_PER_S))
 
     def own_status() -> HostStatus:
@@ -141,6 +144,8 @@
             callers_address=settings.listeners.callers,
             peers_address=settings.listeners.peers,
             serving=configuration.current is not None and not stopping.is_stopping,
+            reads_store=not link.is_out,
+            holds_orders=lease.is_held,
         )
 
     links = await stack.enter_async_context(peer_links(PEER_KEY, None, metrics))
@@ -149,9 +154,10 @@
         store,
         configuration,
         runners,
-        StoreLink(log, metrics),
+        link,
         log,
         meet=lambda address: sync.meet(address),
+        readers=hosts.readers,
     )
     sync = PeerSync(
         own_status,
@@ -162,6 +168,7 @@
         in_progress,
         demand,
         switching,
+        reach,
         follower,
         log,
         tasks,
@@ -178,13 +185,25 @@
         in_progress=in_progress,
         demand=demand,
         switching=switching,
+        reach=reach,
         budget=budget,
-        plain=PlainPlacement(settings.zone, lambda key: context.load_at(key).requests),
+        plain=PlainPlacement(
+            settings.zone,
+            requests_at=lambda key: context.load_at(key).requests,
+            doubt_about=lambda key: context.doubt_about(key),
+        ),
         log=log,
         metrics=metrics,
         tasks=tasks,
     )
-    lease = OrderLease(store, settings.host, settings.bounds.order_lease_s, log)
+    reach.subscribe(sync.announce)
+    lease = OrderLease(
+        store,
+        settings.host,
+        settings.bounds.order_lease_s,
+        log,
+        is_held_elsewhere=hosts.is_order_right_held,
+    )
     orders = StageOrders(context, lease, sync.announce)
     return GatewayHost(settings, context, follower, sync, stopping, lease, orders, log)
 
--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -16,11 +16,10 @@
 from ..models.routes import EngineTraits
 from ..models.upstreams import Registration, RunnerKey, Stage
 from ..utils.clock import monotonic
+from .doubt import Doubt
 
 # After an engine refused to reserve room; a run ends about each 0.2 s there.
 FULL_RETRY_S = 0.08
-# After a failed connection; a runner that crashed is down for seconds.
-UNREACHABLE_S = 1.5
 # Share of the capacity by which an engine of this host's zone is preferred.
 SAME_ZONE_BONUS = 0.1
 # Until prompts were measured, in tokens a second; hosts learn it in use.
@@ -30,8 +29,8 @@
 # end. Few of them end at once, and the engine itself refuses what has no room.
 ON_TIME_CAPACITY_SHARE = 1.15
 LATE_CAPACITY_SHARE = 0.8
-# A decode engine reads prompts at this share of a prefill engine's speed.
-DIRECT_SPEED = 0.5
+# A late generation rather waits than slows others; but its caller leaves.
+LATE_PREFILL_WAIT_S = 1.0
 
 
 @dataclass(slots=True)
@@ -44,12 +43,15 @@
         Of this host.
     load_at : callable
         Returns what all hosts have in progress at a runner, as far as known.
+    doubt_about : callable
+        Returns whether a runner can be reached.
     """
 
     zone: ZoneName
     load_at: Callable[[RunnerKey], RunnerLoad]
+    doubt_about: Callable[[RunnerKey], Doubt]
     prefill_rate: float = INITIAL_PREFILL_RATE
-    avoid_until_by_runner: dict[RunnerKey, float] = field(default_factory=dict)
+    full_until_by_runner: dict[RunnerKey, float] = field(default_factory=dict)
 
     def decode_candidates(
         self,
@@ -74,25 +76,44 @@
         """
         share = LATE_CAPACITY_SHARE if is_late else ON_TIME_CAPACITY_SHARE
         found = [
-            (self._free_share(runner, traits), runner)
+            (self.doubt_about(runner.key), -self._free_share(runner, traits), runner)
             for runner in runners
             if runner.stage is Stage.DECODE
             and runner.key not in excluded
             and self._is_open(runner.key)
             and self._fits(runner, traits, tokens, share)
         ]
-        return [runner for _, runner in sorted(found, key=lambda item: -item[0])]
+        return [runner for *_, runner in sorted(found, key=lambda item: item[:2])]
 
     def prefill_candidate(
         self,
         runners: Iterable[Registration],
-        prompt_tokens: int,
         decode_zone: ZoneName,
+        slack_s: float,
         excluded: Collection[RunnerKey] = (),
     ) -> Registration | None:
-        """Return the prefill engine to use, or None to read at the decode engine."""
+        """Return the prefill engine to use, or None to read at the decode engine.
+
+        A prompt that a decode engine reads slows all that run there, so it is
+        worth to wait at a prefill engine as long as the first event stays on
+        time.
+
+        Parameters
+        ----------
+        runners : iterable of Registration
+        decode_zone : str
+        slack_s : float
+            Seconds that the prompt may wait and its first event be on time;
+            negative if it is late already.
+        excluded : collection of RunnerKey
+        """
         waits = [
-            (self._prefill_wait_s(runner), runner.zone != decode_zone, runner)
+            (
+                self.doubt_about(runner.key),
+                self._prefill_wait_s(runner),
+                runner.zone != decode_zone,
+                runner,
+            )
             for runner in runners
             if runner.stage is Stage.PREFILL
             and runner.key not in excluded
@@ -100,31 +121,23 @@
         ]
         if not waits:
             return None
-        wait_s, _, runner = min(waits, key=lambda item: item[:2])
-        # At full speed the prompt takes as long as it gains by waiting.
-        direct_loss_s = prompt_tokens / self.prefill_rate * (1 / DIRECT_SPEED - 1)
-        return runner if wait_s <= 2 * direct_loss_s else None
+        _, wait_s, _, runner = min(waits, key=lambda item: item[:3])
+        allowed_s = slack_s if slack_s >= 0 else LATE_PREFILL_WAIT_S
+        return runner if wait_s <= allowed_s else None
 
     def note_full(self, runner: RunnerKey) -> None:
         """Note that an engine refused for want of room."""
-        self._avoid(runner, FULL_RETRY_S)
-
-    def note_unreachable(self, runner: RunnerKey) -> None:
-        """Note that an engine took no connection or gave no answer."""
-        self._avoid(runner, UNREACHABLE_S)
+        self.full_until_by_runner[runner] = monotonic() + FULL_RETRY_S
 
     def note_prefill(self, tokens: int, seconds: float) -> None:
         """Learn from a prompt that was read without a queue before it."""
         rate = tokens / max(seconds, 1e-3)
         self.prefill_rate += RATE_WEIGHT * (rate - self.prefill_rate)
 
-    def _avoid(self, runner: RunnerKey, seconds: float) -> None:
-        until = monotonic() + seconds
-        known = self.avoid_until_by_runner.get(runner, until)
-        self.avoid_until_by_runner[runner] = max(known, until)
-
     def _is_open(self, runner: RunnerKey) -> bool:
-        return monotonic() >= self.avoid_until_by_runner.get(runner, float("-inf"))
+        if self.doubt_about(runner) is Doubt.OWN:
+            return False
+        return monotonic() >= self.full_until_by_runner.get(runner, float("-inf"))
 
     def _fits(
         self, runner: Registration, traits: EngineTraits, tokens: int, share: float
--- a/src/siskinlever/_internal/dispatch/plain_placement.py
+++ b/src/siskinlever/_internal/dispatch/plain_placement.py
@@ -14,6 +14,7 @@
 from ..models.ids import ZoneName
 from ..models.upstreams import LoadReport, Registration, RunnerKey
 from ..utils.clock import monotonic
+from .doubt import Doubt
 
 # A runner of another zone must be this much less busy, in shares of its slots,
 # to be preferred: bytes between zones are dear.
@@ -23,8 +24,8 @@
 # Runners fail this share of some requests by themselves, the same for all.
 USUAL_FAILURES = 0.2
 FAILURE_PENALTY = 2.0
-# After a failed connection; a runner that crashed is down for seconds.
-UNREACHABLE_S = 1.0
+# A runner that cannot be reached comes after all others.
+DOUBT_PENALTY = {Doubt.NONE: 0.0, Doubt.OTHERS: 2.0, Doubt.OWN: 100.0}
 # Reported load older than this says nothing of short requests.
 REPORT_AGE_S = 0.4
 
@@ -34,7 +35,6 @@
     """What was seen of one runner."""
 
     failures: float = 0.0
-    unreachable_until: float = float("-inf")
     report: LoadReport | None = None
     reported_at: float = float("-inf")
 
@@ -49,10 +49,13 @@
         Of this host.
     requests_at : callable
         Returns the requests that all hosts have at a runner, as far as known.
+    doubt_about : callable
+        Returns whether a runner can be reached.
     """
 
     zone: ZoneName
     requests_at: Callable[[RunnerKey], int]
+    doubt_about: Callable[[RunnerKey], Doubt]
     record_by_runner: dict[RunnerKey, RunnerRecord] = field(default_factory=dict)
 
     def choose(
@@ -74,17 +77,13 @@
         cost = requests / max(1, runner.slots)
         cost += OTHER_ZONE_PENALTY * (runner.zone != self.zone)
         cost += FAILURE_PENALTY * max(0.0, record.failures - USUAL_FAILURES)
-        return cost + 100.0 * (now < record.unreachable_until)
+        return cost + DOUBT_PENALTY[self.doubt_about(runner.key)]
 
     def note_outcome(self, runner: RunnerKey, failed: bool) -> None:
         """Note whether a runner answered a request well."""
         record = self._record(runner)
         record.failures += OUTCOME_WEIGHT * (failed - record.failures)
 
-    def note_unreachable(self, runner: RunnerKey) -> None:
-        """Note that a runner took no connection."""
-        self._record(runner).unreachable_until = monotonic() + UNREACHABLE_S
-
     def note_load(self, runner: RunnerKey, report: LoadReport) -> None:
         """Note the load that a runner told."""
         record = self._record(runner)
--- a/src/siskinlever/_internal/dispatch/stage_plan.py
+++ b/src/siskinlever/_internal/dispatch/stage_plan.py
@@ -15,7 +15,7 @@
 
 # Until work was measured: prompts of 3,000 tokens are read in 0.1 s, and their
 # answers of some hundred tokens take a tenth of an engine for seconds.
-INITIAL_PREFILL_SHARE = 0.28
+INITIAL_PREFILL_SHARE = 0.2
 # A change must bring the division closer by this many engines.
 HYSTERESIS_ENGINES = 0.75
 # Measured work below this says little about the mix, in engines.
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -47,6 +47,10 @@
     callers_address, peers_address : str
     serving : bool
         It has a configuration and is not about to stop.
+    reads_store : bool
+        The store serves it.
+    holds_orders : bool
+        It has the right to order engines.
     """
 
     host: HostName
@@ -55,6 +59,8 @@
     callers_address: Address
     peers_address: Address
     serving: bool
+    reads_store: bool = False
+    holds_orders: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,11 +74,14 @@
     switching_s_by_runner : dict of RunnerKey to float
         Engines that the host has ordered to change their stage, and the
         seconds that they take no requests.
+    unreachable : frozenset of RunnerKey
+        Runners that lately took no connection from the host.
     """
 
     load_by_runner: Mapping[RunnerKey, RunnerLoad] = field(default_factory=dict)
     demand_by_service: Mapping[ServiceName, Demand] = field(default_factory=dict)
     switching_s_by_runner: Mapping[RunnerKey, float] = field(default_factory=dict)
+    unreachable: frozenset[RunnerKey] = frozenset()
 
 
 @dataclass(slots=True)
@@ -116,6 +125,14 @@
         now = monotonic()
         return [h for h in self.by_host.values() if now - h.heard_at <= ALIVE_FOR_S]
 
+    def readers(self) -> int:
+        """Return the number of live hosts that the store serves."""
+        return sum(known.status.reads_store for known in self.alive())
+
+    def is_order_right_held(self) -> bool:
+        """Tell whether a live host says that it has the right to order."""
+        return any(known.status.holds_orders for known in self.alive())
+
     def note_alive(self) -> None:
         """Log hosts that were lost or are heard again; forget old ones."""
         alive = {known.status.host for known in self.alive()}
@@ -143,6 +160,10 @@
             tokens += demand.decode_tokens
         return Demand(prompts, tokens)
 
+    def is_doubted(self, runner: RunnerKey) -> bool:
+        """Tell whether another host lately did not reach a runner."""
+        return any(runner in known.work.unreachable for known in self.alive())
+
     def is_switching(self, runner: RunnerKey) -> bool:
         """Tell whether another host has ordered an engine to change its stage."""
         now = monotonic()
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -19,6 +19,7 @@
 from .demand import Demand, DemandMeter
 from .hosts import FORGET_S, HostStatus, HostTable, HostWork, RunnerLoad
 from .in_progress import InProgress
+from .reach import Reach
 from .runners import Runner, RunnerDirectory
 from .store_follower import StoreFollower
 
@@ -43,6 +44,7 @@
     demand : DemandMeter
     switching : Switching
         Engines that this host has ordered to change their stage.
+    reach : Reach
     follower : StoreFollower
         Its last reading of the runners is handed to hosts that start.
     log : LogLines
@@ -59,6 +61,7 @@
         in_progress: InProgress,
         demand: DemandMeter,
         switching: Switching,
+        reach: Reach,
         follower: StoreFollower,
         log: LogLines,
         tasks: TaskSet,
@@ -71,6 +74,7 @@
         self._in_progress = in_progress
         self._demand = demand
         self._switching = switching
+        self._reach = reach
         self._follower = follower
         self._log = log
         self._tasks = tasks
@@ -178,6 +182,8 @@
                 callers_address=Address(host.callers_address),
                 peers_address=Address(host.peers_address),
                 serving=host.serving,
+                reads_store=host.reads_store,
+                holds_orders=host.holds_orders,
             ),
             HostWork(
                 {_key(load.runner): _load(load) for load in state.loads},
@@ -191,6 +197,7 @@
                     _key(switch.runner): switch.remaining_ms / MS_PER_S
                     for switch in state.switches
                 },
+                frozenset(_key(runner) for runner in state.unreachable),
             ),
         )
         for leaving in state.leaving:
@@ -217,6 +224,8 @@
                 callers_address=own.callers_address,
                 peers_address=own.peers_address,
                 serving=own.serving,
+                reads_store=own.reads_store,
+                holds_orders=own.holds_orders,
             ),
             configuration_version=self._configuration.version,
             configuration_age_ms=self._configuration_age_ms(),
@@ -244,6 +253,7 @@
                 )
                 for key, seconds in self._switching.remaining_by_runner().items()
             ],
+            unreachable=[_runner(key) for key in self._reach.unreachable()],
             peers=[known.status.peers_address for known in self._hosts.alive()],
         )
 
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -24,11 +24,17 @@
 from .runners import RunnerDirectory
 
 HOSTS_PREFIX = "siskinlever/hosts/"
-# A leaving runner must be known within 2 s; two readings fit in.
+# A leaving runner must be known within 2 s; two readings by all hosts that are
+# in contact fit in, since each tells the others at once.
 RUNNERS_PERIOD_S = 0.8
+# A host reads no less often than this, however many others read too.
+MAX_RUNNERS_PERIOD_S = 2.0
 # Bounds how long a silent connection hides a change of the configuration.
 CONFIGURATION_WAIT_S = 1.0
-HOSTS_PERIOD_S = 4.0
+MAX_CONFIGURATION_WAIT_S = 3.0
+# Share of the others' readings that is counted on.
+SHARED_READINGS = 0.3
+HOSTS_PERIOD_S = 8.0
 LEASE_S = 6.0
 RENEW_PERIOD_S = 2.0
 RETRY_S = 0.3
@@ -81,6 +87,8 @@
     log : LogLines
     meet : callable
         Called with the peer address of each host that is registered.
+    readers : callable
+        Returns the number of hosts in contact that read the store as well.
     """
 
     def __init__(
@@ -92,6 +100,7 @@
         link: StoreLink,
         log: LogLines,
         meet: Callable[[Address], None],
+        readers: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._store = store
@@ -100,6 +109,7 @@
         self.link = link
         self._log = log
         self._meet = meet
+        self._readers = readers
         self._undecodable: set[tuple[str, bytes]] = set()
         self.runner_items: tuple[Item, ...] = ()
 
@@ -124,13 +134,19 @@
 
     async def _watch_configuration(self, revision: int) -> int:
         changes = await self._store.watch(
-            records.OPERATOR_PREFIX, revision, CONFIGURATION_WAIT_S
+            records.OPERATOR_PREFIX,
+            revision,
+            self._shared(CONFIGURATION_WAIT_S, MAX_CONFIGURATION_WAIT_S),
         )
         for event in changes.events:
             if isinstance(event, Item) and event.key == records.CONFIGURATION_KEY:
                 self._configuration.offer(event.value, "store")
         return max(revision, changes.revision)
 
+    def _shared(self, period_s: float, longest_s: float) -> float:
+        """Return the period of calls that other hosts in contact make as well."""
+        return min(longest_s, period_s * (1 + SHARED_READINGS * self._readers()))
+
     async def _read_configuration(self) -> int:
         listing = await self._store.list_prefix(records.OPERATOR_PREFIX)
         for item in listing.items:
@@ -143,7 +159,8 @@
         while True:
             try:
                 await self._read_runners()
-                await asyncio.sleep(_spread(RUNNERS_PERIOD_S))
+                period_s = self._shared(RUNNERS_PERIOD_S, MAX_RUNNERS_PERIOD_S)
+                await asyncio.sleep(_spread(period_s))
             except PlatformError as error:
                 self.link.failed(error)
                 await asyncio.sleep(_spread(RETRY_S))
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from ..dispatch.doubt import Doubt
 from ..dispatch.engine_placement import EnginePlacement
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import RetryBudget
@@ -16,6 +17,7 @@
 from ..fleet.demand import Demand, DemandMeter
 from ..fleet.hosts import HostTable, RunnerLoad
 from ..fleet.in_progress import InProgress
+from ..fleet.reach import Reach
 from ..fleet.runners import RunnerDirectory
 from ..logs.lines import LogLines
 from ..metrics.registry import Metrics
@@ -61,6 +63,7 @@
     in_progress: InProgress
     demand: DemandMeter
     switching: Switching
+    reach: Reach
     budget: RetryBudget
     plain: PlainPlacement
     log: LogLines
@@ -97,11 +100,17 @@
             own.prefill_tokens + others.prefill_tokens,
         )
 
+    def doubt_about(self, runner: RunnerKey) -> Doubt:
+        """Return whether a runner can be reached, as far as is known."""
+        if self.reach.is_unreachable(runner):
+            return Doubt.OWN
+        return Doubt.OTHERS if self.hosts.is_doubted(runner) else Doubt.NONE
+
     def engines(self, service: ServiceName) -> EnginePlacement:
         """Return the placement for a service's engines."""
         found = self.engines_by_service.get(service)
         if found is None:
-            found = EnginePlacement(self.settings.zone, self.load_at)
+            found = EnginePlacement(self.settings.zone, self.load_at, self.doubt_about)
             self.engines_by_service[service] = found
         return found
 
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -38,7 +38,7 @@
 RETRY_AFTER_S = 2.0
 # A prefill call that takes this many times as long as expected is given up.
 PREFILL_PATIENCE = 4.0
-MIN_PREFILL_TIMEOUT_S = 0.8
+MIN_PREFILL_TIMEOUT_S = 0.5
 PREFILL_ANSWER_BYTES = 65_536
 # Callers leave a stream that shows no event for the longest of these: seconds,
 # multiples of the target latency, and of the longest pause between events.
@@ -77,6 +77,7 @@
         self._relay = StreamRelay(connection, job.route.resumable)
         self._placement = context.engines(job.service)
         self._failed_engines: set[RunnerKey] = set()
+        self._age_s = context.caller_ages.age_s(job)
 
     async def serve(self) -> str:
         """Answer the request; return the name of the decode engine.
@@ -116,6 +117,12 @@
                 runners=len(self._job.sent_to),
             )
 
+    def _on_time_until(self) -> float:
+        """Return until when the generation must begin to be on time."""
+        job = self._job
+        first_came_at = job.arrived_at - self._age_s
+        return first_came_at + job.route.target_latency_s - FIRST_EVENT_S
+
     def _note(self, step: str) -> None:
         self._job.steps[step] = round(monotonic() - self._job.arrived_at, 3)
 
@@ -138,10 +145,7 @@
         job = self._job
         began = monotonic()
         line = self._context.line(job.service)
-        age_s = self._context.caller_ages.age_s(job)
-        on_time_until = (
-            job.arrived_at - age_s + job.route.target_latency_s - FIRST_EVENT_S
-        )
+        on_time_until = self._on_time_until()
         give_up_at = min(
             began + WAIT_SHARE * max(0.0, job.time_left_s),
             job.arrived_at + _patience_s(job.route) - FIRST_EVENT_S - PATIENCE_MARGIN_S,
@@ -183,7 +187,7 @@
                     self._context, runner, held, self._traits.max_hold_s
                 )
             except ExchangeError as error:
-                self._placement.note_unreachable(runner.key)
+                self._context.reach.note_unreachable(runner.key)
                 self._context.log.write(
                     "engine.unreachable",
                     self._job.id,
@@ -221,8 +225,9 @@
             None if the decode engine is to read the prompt itself.
         """
         usable = self._context.runners.usable(self._job.service)
+        slack_s = self._on_time_until() - monotonic()
         runner = self._placement.prefill_candidate(
-            self._context.steady(usable), self._asked.prompt_tokens, decode.zone
+            self._context.steady(usable), decode.zone, slack_s
         )
         handle = await self._prefill(runner) if runner is not None else None
         if runner is None or handle is None:
@@ -242,7 +247,8 @@
         job, tokens = self._job, self._asked.prompt_tokens
         queued = self._context.load_at(runner.key).prefill_tokens
         expected_s = (queued + tokens) / self._placement.prefill_rate
-        timeout_s = max(MIN_PREFILL_TIMEOUT_S, PREFILL_PATIENCE * expected_s)
+        on_time_s = self._on_time_until() - monotonic()
+        timeout_s = max(MIN_PREFILL_TIMEOUT_S, PREFILL_PATIENCE * expected_s, on_time_s)
         options = dialect.SendOptions(
             runner.key,
             min(timeout_s, job.time_left_s),
@@ -263,10 +269,10 @@
             reason = f"status {answer.head.status}"
         except (ExchangeError, InvalidRecordError) as error:
             reason = error.message
-            self._placement.note_unreachable(runner.key)
+            self._context.reach.note_unreachable(runner.key)
         except TimeoutError:
             reason = f"not read within {timeout_s:.3f} s"
-            self._placement.note_unreachable(runner.key)
+            self._context.reach.note_unreachable(runner.key)
         self._context.metrics.count("prefills_failed")
         self._context.log.write(
             "prefill.failed",
@@ -294,7 +300,7 @@
                 async with exchange(runner.address, call) as answer:
                     return await self._take(runner, answer)
         except ConnectFailedError as error:
-            self._placement.note_unreachable(runner.key)
+            self._context.reach.note_unreachable(runner.key)
             return refused(Reason.UNREACHABLE, error.message, RETRY_AFTER_S)
         except AnswerBrokenError as error:
             job.ran = True
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -87,7 +87,7 @@
                     return await self._take(runner, answer)
         except ConnectFailedError as error:
             self._connect_failures += 1
-            plain.note_unreachable(runner.key)
+            self._context.reach.note_unreachable(runner.key)
             return refused(Reason.UNREACHABLE, error.message, RETRY_AFTER_S)
         except AnswerBrokenError as error:
             job.ran = True
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -22,7 +22,7 @@
 READ_BYTES = 65_536
 # Hosts are 1 ms apart; the kernel sends a lost first packet again only after a
 # second, so a new connection is sooner.
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.2
 # Larger than the limit for callers' headers; runners add a few of their own.
 MAX_ANSWER_HEAD_BYTES = 65_536
 
--- a/src/siskinlever/_internal/stages/lease.py
+++ b/src/siskinlever/_internal/stages/lease.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
 
 from ..exceptions import (
     LeaseLapsedError,
@@ -34,15 +35,23 @@
     host : str
     ttl_s : float
     log : LogLines
+    is_held_elsewhere : callable
+        Whether a host in contact says that it holds the right; only a hint.
     """
 
     def __init__(
-        self, store: MetadataStore, host: HostName, ttl_s: float, log: LogLines
+        self,
+        store: MetadataStore,
+        host: HostName,
+        ttl_s: float,
+        log: LogLines,
+        is_held_elsewhere: Callable[[], bool],
     ) -> None:
         self._store = store
         self._host = host
         self._ttl_s = ttl_s
         self._log = log
+        self._is_held_elsewhere = is_held_elsewhere
         self._lease = 0
         self._valid_until = float("-inf")
         self._orders_from = float("inf")
@@ -58,6 +67,11 @@
         now = boot_time()
         return self._orders_from <= now < self._valid_until - SEND_MARGIN_S
 
+    @property
+    def is_held(self) -> bool:
+        """Whether this host believes to hold the right."""
+        return self._lease != 0
+
     def give_up(self, reason: str) -> None:
         """Stop to order; the record ends with its lease."""
         if self._lease:
@@ -94,6 +108,8 @@
         self._valid_until = began + self._ttl_s
 
     async def _acquire(self) -> None:
+        if self._is_held_elsewhere():
+            return
         if await self._store.read(ORDERS_KEY) is not None:
             return
         began = boot_time()
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -7,6 +7,7 @@
 import pytest
 from lib.runners import engine, plain
 
+from siskinlever._internal.dispatch.doubt import Doubt
 from siskinlever._internal.dispatch.engine_placement import EnginePlacement
 from siskinlever._internal.dispatch.plain_placement import PlainPlacement
 from siskinlever._internal.dispatch.retry_budget import RetryBudget
@@ -23,6 +24,10 @@
 SERVICE = "s"
 
 
+def sure(key) -> Doubt:
+    return Doubt.NONE
+
+
 class Clock:
     """A clock that stands until it is moved."""
 
@@ -62,7 +67,7 @@
 
 def test_plain_requests_spread_and_prefer_their_zone():
     in_progress: Counter = Counter()
-    placement = PlainPlacement("a", lambda key: in_progress[key])
+    placement = PlainPlacement("a", lambda key: in_progress[key], sure)
     runners = [plain("p-1", "a"), plain("p-2", "b"), plain("p-3", "c")]
     for _ in range(2):
         in_progress[placement.choose(runners, ()).key] += 1
@@ -74,25 +79,25 @@
 
 
 def test_failing_runner_is_avoided_and_unreachable_one_comes_last():
-    placement = PlainPlacement("a", lambda key: 0)
+    placement = PlainPlacement("a", lambda key: 0, sure)
     runners = [plain("p-1", "a"), plain("p-2", "b")]
     for _ in range(12):
         placement.note_outcome(runners[0].key, failed=True)
     assert placement.choose(runners, ()).key.name == "p-2"
-    placement.note_unreachable(runners[1].key)
+    placement.doubt_about = lambda key: Doubt.OWN if key.name == "p-2" else Doubt.NONE
     assert placement.choose(runners, ()).key.name == "p-1"
     assert placement.choose(runners, {r.key for r in runners}) is None
 
 
 def test_reported_load_counts_while_it_is_fresh():
-    placement = PlainPlacement("a", lambda key: 0)
+    placement = PlainPlacement("a", lambda key: 0, sure)
     runners = [plain("p-1", "a"), plain("p-2", "b")]
     placement.note_load(runners[0].key, LoadReport(6, 4, 6))
     assert placement.choose(runners, ()).key.name == "p-2"
 
 
 def placement_with(loads) -> EnginePlacement:
-    return EnginePlacement("a", lambda key: loads.get(key, RunnerLoad()))
+    return EnginePlacement("a", lambda key: loads.get(key, RunnerLoad()), sure)
 
 
 def test_decode_engine_with_most_room_comes_first():
@@ -115,17 +120,26 @@
     placement.note_full(engines[0].key)
     found = placement.decode_candidates(engines, TRAITS, 10, False, {engines[1].key})
     assert found == []
-    placement.avoid_until_by_runner[engines[0].key] = monotonic()
+    placement.full_until_by_runner[engines[0].key] = monotonic()
     assert placement.decode_candidates(engines, TRAITS, 10)
 
 
 def test_prompt_goes_to_the_shortest_queue_or_to_the_decode_engine():
     engines = [engine("e-1", Stage.PREFILL), engine("e-2", Stage.PREFILL)]
     placement = placement_with({engines[0].key: RunnerLoad(prefill_tokens=3000)})
-    assert placement.prefill_candidate(engines, 3000, "a").key.name == "e-2"
+    assert placement.prefill_candidate(engines, "a", 0.5).key.name == "e-2"
     busy = {e.key: RunnerLoad(prefill_tokens=30_000) for e in engines}
-    assert placement_with(busy).prefill_candidate(engines, 3000, "a") is None
-    assert placement.prefill_candidate([], 3000, "a") is None
+    assert placement_with(busy).prefill_candidate(engines, "a", 0.5) is None
+    assert placement_with(busy).prefill_candidate(engines, "a", 1.5) is not None
+    assert placement.prefill_candidate([], "a", 0.5) is None
+
+
+def test_late_prompt_waits_for_a_prefill_engine_while_its_caller_stays():
+    engines = [engine("e-1", Stage.PREFILL)]
+    short = placement_with({engines[0].key: RunnerLoad(prefill_tokens=20_000)})
+    assert short.prefill_candidate(engines, "a", -0.5) is not None
+    long = placement_with({engines[0].key: RunnerLoad(prefill_tokens=60_000)})
+    assert long.prefill_candidate(engines, "a", -0.5) is None
 
 
 @pytest.mark.parametrize(
@@ -181,3 +195,15 @@
         with line.joined(first):
             assert first.turn.is_set() and not second.turn.is_set()
         assert second.turn.is_set()
+
+
+def test_engine_that_another_host_does_not_reach_comes_last():
+    engines = [engine("e-1", Stage.DECODE), engine("e-2", Stage.DECODE)]
+    placement = placement_with({engines[1].key: RunnerLoad(8, 30_000)})
+    placement.doubt_about = lambda key: (
+        Doubt.OTHERS if key.name == "e-1" else Doubt.NONE
+    )
+    names = [r.key.name for r in placement.decode_candidates(engines, TRAITS, 4000)]
+    assert names == ["e-2", "e-1"]
+    placement.doubt_about = lambda key: Doubt.OWN
+    assert placement.decode_candidates(engines, TRAITS, 4000) == []
