Give registrations time after a start as after an outage

A process that starts presumes an outage just before. Reads are frequent for 5 s after one.

The new test fails without the change; the test of unannounced leaving now says that its host has run for a while, its bound is as before.

--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -35,6 +35,8 @@
 # Share of the others' readings that is counted on.
 SHARED_READINGS = 0.3
 HOSTS_PERIOD_S = 8.0
+# After an outage much has changed, and the others may not know it either.
+AFTER_OUTAGE_S = 5.0
 LEASE_S = 6.0
 RENEW_PERIOD_S = 2.0
 RETRY_S = 0.3
@@ -48,7 +50,8 @@
         self._metrics = metrics
         self._failed_at = float("-inf")
         self.served_at = float("-inf")
-        self.outage_ended_at = float("-inf")
+        # A process that starts cannot know of an outage just before.
+        self.outage_ended_at = monotonic()
         self._is_out = False
 
     @property
@@ -145,6 +148,8 @@
 
     def _shared(self, period_s: float, longest_s: float) -> float:
         """Return the period of calls that other hosts in contact make as well."""
+        if monotonic() - self.link.outage_ended_at <= AFTER_OUTAGE_S:
+            return period_s
         return min(longest_s, period_s * (1 + SHARED_READINGS * self._readers()))
 
     async def _read_configuration(self) -> int:
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -97,6 +97,8 @@
 
 async def test_runner_that_leaves_unannounced_gets_nothing_more(log_path):
     async with platform_world(log_path) as world:
+        # Not within the time after a start in which an outage is presumed.
+        world.hosts[0].follower.link.outage_ended_at = float("-inf")
         world.leave(world.named("p-1"))
         runners = world.hosts[0].context.runners
         await until(lambda: len(runners.usable("plain")) == 1, 2.0)
@@ -136,6 +138,17 @@
         await until(lambda: len(context.runners.usable("plain")) == 1, 3.5)
 
 
+async def test_host_that_starts_after_an_outage_gives_registrations_time(log_path):
+    """It must not tell the others that what lapsed in the outage is gone."""
+    async with platform_world(log_path, settle=False) as world:
+        runners = world.hosts[0].context.runners
+        await until(lambda: len(runners.usable("plain")) == 2)
+        world.store.remove("servers/p-1")
+        await asyncio.sleep(0.9)
+        assert len(runners.usable("plain")) == 2
+        await until(lambda: len(runners.usable("plain")) == 1, 3.5)
+
+
 async def test_unknown_route_is_refused_while_a_newer_version_may_exist(log_path):
     async with platform_world(log_path) as world:
         world.store.fault_by_port[world.store_ports[0]] = StoreFault.SILENT
