--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -68,10 +68,13 @@
             self._log.write("store.regained", out_s=round(now - self._failed_at, 3))
         self.served_at = now
 
-    def failed(self, error: PlatformError) -> None:
-        """Note a call that was not answered."""
+    def failed(self, error: PlatformError, asked_at: float) -> None:
+        """Note a call, made at a moment, that was not answered.
+
+        If another call was answered since, only a connection was lost.
+        """
         self._metrics.count("store_failures")
-        if not self._is_out:
+        if not self._is_out and asked_at > self.served_at:
             self._is_out = True
             self._failed_at = monotonic()
             self._log.write("store.lost", reason=error.message)
@@ -132,7 +135,7 @@
                 self._log.write("store.history_lost", revision=revision)
                 revision = 0
             except PlatformError as error:
-                self.link.failed(error)
+                self.link.failed(error, asked_at)
                 await asyncio.sleep(_spread(RETRY_S))
 
     async def _watch_configuration(self, revision: int) -> int:
@@ -162,12 +165,13 @@
     async def follow_runners(self) -> None:
         """Keep the directory of runners current until cancelled."""
         while True:
+            asked_at = monotonic()
             try:
                 await self._read_runners()
                 period_s = self._shared(RUNNERS_PERIOD_S, MAX_RUNNERS_PERIOD_S)
                 await asyncio.sleep(_spread(period_s))
             except PlatformError as error:
-                self.link.failed(error)
+                self.link.failed(error, asked_at)
                 await asyncio.sleep(_spread(RETRY_S))
 
     async def _read_runners(self) -> None:
@@ -198,12 +202,13 @@
         """Keep this host registered until cancelled."""
         lease = 0
         while True:
+            asked_at = monotonic()
             try:
                 lease = await self._renewed(lease)
                 self.link.served()
                 await asyncio.sleep(_spread(RENEW_PERIOD_S))
             except PlatformError as error:
-                self.link.failed(error)
+                self.link.failed(error, asked_at)
                 await asyncio.sleep(_spread(RETRY_S))
 
     async def _renewed(self, lease: int) -> int:
@@ -222,12 +227,13 @@
     async def follow_hosts(self) -> None:
         """Meet the registered hosts until cancelled."""
         while True:
+            asked_at = monotonic()
             try:
                 for item in (await self._store.list_prefix(HOSTS_PREFIX)).items:
                     self._meet_registered(item)
                 self.link.served()
             except PlatformError as error:
-                self.link.failed(error)
+                self.link.failed(error, asked_at)
             await asyncio.sleep(_spread(HOSTS_PERIOD_S))
 
     def _meet_registered(self, item: Item) -> None:
