Try another runner after a rejection; tell new stages; drop replaced runners

Requests were refused after one 421 of a runner that has the address of one that is gone, an entry of which came back late; and prompts went to engines that had just changed their stage, since registrations are read each 2 s.

A rejected send takes no attempt (three at most, each from the budget): the limit is on runners that may work on a request. The holder of the orders tells the new stage until it shows in the store. Holds name the runner expected.

--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -8,6 +8,7 @@
 from ..logs.lines import LogLines
 from ..models.ids import HostName, Incarnation, ServiceName, ZoneName
 from ..models.upstreams import Address, RunnerKey
+from ..stages.switching import StageSwitch
 from ..utils.clock import monotonic
 from .demand import Demand
 
@@ -71,16 +72,15 @@
     ----------
     load_by_runner : dict of RunnerKey to RunnerLoad
     demand_by_service : dict of ServiceName to Demand
-    switching_s_by_runner : dict of RunnerKey to float
-        Engines that the host has ordered to change their stage, and the
-        seconds that they take no requests.
+    switch_by_runner : dict of RunnerKey to StageSwitch
+        Engines that the host has ordered to change their stage.
     unreachable : frozenset of RunnerKey
         Runners that lately took no connection from the host.
     """
 
     load_by_runner: Mapping[RunnerKey, RunnerLoad] = field(default_factory=dict)
     demand_by_service: Mapping[ServiceName, Demand] = field(default_factory=dict)
-    switching_s_by_runner: Mapping[RunnerKey, float] = field(default_factory=dict)
+    switch_by_runner: Mapping[RunnerKey, StageSwitch] = field(default_factory=dict)
     unreachable: frozenset[RunnerKey] = frozenset()
 
 
@@ -164,13 +164,15 @@
         """Tell whether another host lately did not reach a runner."""
         return any(runner in known.work.unreachable for known in self.alive())
 
-    def is_switching(self, runner: RunnerKey) -> bool:
-        """Tell whether another host has ordered an engine to change its stage."""
-        now = monotonic()
-        return any(
-            now - known.heard_at < known.work.switching_s_by_runner.get(runner, 0.0)
-            for known in self.by_host.values()
-        )
+    def switch_of(self, runner: RunnerKey) -> StageSwitch | None:
+        """Return the change of an engine's stage that another host has ordered."""
+        for known in self.by_host.values():
+            switch = known.work.switch_by_runner.get(runner)
+            if switch is not None:
+                passed_s = monotonic() - known.heard_at
+                left_s = max(0.0, switch.takes_none_s - passed_s)
+                return StageSwitch(switch.stage, left_s)
+        return None
 
 
 def _total(loads: Iterable[RunnerLoad]) -> RunnerLoad:
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -9,10 +9,10 @@
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
 from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
-from ..models.upstreams import Address, RunnerKey, StartedAt
+from ..models.upstreams import Address, RunnerKey, Stage, StartedAt
 from ..peers import peer_pb2
 from ..peers.link import Peers
-from ..stages.switching import Switching
+from ..stages.switching import StageSwitch, Switching
 from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
@@ -194,7 +194,9 @@
                     for demand in state.demands
                 },
                 {
-                    _key(switch.runner): switch.remaining_ms / MS_PER_S
+                    _key(switch.runner): StageSwitch(
+                        Stage(switch.stage), switch.remaining_ms / MS_PER_S
+                    )
                     for switch in state.switches
                 },
                 frozenset(_key(runner) for runner in state.unreachable),
@@ -249,9 +251,11 @@
             ],
             switches=[
                 peer_pb2.FleetSwitch(
-                    runner=_runner(key), remaining_ms=int(seconds * MS_PER_S)
+                    runner=_runner(key),
+                    remaining_ms=int(switch.takes_none_s * MS_PER_S),
+                    stage=switch.stage.value,
                 )
-                for key, seconds in self._switching.remaining_by_runner().items()
+                for key, switch in self._switching.by_runner().items()
             ],
             unreachable=[_runner(key) for key in self._reach.unreachable()],
             peers=[known.status.peers_address for known in self._hosts.alive()],
--- a/src/siskinlever/_internal/fleet/runners.py
+++ b/src/siskinlever/_internal/fleet/runners.py
@@ -146,6 +146,12 @@
             if same and runner.registration.sequence <= sequence:
                 self._set(runner, RunnerState.GONE, source)
 
+    def note_replaced(self, key: RunnerKey) -> None:
+        """Note that another runner answers at a process's address."""
+        runner = self.by_key.get(key)
+        if runner is not None:
+            self._set(runner, RunnerState.GONE, "another runner at its address")
+
     def _register(self, registration: Registration, source: str) -> None:
         key = registration.key
         known = self.by_key.get(key)
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..dispatch.doubt import Doubt
 from ..dispatch.engine_placement import EnginePlacement
@@ -31,6 +31,10 @@
 from ..utils.clock import monotonic
 from ..utils.tasks import TaskSet
 
+# Rejections after which a request is refused: a caller that comes back soon
+# finds other runners, and each rejection takes from the budget for retries.
+MAX_REJECTIONS = 3
+
 
 class CallerAges:
     """Tells how long callers have waited already, over earlier requests.
@@ -74,13 +78,16 @@
     line_by_service: dict[ServiceName, WaitingLine] = field(default_factory=dict)
 
     def steady(self, runners: list[Registration]) -> list[Registration]:
-        """Return the runners that are not changing their stage."""
-        return [
-            runner
-            for runner in runners
-            if not self.switching.is_switching(runner.key)
-            and not self.hosts.is_switching(runner.key)
-        ]
+        """Return the runners that are not changing their stage, with the new one."""
+        own = self.switching.by_runner()
+        steady = []
+        for runner in runners:
+            switch = own.get(runner.key) or self.hosts.switch_of(runner.key)
+            if switch is None:
+                steady.append(runner)
+            elif switch.takes_none_s <= 0:
+                steady.append(replace(runner, stage=switch.stage))
+        return steady
 
     def fleet_demand(self, service: ServiceName) -> Demand:
         """Return what callers of all hosts ask of a service's engines."""
@@ -138,7 +145,11 @@
     in_doubt : bool
         Whether it is on its way to a runner that has not answered.
     sent_to : set of RunnerKey
-        The runners that it was sent to.
+        The runners that it was sent to and that may have run it.
+    last_sent_to : RunnerKey or None
+        The runner of the latest send, if it was not sent there before.
+    rejections : int
+        Sends that a runner refused without running the request.
     steps : dict
         What happened on the way, for the log.
     """
@@ -152,6 +163,8 @@
     ran: bool = False
     in_doubt: bool = False
     sent_to: set[RunnerKey] = field(default_factory=set)
+    last_sent_to: RunnerKey | None = None
+    rejections: int = 0
     steps: dict[str, str | int | float] = field(default_factory=dict)
 
     @property
@@ -173,6 +186,7 @@
         self.in_doubt = True
         known = runner in self.sent_to
         self.sent_to.add(runner)
+        self.last_sent_to = None if known else runner
         try:
             yield
         except ConnectFailedError:
@@ -182,8 +196,14 @@
             raise
 
     def not_run(self) -> None:
-        """Note the word of a runner that it did not run the request."""
+        """Note the word of the last runner that it did not run the request.
+
+        It takes no attempt: the route limits how many runners may work on it.
+        """
         self.in_doubt = False
+        self.rejections += 1
+        if self.last_sent_to is not None:
+            self.sent_to.discard(self.last_sent_to)
 
     def has_run(self) -> None:
         """Note that a runner has begun to answer."""
@@ -193,7 +213,8 @@
     @property
     def has_attempts_left(self) -> bool:
         """Whether the route allows one more runner."""
-        return len(self.sent_to) < self.route.max_attempts
+        within = self.rejections < MAX_REJECTIONS
+        return within and len(self.sent_to) < self.route.max_attempts
 
     @property
     def time_left_s(self) -> float:
--- a/src/siskinlever/_internal/gateway/engine_calls.py
+++ b/src/siskinlever/_internal/gateway/engine_calls.py
@@ -22,9 +22,11 @@
     ExchangeError
         The engine was not reached, or gave no answer.
     """
-    call = dialect.hold_call(runner.address, tokens, ttl_s)
+    call = dialect.hold_call(runner.address, runner.key.name, tokens, ttl_s)
     head, body = await fetch(runner.address, call, CALL_TIMEOUT_S)
     context.metrics.count("holds", status=str(head.status))
+    if dialect.is_other_runner(head, runner.key.name):
+        context.runners.note_replaced(runner.key)
     if head.status != 200:
         return None
     try:
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -310,6 +310,8 @@
         head = answer.head
         if dialect.is_not_run(head):
             self._job.not_run()
+            if dialect.is_other_runner(head, runner.key.name):
+                self._context.runners.note_replaced(runner.key)
             self._placement.note_full(runner.key)
             message = f"{runner.key.name} answered {head.status}"
             return refused(Reason.REJECTED, message, RETRY_AFTER_S)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -100,7 +100,9 @@
         if load is not None:
             plain.note_load(runner.key, load)
         if dialect.is_not_run(head):
-            if not dialect.is_other_runner(head):
+            if dialect.is_other_runner(head, runner.key.name):
+                self._context.runners.note_replaced(runner.key)
+            else:
                 plain.note_outcome(runner.key, failed=True)
             self._job.not_run()
             message = f"{runner.key.name} answered {head.status}"
--- a/src/siskinlever/_internal/platform/dialect.py
+++ b/src/siskinlever/_internal/platform/dialect.py
@@ -217,9 +217,9 @@
     return head.get(NOT_RUN) is not None or head.status == 421
 
 
-def is_other_runner(head: AnswerHead) -> bool:
+def is_other_runner(head: AnswerHead, expected: RunnerName) -> bool:
     """Tell whether another runner than the one expected answered."""
-    return head.status == 421
+    return head.status == 421 and head.get(RUNNER_NAME) not in (None, expected)
 
 
 def load_of(head: AnswerHead) -> LoadReport | None:
@@ -254,10 +254,11 @@
     return f"{address}/{handle}"
 
 
-def hold_call(address: Address, tokens: int, ttl_s: float) -> Call:
+def hold_call(address: Address, runner: RunnerName, tokens: int, ttl_s: float) -> Call:
     """Return the call that reserves a slot and memory at an engine."""
     body = {"tokens": tokens, "ttl_ms": int(ttl_s * MS_PER_S)}
-    return _own_call(b"POST", "/hold-take", address, body)
+    expected = [(b"Expected-Instance", runner.encode())]
+    return _own_call(b"POST", "/hold-take", address, body, expected)
 
 
 def hold_id(body: bytes) -> str:
--- a/src/siskinlever/_internal/stages/orders.py
+++ b/src/siskinlever/_internal/stages/orders.py
@@ -127,9 +127,13 @@
             self._log(change, "unknown", error.message)
             return
         if report.switching or report.stage is change.stage:
-            self._context.switching.begin(runner.key, traits.stage_switch_s)
+            # An order took effect of which this host does not know.
+            taking_s = traits.stage_switch_s if report.switching else 0.0
+            self._context.switching.begin(runner.key, change.stage, taking_s)
             return
-        self._context.switching.begin(runner.key, traits.stage_switch_s + MAX_DRAIN_S)
+        self._context.switching.begin(
+            runner.key, change.stage, traits.stage_switch_s + MAX_DRAIN_S
+        )
         self._announce()
         await asyncio.sleep(TELL_S)
         work = self._work_by_service[service]
@@ -139,13 +143,14 @@
             outcome,
             f"prefill work {work.prefill:.2f}, decode work {work.decode:.2f} engines",
         )
-        if outcome == "accepted":
-            await self._wait_for_end(change, traits)
-        self._context.switching.end(runner.key)
+        if outcome == "accepted" and await self._has_changed(change, traits):
+            self._context.switching.done(runner.key)
+        else:
+            self._context.switching.cancel(runner.key)
         self._announce()
 
-    async def _wait_for_end(self, change: StageChange, traits: EngineTraits) -> None:
-        """Return when an engine serves its new stage, or takes too long."""
+    async def _has_changed(self, change: StageChange, traits: EngineTraits) -> bool:
+        """Wait until an engine serves its new stage; False if it does not."""
         await asyncio.sleep(traits.stage_switch_s)
         last = monotonic() + MAX_DRAIN_S
         while monotonic() < last:
@@ -153,12 +158,13 @@
                 report = await engine_calls.read_report(change.runner.address)
             except (ExchangeError, InvalidRecordError) as error:
                 self._log(change, "unknown", error.message)
-                return
+                return False
             if report.stage is change.stage and not report.switching:
                 self._log(change, "done", f"orders accepted {report.orders_accepted}")
-                return
+                return True
             await asyncio.sleep(PLAN_PERIOD_S)
         self._log(change, "late", f"not done {MAX_DRAIN_S} s after its time")
+        return False
 
     async def _send(self, change: StageChange, report: EngineReport) -> str:
         runner, lease = change.runner, self._lease
--- a/src/siskinlever/_internal/stages/switching.py
+++ b/src/siskinlever/_internal/stages/switching.py
@@ -1,34 +1,60 @@
-"""Engines that change their stage and take no requests meanwhile."""
+"""Engines that were ordered to change their stage, until it shows in the store."""
 
 from __future__ import annotations
 
-from ..models.upstreams import RunnerKey
+from dataclasses import dataclass
+
+from ..models.upstreams import RunnerKey, Stage
 from ..utils.clock import monotonic
 
+# The registration shows the new stage some seconds after the engine serves it.
+REGISTERED_AFTER_S = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class StageSwitch:
+    """A change of an engine's stage.
+
+    Parameters
+    ----------
+    stage : Stage
+        The new one.
+    takes_none_s : float
+        Seconds for which the engine takes no requests from now.
+    """
+
+    stage: Stage
+    takes_none_s: float
+
 
 class Switching:
-    """Engines that change their stage and take no requests meanwhile."""
+    """The changes that this host has ordered, with their ends."""
 
     def __init__(self) -> None:
-        self._until_by_runner: dict[RunnerKey, float] = {}
+        self._by_runner: dict[RunnerKey, tuple[Stage, float]] = {}
 
-    def begin(self, runner: RunnerKey, seconds: float) -> None:
-        """Note that an engine takes no requests for some time."""
-        self._until_by_runner[runner] = monotonic() + seconds
+    def begin(self, runner: RunnerKey, stage: Stage, seconds: float) -> None:
+        """Note that an engine changes its stage and takes no requests meanwhile."""
+        self._by_runner[runner] = (stage, monotonic() + seconds)
 
-    def end(self, runner: RunnerKey) -> None:
-        """Note that an engine takes requests again."""
-        self._until_by_runner.pop(runner, None)
+    def done(self, runner: RunnerKey) -> None:
+        """Note that an engine serves its new stage."""
+        if runner in self._by_runner:
+            self._by_runner[runner] = (self._by_runner[runner][0], monotonic())
 
-    def is_switching(self, runner: RunnerKey) -> bool:
-        """Tell whether an engine takes no requests now."""
-        return monotonic() < self._until_by_runner.get(runner, float("-inf"))
+    def cancel(self, runner: RunnerKey) -> None:
+        """Note that an engine keeps its stage."""
+        self._by_runner.pop(runner, None)
 
-    def remaining_by_runner(self) -> dict[RunnerKey, float]:
-        """Return the seconds that are left, by engine."""
+    def by_runner(self) -> dict[RunnerKey, StageSwitch]:
+        """Return the changes that registrations may not show yet."""
         now = monotonic()
+        self._by_runner = {
+            runner: (stage, until)
+            for runner, (stage, until) in self._by_runner.items()
+            if until + REGISTERED_AFTER_S > now
+        }
         return {
-            runner: until - now
-            for runner, until in self._until_by_runner.items()
-            if until > now
+            runner: StageSwitch(stage, max(0.0, until - now))
+            for runner, (stage, until) in self._by_runner.items()
         }
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -326,3 +326,33 @@
     assert line["outcome"] == "answered" and line["configuration"] == 1
     assert line["prefill"] == "e-1" and line["room_s"] <= line["first_event_s"]
     assert json.dumps(line)
+
+
+async def test_rejected_request_goes_to_a_runner_that_takes_it(log_path):
+    async with platform_world(log_path) as world:
+        world.named("p-1").fault = RunnerFault.SHED
+        answers = [
+            await world.send("/once/x", "POST", f"q-{n}", b"body") for n in range(6)
+        ]
+        assert world.named("p-1").received, "the full runner was never used"
+        assert [times_run(world, f"q-{n}") for n in range(6)] == [1] * 6
+    assert {answer.status for answer in answers} == {200}
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
+async def test_another_runner_at_an_address_is_not_used_under_the_old_name(
+    log_path, path
+):
+    async with platform_world(log_path) as world:
+        stale = world.named("p-1" if path == "/once/x" else "e-2")
+        registered = stale.name
+        stale.name = "newcomer"
+        for number in range(4):
+            headers = GENERATION if path == "/stream/x" else {}
+            answer = await world.send(
+                path, "POST", f"m-{number}", b"b", headers=headers
+            )
+            assert answer.status == 200 and answer.complete
+        usable = world.hosts[0].context.runners.usable(stale.service)
+        assert registered not in {runner.key.name for runner in usable}
+        assert not any(f"m-{number}" in stale.ran for number in range(4))
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -17,6 +17,7 @@
 from siskinlever._internal.models.host_settings import RetryBounds
 from siskinlever._internal.models.routes import EngineTraits
 from siskinlever._internal.models.upstreams import LoadReport, Stage
+from siskinlever._internal.stages.switching import StageSwitch, Switching
 from siskinlever._internal.utils.clock import monotonic
 
 TRAITS = EngineTraits(16, 36_000, 0.5, 6.0, 2.0)
@@ -207,3 +208,14 @@
     assert names == ["e-2", "e-1"]
     placement.doubt_about = lambda key: Doubt.OWN
     assert placement.decode_candidates(engines, TRAITS, 4000) == []
+
+
+def test_engine_serves_its_new_stage_before_its_registration_shows_it():
+    switching = Switching()
+    key = engine("e-1", Stage.PREFILL).key
+    switching.begin(key, Stage.DECODE, 6.0)
+    assert switching.by_runner()[key].takes_none_s > 5.0
+    switching.done(key)
+    assert switching.by_runner()[key] == StageSwitch(Stage.DECODE, 0.0)
+    switching.cancel(key)
+    assert switching.by_runner() == {}
