Explain a request from the hosts' logs; reload settings

Cause: an on-call engineer has a request's id and the logs of all hosts; SIGHUP did nothing.

`siskinlever explain ID LOG...` prints the lines of a request in the order of time, with what its hosts believed 3 s before it and until its end. SIGHUP reads the settings again: seeds and bounds apply at once, the rest is named in the log line; wrong settings are kept out with the field's name. Pairs of hosts exchange their state once a period instead of twice.

--- a/src/siskinlever/_internal/cli/daemon.py
+++ b/src/siskinlever/_internal/cli/daemon.py
@@ -65,7 +65,7 @@
 
     path = settings_path()
     settings = read_settings(path)
-    return path, lambda: serve_gateway(settings)
+    return path, lambda: serve_gateway(settings, lambda: read_settings(path))
 
 
 def _own_interface(arguments: dict[str, Any]) -> tuple[Path, Serve]:
--- a/src/siskinlever/_internal/cli/main.py
+++ b/src/siskinlever/_internal/cli/main.py
@@ -22,6 +22,7 @@
   show      Show the declaration in force at each host.
   status    Show the state of the hosts.
   timeline  Show events over all hosts.
+  explain   Show what the hosts' logs tell of one request.
   version   Show the version.
 
 `siskinlever <command> --help` shows the help of a command. The options above
--- a/src/siskinlever/_internal/commands/__init__.py
+++ b/src/siskinlever/_internal/commands/__init__.py
@@ -9,6 +9,7 @@
 
 MODULE_BY_COMMAND = {
     "apply": "apply",
+    "explain": "explain",
     "plan": "plan",
     "show": "show",
     "status": "status",
--- /dev/null
+++ b/src/siskinlever/_internal/commands/explain.py
@@ -0,0 +1,98 @@
+"""Shows what the hosts' logs tell of one request, in the order of time.
+
+Usage:
+  siskinlever explain <request> <log>...
+
+Reads the logs that hosts behind the users' platform wrote, in any order, and
+prints the lines of a request and what its hosts believed around it.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+from ..cli.exit_codes import ExitCode
+from ..exceptions import UsageError
+from .base import CommandContext, print_json
+
+# What hosts believed shortly before a request and until its end.
+CONTEXT_S = 3.0
+BELIEF_EVENTS = (
+    "runner.state",
+    "store.lost",
+    "store.regained",
+    "configuration.changed",
+    "host.lost",
+    "order.stage",
+    "process.started",
+    "process.stopping",
+    "process.stopped",
+    "log.dropped",
+)
+HEAD_FIELDS = ("time", "host", "event", "request")
+
+Line = dict[str, Any]
+
+
+async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
+    """Run the command."""
+    lines = list(read_lines(Path(name) for name in arguments["<log>"]))
+    found = explain(lines, arguments["<request>"])
+    if not found:
+        raise UsageError(
+            f"no line of request {arguments['<request>']} in {len(lines)} lines",
+            "give the logs of all hosts; lines may have been dropped, see log.dropped",
+        )
+    if context.json:
+        print_json(found)
+        return ExitCode.OK
+    for line in found:
+        print(shown(line))
+    return ExitCode.OK
+
+
+def read_lines(paths: Iterable[Path]) -> Iterator[Line]:
+    """Read logs; what stands before a line's object, or is none, is left out."""
+    for path in paths:
+        try:
+            text = path.read_text(errors="replace")
+        except OSError as error:
+            raise UsageError(f"{path}: {error.strerror}") from error
+        for line in text.splitlines():
+            start = line.find('{"time":')
+            if start < 0:
+                continue
+            try:
+                yield json.loads(line[start:])
+            except ValueError:
+                continue
+
+
+def explain(lines: Iterable[Line], request: str) -> list[Line]:
+    """Return a request's lines, and what its hosts believed around it."""
+    lines = sorted(lines, key=lambda line: float(line["time"]))
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        return []
+    hosts = {line["host"] for line in own}
+    first = float(own[0]["time"]) - float(own[0].get("taken_s", 0.0)) - CONTEXT_S
+    last = float(own[-1]["time"])
+    return [
+        line
+        for line in lines
+        if line.get("request") == request
+        or (
+            line["event"] in BELIEF_EVENTS
+            and line["host"] in hosts
+            and first <= float(line["time"]) <= last
+        )
+    ]
+
+
+def shown(line: Line) -> str:
+    """Return a line as text for a person."""
+    rest = " ".join(f"{k}={v}" for k, v in line.items() if k not in HEAD_FIELDS)
+    return f"{float(line['time']):.3f} {line['host']} {line['event']} {rest}".rstrip()
--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -5,12 +5,13 @@
 import asyncio
 import signal
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import RetryBudget
+from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import DemandMeter
 from ..fleet.hosts import HostStatus, HostTable
@@ -42,6 +43,8 @@
 from ..utils.tasks import TaskSet, task_set
 
 METRICS_PATH = "/metrics"
+# Addresses and limits of a running process do not change.
+RELOADED_FIELDS = frozenset({"seeds", "bounds"})
 # Hosts of one platform share a network of their own; the platform hands out
 # no key for them.
 PEER_KEY = ""
@@ -99,24 +102,54 @@
         log.write("process.stopped")
 
 
-async def serve_gateway(settings: HostSettings) -> None:
-    """Run a host until a signal asks it to stop, then let it empty."""
+async def serve_gateway(
+    settings: HostSettings, reread: Callable[[], HostSettings] | None = None
+) -> None:
+    """Run a host until a signal asks it to stop, then let it empty.
+
+    Parameters
+    ----------
+    settings : HostSettings
+    reread : callable or None
+        Reads the settings anew when a signal says that they have changed.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with running_gateway(settings) as host:
-        loop.add_signal_handler(signal.SIGHUP, _note_reload, host)
+        if reread is not None:
+            loop.add_signal_handler(signal.SIGHUP, reload_settings, host, reread)
         await stop.wait()
         host.log.write("process.stopping", requests=host.stopping.requests)
         host.sync.announce()
         await host.stopping.empty()
 
 
-def _note_reload(host: GatewayHost) -> None:
-    # Addresses and limits of a running process do not change; what the
-    # settings hold beside them takes effect at the next start.
-    host.log.write("process.reload", effect="none until restarted")
+def reload_settings(host: GatewayHost, reread: Callable[[], HostSettings]) -> None:
+    """Put changed settings in force; if they are not valid, keep the old ones."""
+    try:
+        found = reread()
+    except SettingsError as error:
+        host.log.write("process.reload", outcome="kept", reason=error.message)
+        return
+    changed = [f.name for f in fields(found) if differs(f.name, found, host.settings)]
+    applied = [name for name in changed if name in RELOADED_FIELDS]
+    host.log.write(
+        "process.reload",
+        outcome="applied",
+        applied=",".join(applied),
+        at_next_start=",".join(name for name in changed if name not in applied),
+    )
+    host.settings = replace(host.settings, seeds=found.seeds, bounds=found.bounds)
+    host.context.budget.bounds = found.bounds.retry
+    for seed in found.seeds:
+        host.sync.meet(seed)
+
+
+def differs(name: str, one: HostSettings, other: HostSettings) -> bool:
+    """Tell whether two settings differ in a field."""
+    return bool(getattr(one, name) != getattr(other, name))
 
 
 async def _assemble(
--- a/src/siskinlever/_internal/dispatch/retry_budget.py
+++ b/src/siskinlever/_internal/dispatch/retry_budget.py
@@ -35,7 +35,7 @@
         host_count: Callable[[], int],
         now: Callable[[], float] = monotonic,
     ) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._host_count = host_count
         self._now = now
         self._requests: dict[ServiceName, deque[float]] = defaultdict(deque)
@@ -47,13 +47,13 @@
 
     def spend(self, service: ServiceName) -> bool:
         """Take one send beyond a request's first; False if none is left."""
-        since = self._now() - self._bounds.window_s
+        since = self._now() - self.bounds.window_s
         requests, spent = self._requests[service], self._spent[service]
         for times in (requests, spent):
             while times and times[0] < since:
                 times.popleft()
-        extra = self._bounds.extra / max(1, self._host_count())
-        allowed = SAFETY_SHARE * (self._bounds.share * len(requests) + extra)
+        extra = self.bounds.extra / max(1, self._host_count())
+        allowed = SAFETY_SHARE * (self.bounds.share * len(requests) + extra)
         if len(spent) + 1 > allowed:
             return False
         spent.append(self._now())
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -12,8 +12,8 @@
 from ..utils.clock import monotonic
 from .demand import Demand
 
-# Hosts exchange their state about each second; two losses are borne.
-ALIVE_FOR_S = 2.4
+# Hosts exchange their state about each second; one loss is borne.
+ALIVE_FOR_S = 2.8
 # A host that is heard no more stays a candidate for calls for this long.
 FORGET_S = 30.0
 
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -79,6 +79,7 @@
         self._log = log
         self._tasks = tasks
         self._urgent_by_address: dict[Address, asyncio.Event] = {}
+        self._called_at_by_address: dict[Address, float] = {}
         self._told_version = 0
         self._told_leaving: set[RunnerKey] = set()
 
@@ -119,17 +120,30 @@
                 # Counted by the link; the host table logs a lost host.
                 pass
             await asyncio.sleep(MIN_PERIOD_S)
-            try:
-                async with asyncio.timeout(PERIOD_S * random.uniform(0.85, 1.15)):
-                    await urgent.wait()
-            except TimeoutError:
-                pass
-            urgent.clear()
+            while not await self._is_news_or_due(address, urgent):
+                heard_at = monotonic()
         del self._urgent_by_address[address]
+        self._called_at_by_address.pop(address, None)
+
+    async def _is_news_or_due(self, address: Address, urgent: asyncio.Event) -> bool:
+        """Wait a period; False if the other host has called meanwhile.
+
+        One exchange tells both hosts, so one call a period is enough for a pair.
+        """
+        period_s = PERIOD_S * random.uniform(0.85, 1.15)
+        try:
+            async with asyncio.timeout(period_s):
+                await urgent.wait()
+        except TimeoutError:
+            called_at = self._called_at_by_address.get(address, float("-inf"))
+            return monotonic() - called_at > period_s
+        urgent.clear()
+        return True
 
     async def serve(self, state: peer_pb2.FleetState) -> peer_pb2.FleetState:
         """Answer another host's state with this host's."""
         address = Address(state.host.peers_address)
+        self._called_at_by_address[address] = monotonic()
         self._learn(state)
         if state.configuration_version > self._configuration.version:
             self._tasks.start(self._fetch(address), "fetch-configuration")
