Name a host that does not answer for 1.2 s only

A host that did not answer a call, twice, counts as alive for 1.2 s after its last word instead of 2.8 s.

--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -14,6 +14,8 @@
 
 # Hosts exchange their state about each second; one loss is borne.
 ALIVE_FOR_S = 2.8
+# Callers are not sent to a host that did not answer a call, nor called, so long.
+SUSPECT_ALIVE_FOR_S = 1.2
 # A host that is heard no more stays a candidate for calls for this long.
 FORGET_S = 30.0
 
@@ -91,6 +93,13 @@
     status: HostStatus
     work: HostWork
     heard_at: float
+    is_suspect: bool = False
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the host was heard lately; sooner lost if a call failed."""
+        limit_s = SUSPECT_ALIVE_FOR_S if self.is_suspect else ALIVE_FOR_S
+        return monotonic() - self.heard_at <= limit_s
 
 
 class HostTable:
@@ -122,8 +131,13 @@
 
     def alive(self) -> list[KnownHost]:
         """Return the hosts heard of late."""
-        now = monotonic()
-        return [h for h in self.by_host.values() if now - h.heard_at <= ALIVE_FOR_S]
+        return [known for known in self.by_host.values() if known.is_alive]
+
+    def suspect(self, address: Address) -> None:
+        """Note that a host did not answer a call."""
+        for known in self.by_host.values():
+            if known.status.peers_address == address:
+                known.is_suspect = True
 
     def readers(self) -> int:
         """Return the number of live hosts that the store serves."""
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -26,6 +26,8 @@
 PERIOD_S = 0.9
 # Between two exchanges with the same peer when there is news.
 MIN_PERIOD_S = 0.05
+# Hosts answer in milliseconds; a second try follows on a new connection.
+CALL_TIMEOUT_S = 0.4
 AGE_UNKNOWN_MS = 0xFFFFFFFF
 
 
@@ -113,12 +115,14 @@
         heard_at = monotonic()
         while monotonic() - heard_at < FORGET_S:
             try:
-                reply = await self._peers.call_address(address, "Sync", self._state())
+                reply = await self._peers.call_address(
+                    address, "Sync", self._state(), CALL_TIMEOUT_S
+                )
                 heard_at = monotonic()
                 await self._hear(address, reply)
             except PeerError:
                 # Counted by the link; the host table logs a lost host.
-                pass
+                self._hosts.suspect(address)
             await asyncio.sleep(MIN_PERIOD_S)
             while not await self._is_news_or_due(address, urgent):
                 heard_at = monotonic()
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -176,6 +176,21 @@
         await emptying
 
 
+async def test_host_that_falls_silent_is_no_longer_named(log_path):
+    """Callers try each address for a second, so it must go soon."""
+    async with platform_world(log_path, hosts=2) as world:
+        silent = world.hosts[1].settings.listeners
+        assert silent.callers in await lookup(world, 0)
+        table = world.hosts[0].context.hosts
+        (known,) = table.by_host.values()
+        known.heard_at -= 1.3
+        assert silent.callers in await lookup(world, 0)
+        table.suspect(silent.peers)
+        assert silent.callers not in await lookup(world, 0)
+        await until(lambda: len(table.alive()) == 1, 2.0)
+        assert silent.callers in await lookup(world, 0)
+
+
 async def test_stopping_host_serves_what_arrives_and_says_to_close(log_path):
     async with platform_world(log_path) as world:
         emptying = asyncio.create_task(world.hosts[0].stopping.empty())
