Take no stream after SIGTERM that might be cut at the end

A stopping host refuses a stream, with another host to try, if its likely length does not fit or 2.6 s have passed; other requests as long as their time fits.

--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -18,6 +18,8 @@
 
 # A runner answers by itself at the deadline; its answer needs time to pass.
 DEADLINE_MARGIN_S = 0.08
+# Another host serves a caller that a stopping one refused.
+STOPPING_RETRY_S = 0.05
 
 
 class Session:
@@ -78,8 +80,8 @@
         try:
             job = new_job(request, self._route(request))
             self._context.budget.note_request(job.service)
-            if self._stopping.refuses_new:
-                raise refused(Reason.STOPPING, "this host stops", 0.05)
+            if self._refuses_while_stopping(job):
+                raise refused(Reason.STOPPING, "this host stops", STOPPING_RETRY_S)
             runner = await self._within_deadline(job)
             self._log_end(job, request, 0, "answered", runner)
         except EndedError as ending:
@@ -88,6 +90,12 @@
             self._log_end(job, request, 0, "broken", error.message)
             self._connection.abort()
 
+    def _refuses_while_stopping(self, job: Job) -> bool:
+        asked = dialect.generation(job.request)
+        if asked is None:
+            return self._stopping.refuses_plain(job.time_left_s)
+        return self._stopping.refuses_stream(asked.likely_output_tokens)
+
     def _route(self, request: ReceivedRequest) -> Route:
         configuration = self._context.configuration
         if configuration.current is None:
--- a/src/siskinlever/_internal/gateway/stopping.py
+++ b/src/siskinlever/_internal/gateway/stopping.py
@@ -9,9 +9,12 @@
 
 from ..utils.clock import monotonic
 
-# Callers that looked up just before come for this long; afterwards a request
-# could not end in time.
-TAKES_NEW_S = 3.4
+# Callers that looked up just before come for some seconds. Streams last some
+# seconds more, and one that is cut cannot be repeated; other requests are short.
+TAKES_STREAMS_S = 2.6
+# Time of an output token at an engine with a usual load, and before the first.
+OUTPUT_TOKEN_S = 0.008
+FIRST_EVENT_S = 0.5
 # Nothing arrives any more: no request for this long ends the wait early.
 QUIET_S = 2.2
 POLL_S = 0.05
@@ -40,10 +43,27 @@
         """Whether the host was asked to stop."""
         return self._began_at is not None
 
-    @property
-    def refuses_new(self) -> bool:
-        """Whether a request that begins now could not end in time."""
-        return self._began_at is not None and monotonic() - self._began_at > TAKES_NEW_S
+    def refuses_stream(self, output_tokens: int) -> bool:
+        """Tell whether a stream that begins now might not end in time.
+
+        Parameters
+        ----------
+        output_tokens : int
+            Likely length.
+        """
+        if self._began_at is None:
+            return False
+        passed_s = monotonic() - self._began_at
+        expected_s = FIRST_EVENT_S + OUTPUT_TOKEN_S * output_tokens
+        in_time = passed_s + expected_s <= self._grace_s - FINAL_MARGIN_S
+        return passed_s > TAKES_STREAMS_S or not in_time
+
+    def refuses_plain(self, longest_s: float) -> bool:
+        """Tell whether a request that may last some time might not end in time."""
+        if self._began_at is None:
+            return False
+        passed_s = monotonic() - self._began_at
+        return passed_s + longest_s > self._grace_s - FINAL_MARGIN_S
 
     @property
     def requests(self) -> int:
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -191,6 +191,23 @@
         assert silent.callers in await lookup(world, 0)
 
 
+async def test_stopping_host_takes_no_stream_that_it_might_cut(log_path):
+    """The hunted day of ramdin-atelier, mix with seed 1052007331497."""
+    async with platform_world(log_path) as world:
+        stopping = world.hosts[0].stopping
+        emptying = asyncio.create_task(stopping.empty())
+        await asyncio.sleep(0)
+        assert not stopping.refuses_stream(300)
+        assert stopping.refuses_stream(1500)
+        stopping._began_at -= 3.0
+        assert stopping.refuses_stream(10)
+        headers = {"Token-Usage": "100,70", "Length-Hint": "70"}
+        answer = await world.send("/stream/x", "POST", "z-1", b"p", headers=headers)
+        assert answer.status == 503 and "retry-after" in answer.headers
+        assert (await world.send("/safe/x", deadline_ms=1000)).status == 200
+        emptying.cancel()
+
+
 async def test_stopping_host_serves_what_arrives_and_says_to_close(log_path):
     async with platform_world(log_path) as world:
         emptying = asyncio.create_task(world.hosts[0].stopping.empty())
