Show the platform path in make demo, and test its processes

Hosts run as processes at numbers of loopback of their own; the stand-ins run in the demonstration's process.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m siskinlever_testbed demo
+	$(BIN)/python -m siskinlever_testbed platform_demo
 
 # QUICK=1 is one seed of two scenarios; ARGS passes further options.
 bench: $(STAMP)
--- a/src/siskinlever_testbed/__main__.py
+++ b/src/siskinlever_testbed/__main__.py
@@ -6,6 +6,8 @@
 Tools:
   bench   Measure the policies under load and faults.
   demo    Start a fleet and send it real requests.
+  platform_demo
+          The same behind stand-ins of the users' platform.
   slopes  Measure what each part costs.
 """
 
@@ -17,7 +19,7 @@
 
 from docopt import docopt
 
-TOOLS = frozenset({"bench", "demo", "slopes"})
+TOOLS = frozenset({"bench", "demo", "platform_demo", "slopes"})
 
 
 def main() -> int:
--- /dev/null
+++ b/src/siskinlever_testbed/platform_demo.py
@@ -0,0 +1,79 @@
+"""The demonstration of the users' platform: three hosts, killed and stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+from .platform_fleet import HOST, Answer, PlatformFleet, platform_fleet, send_raw
+
+HOSTS = 3
+GENERATION = {"Model": "m", "Token-Usage": "900,700", "Length-Hint": "700"}
+WAIT_S = 6.0
+POLL_S = 0.05
+
+
+async def run(argv: list[str]) -> int:
+    """Run the demonstration; return its exit code."""
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as directory:
+        async with platform_fleet(Path(directory), HOSTS) as fleet:
+            wrong = await _show(fleet)
+    elapsed_s = time.monotonic() - began
+    print(f"done in {elapsed_s:.1f} s, wrong outcomes: {len(wrong)}")
+    for line in wrong:
+        print(f"  {line}")
+    return 1 if wrong else 0
+
+
+async def _show(fleet: PlatformFleet) -> list[str]:
+    wrong = []
+
+    def check(right: bool, what: str) -> None:
+        print(f"{'ok   ' if right else 'WRONG'} {what}", flush=True)
+        if not right:
+            wrong.append(what)
+
+    check(await _named(fleet, HOSTS), f"each host names all {HOSTS} hosts to callers")
+    answer = await _send(fleet, 0, "/once/x", "d-1")
+    check(answer.status == 200, "a request that may run once is answered")
+    stream = await _send(fleet, 1, "/stream/x", "d-2", GENERATION)
+    prefilled = bool(fleet.runners[2].received)
+    check(stream.complete and prefilled, "a stream is prefilled and decoded apart")
+    going = asyncio.create_task(_send(fleet, 2, "/stream/x", "d-3", GENERATION))
+    await asyncio.sleep(0.3)
+    fleet.hosts[2].leave()
+    left = await _named(fleet, HOSTS - 1)
+    check(left, "a host that is asked to stop is no longer named")
+    check((await going).complete, "its stream in progress is completed")
+    check(await fleet.hosts[2].ended(WAIT_S) == 0, "it ends by itself")
+    fleet.hosts[1].kill()
+    check(await _named(fleet, 1), "a host that was killed is no longer named")
+    check(
+        (await _send(fleet, 0, "/safe/x", "d-4")).status == 200, "the last one serves"
+    )
+    return wrong
+
+
+async def _send(
+    fleet: PlatformFleet,
+    host: int,
+    path: str,
+    identifier: str,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    lines = {"Host": HOST, "Attempt-Id": identifier, "Content-Length": "2"}
+    lines |= headers or {}
+    return await send_raw(fleet.address(host), "POST", path, lines, b"hi")
+
+
+async def _named(fleet: PlatformFleet, count: int) -> bool:
+    """Wait until the first host names a number of hosts."""
+    ends_at = time.monotonic() + WAIT_S
+    while time.monotonic() < ends_at:
+        if len(await fleet.lookup(0)) == count and await fleet.is_ready(0):
+            return True
+        await asyncio.sleep(POLL_S)
+    return False
--- /dev/null
+++ b/src/siskinlever_testbed/platform_fleet.py
@@ -0,0 +1,249 @@
+"""A platform of stand-ins and hosts behind it, each host a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from .processes import Process, free_addresses, owned_processes
+from .standins.platform.runner import RunnerStandIn, running_runner
+from .standins.platform.store import MetadataStoreStandIn, running_store
+
+HOST = "front.example"
+PLAIN, ENGINES = "plain", "engines"
+# Ports of a host's interfaces; each host has a number of loopback of its own.
+PORTS = {"frontend": 8144, "readiness": 8140, "registry": 8143, "control_plane": 8146}
+BEAT_PERIOD_S = 0.5
+NODE_FILE = """
+node_name = "edge-{number}"
+ip = "{ip}"
+zone = "zone-a"
+region = "region"
+seed_nodes = ["{seed}"]
+[zones]
+zone-a = "region"
+[listen]
+{listen}
+[limits]
+memory_mb = 150
+max_fds = 4100
+[bounds]
+grace_period_s = 8
+lease_ms = 1000
+[platform]
+address = "{store}"
+form = "kv"
+"""
+
+
+def configuration(version: int = 1, **extra: Any) -> dict[str, Any]:
+    """Return an operator's configuration with one route of each kind."""
+
+    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "type": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 900,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+        } | more
+
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "idempotent", PLAIN),
+            route("once", "non_idempotent", PLAIN, max_attempts=1),
+            route("short", "non_idempotent", PLAIN, timeout_ms=300, max_attempts=1),
+            route("stream", "streaming", ENGINES, max_attempts=1, timeout_ms=14000),
+            route("resume", "streaming", ENGINES, resumable=True, timeout_ms=14000),
+        ],
+        "services": [
+            {"name": PLAIN, "health_path": "/healthz", "max_connections": 100},
+            {
+                "name": ENGINES,
+                "max_connections": 300,
+                "engine": {
+                    "slots": 16,
+                    "kv_capacity": 40_000,
+                    "kv_ttl_s": 0.5,
+                    "stage_switch_s": 0.3,
+                    "hold_ms": 2000,
+                },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 2000,
+        },
+    } | extra
+
+
+@dataclass
+class Answer:
+    """What a caller got; `complete` tells whether it was framed as whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+    @property
+    def json(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+async def send_raw(
+    address: str, method: str, path: str, headers: dict[str, str], body: bytes
+) -> Answer:
+    """Send a request and read the answer without a library's help."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer, also if it breaks off."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(0, {}, b"", complete=False)
+    first, *rest = head.split("\r\n")[:-2]
+    headers = {n.lower(): v.strip() for n, _, v in (x.partition(":") for x in rest)}
+    status = int(first.split(" ")[1])
+    body = bytearray()
+    try:
+        if "content-length" in headers:
+            body += await reader.readexactly(int(headers["content-length"]))
+            return Answer(status, headers, bytes(body), complete=True)
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            body += (await reader.readexactly(size + 2))[:size]
+            if not size:
+                return Answer(status, headers, bytes(body), complete=True)
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        if isinstance(error, asyncio.IncompleteReadError):
+            body += error.partial
+        return Answer(status, headers, bytes(body), complete=False)
+
+
+def default_runners(ports: list[int]) -> list[RunnerStandIn]:
+    """Return two plain runners, one prefill and two decode engines."""
+    return [
+        RunnerStandIn("p-1", PLAIN, ports[0]),
+        RunnerStandIn("p-2", PLAIN, ports[1]),
+        RunnerStandIn("e-1", ENGINES, ports[2], stage="prefill"),
+        RunnerStandIn("e-2", ENGINES, ports[3], stage="decode"),
+        RunnerStandIn("e-3", ENGINES, ports[4], stage="decode"),
+    ]
+
+
+def node_file(number: int, store: str) -> str:
+    """Return the settings of one host, as the platform writes them."""
+    ip = host_ip(number)
+    listen = "\n".join(f'{name} = "{ip}:{port}"' for name, port in PORTS.items())
+    seed = f"{host_ip(0)}:{PORTS['control_plane']}"
+    return NODE_FILE.format(number=number, ip=ip, listen=listen, store=store, seed=seed)
+
+
+def host_ip(number: int) -> str:
+    """Return a host's number of loopback."""
+    return f"127.0.8.{number + 1}"
+
+
+@dataclass
+class PlatformFleet:
+    """Stand-ins in this process, hosts as processes."""
+
+    store: MetadataStoreStandIn
+    runners: list[RunnerStandIn]
+    hosts: list[Process]
+    directory: Path
+    beating: bool = field(default=True)
+
+    async def beat(self) -> None:
+        """Let the runners register until cancelled."""
+        while True:
+            for runner in self.runners:
+                self.store.put(f"servers/{runner.name}", runner.entry())
+            await asyncio.sleep(BEAT_PERIOD_S)
+
+    def address(self, host: int, interface: str = "frontend") -> str:
+        """Return where a host listens."""
+        return f"{host_ip(host)}:{PORTS[interface]}"
+
+    async def lookup(self, host: int) -> list[str]:
+        """Ask a host which hosts to use."""
+        path = f"/resolve?name={HOST}&region=region&zone=zone-a"
+        address = self.address(host, "registry")
+        answer = await send_raw(address, "GET", path, {"Host": HOST}, b"")
+        return [str(found) for found in answer.json["addresses"]]
+
+    async def is_ready(self, host: int) -> bool:
+        """Tell whether a host is ready and knows its peers."""
+        address = self.address(host, "readiness")
+        try:
+            answer = await send_raw(address, "GET", "/readyz", {"Host": HOST}, b"")
+        except OSError:
+            return False
+        return answer.status == 200
+
+    def logs(self) -> str:
+        """Return what all hosts have logged."""
+        return "".join(path.read_text() for path in self.directory.glob("*.log"))
+
+
+@asynccontextmanager
+async def platform_fleet(directory: Path, count: int) -> AsyncIterator[PlatformFleet]:
+    """Run stand-ins and hosts for the length of a block."""
+    addresses = free_addresses(6)
+    ports = [int(address.rpartition(":")[2]) for address in addresses]
+    async with AsyncExitStack() as stack:
+        by_name = stack.enter_context(owned_processes())
+        store = await stack.enter_async_context(running_store(ports[:1]))
+        runners = [
+            await stack.enter_async_context(running_runner(runner))
+            for runner in default_runners(ports[1:])
+        ]
+        fleet = PlatformFleet(store, runners, [], directory)
+        store.put("op/config", json.dumps(configuration()).encode())
+        beating = asyncio.create_task(fleet.beat())
+        stack.callback(beating.cancel)
+        for number in range(count):
+            path = directory / f"edge-{number}.toml"
+            path.write_text(node_file(number, addresses[0]))
+            process = Process(
+                f"edge-{number}",
+                [
+                    sys.executable,
+                    "-m",
+                    "siskinlever._internal.cli.daemon",
+                    "--platform",
+                ],
+                directory / f"edge-{number}.log",
+                fleet.address(number),
+                {"SISKINLEVER_NODE_FILE": str(path)},
+            )
+            by_name[process.name] = process
+            fleet.hosts.append(process)
+            process.start()
+        for process in fleet.hosts:
+            await process.ready()
+        yield fleet
--- a/src/siskinlever_testbed/processes.py
+++ b/src/siskinlever_testbed/processes.py
@@ -31,13 +31,23 @@
         Receives what the process prints.
     address : str
         Where the process accepts connections once it is ready.
+    variables : dict, default=None
+        Added to the environment.
     """
 
-    def __init__(self, name: str, command: list[str], log: Path, address: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log: Path,
+        address: str,
+        variables: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.address = address
         self._command = command
         self._log = log
+        self._variables = variables or {}
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -53,7 +63,11 @@
         """Start the process; its log is appended to."""
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                self._command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+                self._command,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=os.environ | self._variables,
             )
 
     async def ready(self) -> None:
--- /dev/null
+++ b/tests/functional/test_platform_process.py
@@ -0,0 +1,76 @@
+"""Hosts behind the users' platform as real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+
+import pytest
+
+from siskinlever_testbed.platform_fleet import HOST, platform_fleet, send_raw
+
+pytestmark = pytest.mark.system
+
+FORBIDDEN = ("io_uring", "memfd", "/dev/shm", "SYSV")
+GENERATION = {"Model": "m", "Token-Usage": "900,700", "Length-Hint": "700"}
+MEMORY_LIMIT_BYTES = 150_000_000
+
+
+async def send(fleet, host, path, identifier, headers=None):
+    lines = {"Host": HOST, "Attempt-Id": identifier, "Content-Length": "2"}
+    lines |= headers or {}
+    return await send_raw(fleet.address(host), "POST", path, lines, b"hi")
+
+
+async def ready(fleet, hosts):
+    async with asyncio.timeout(10):
+        while not all([await fleet.is_ready(host) for host in hosts]):
+            await asyncio.sleep(0.05)
+        while len(await fleet.lookup(hosts[0])) < len(hosts):
+            await asyncio.sleep(0.05)
+
+
+async def test_process_starts_no_other_and_uses_nothing_forbidden(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setenv("UV_USE_IO_URING", "1")
+    async with platform_fleet(tmp_path, 1) as fleet:
+        await ready(fleet, [0])
+        assert (await send(fleet, 0, "/once/x", "p-1")).status == 200
+        process = Path(f"/proc/{fleet.hosts[0].pid}")
+        children = [f.read_text() for f in process.glob("task/*/children")]
+        held = [os.readlink(f) for f in process.glob("fd/*")]
+        mapped = (process / "maps").read_text()
+        status = (process / "status").read_text()
+    assert set(children) == {""}
+    assert not [name for name in held if any(part in name for part in FORBIDDEN)]
+    assert not any(part in mapped for part in FORBIDDEN)
+    resident = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    assert int(resident.split()[1]) * 1024 < MEMORY_LIMIT_BYTES
+
+
+async def test_stop_completes_the_streams_in_progress(tmp_path):
+    async with platform_fleet(tmp_path, 2) as fleet:
+        await ready(fleet, [0, 1])
+        going = asyncio.create_task(send(fleet, 1, "/stream/x", "p-2", GENERATION))
+        await asyncio.sleep(0.3)
+        fleet.hosts[1].leave()
+        answer = await going
+        assert answer.status == 200 and answer.complete
+        assert await fleet.hosts[1].ended(8.0) == 0
+        assert len(await fleet.lookup(0)) == 1
+
+
+async def test_wrong_settings_are_refused_with_the_field(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text("node_name = 4\n")
+    process = await asyncio.create_subprocess_exec(
+        "siskinleverd",
+        "--platform",
+        "--check",
+        env=os.environ | {"SISKINLEVER_NODE_FILE": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, error = await process.communicate()
+    assert process.returncode != 0 and b"node_name" in error
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -15,6 +15,30 @@
 from siskinlever._internal.daemon.gateway import GatewayHost, running_gateway
 from siskinlever._internal.models.host_settings import HostSettings
 from siskinlever._internal.platform.settings import decode_settings
+from siskinlever_testbed.platform_fleet import (
+    ENGINES as ENGINES,
+)
+from siskinlever_testbed.platform_fleet import (
+    HOST as HOST,
+)
+from siskinlever_testbed.platform_fleet import (
+    PLAIN as PLAIN,
+)
+from siskinlever_testbed.platform_fleet import (
+    Answer as Answer,
+)
+from siskinlever_testbed.platform_fleet import (
+    configuration as configuration,
+)
+from siskinlever_testbed.platform_fleet import (
+    default_runners,
+)
+from siskinlever_testbed.platform_fleet import (
+    read_answer as read_answer,
+)
+from siskinlever_testbed.platform_fleet import (
+    send_raw as send_raw,
+)
 from siskinlever_testbed.processes import free_addresses
 from siskinlever_testbed.standins.platform.runner import RunnerStandIn, running_runner
 from siskinlever_testbed.standins.platform.store import (
@@ -22,74 +46,9 @@
     running_store,
 )
 
-HOST = "front.example"
-PLAIN, ENGINES = "plain", "engines"
 STEP_S = 0.02
 
 
-def configuration(version: int = 1, **extra: Any) -> dict[str, Any]:
-    """Return an operator's configuration with one route of each kind."""
-
-    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
-        return {
-            "name": name,
-            "host": HOST,
-            "prefix": f"/{name}/",
-            "type": kind,
-            "timeout_ms": 3000,
-            "target_latency_ms": 900,
-            "priority": 1,
-            "service": service,
-            "max_attempts": 2,
-        } | more
-
-    return {
-        "version": version,
-        "routes": [
-            route("safe", "idempotent", PLAIN),
-            route("once", "non_idempotent", PLAIN, max_attempts=1),
-            route("short", "non_idempotent", PLAIN, timeout_ms=300, max_attempts=1),
-            route("stream", "streaming", ENGINES, max_attempts=1, timeout_ms=14000),
-            route("resume", "streaming", ENGINES, resumable=True, timeout_ms=14000),
-        ],
-        "services": [
-            {"name": PLAIN, "health_path": "/healthz", "max_connections": 100},
-            {
-                "name": ENGINES,
-                "max_connections": 300,
-                "engine": {
-                    "slots": 16,
-                    "kv_capacity": 40_000,
-                    "kv_ttl_s": 0.5,
-                    "stage_switch_s": 0.3,
-                    "hold_ms": 2000,
-                },
-            },
-        ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1_000_000,
-            "header_timeout_ms": 500,
-            "idle_timeout_ms": 2000,
-        },
-    } | extra
-
-
-@dataclass
-class Answer:
-    """What a caller got; `complete` tells whether it was framed as whole."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    complete: bool
-
-    @property
-    def json(self) -> Any:
-        """The body as JSON."""
-        return json.loads(self.body)
-
-
 @dataclass
 class World:
     """The stand-ins and hosts of one test."""
@@ -148,45 +107,6 @@
         return [line for line in found if not event or line["event"] == event]
 
 
-async def send_raw(
-    address: str, method: str, path: str, headers: dict[str, str], body: bytes
-) -> Answer:
-    """Send a request and read the answer without a library's help."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
-    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-    try:
-        return await read_answer(reader)
-    finally:
-        writer.close()
-
-
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    """Read one answer, also if it breaks off."""
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return Answer(0, {}, b"", complete=False)
-    first, *rest = head.split("\r\n")[:-2]
-    headers = {n.lower(): v.strip() for n, _, v in (x.partition(":") for x in rest)}
-    status = int(first.split(" ")[1])
-    body = bytearray()
-    try:
-        if "content-length" in headers:
-            body += await reader.readexactly(int(headers["content-length"]))
-            return Answer(status, headers, bytes(body), complete=True)
-        while True:
-            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
-            body += (await reader.readexactly(size + 2))[:size]
-            if not size:
-                return Answer(status, headers, bytes(body), complete=True)
-    except (asyncio.IncompleteReadError, ConnectionError) as error:
-        if isinstance(error, asyncio.IncompleteReadError):
-            body += error.partial
-        return Answer(status, headers, bytes(body), complete=False)
-
-
 async def until(condition: Callable[[], Any], within_s: float = 6.0) -> None:
     """Wait until a condition holds; fails after a time."""
     ends_at = time.monotonic() + within_s
@@ -224,17 +144,6 @@
     return settings
 
 
-def default_runners(ports: list[int]) -> list[RunnerStandIn]:
-    """Return two plain runners, one prefill and two decode engines."""
-    return [
-        RunnerStandIn("p-1", PLAIN, ports[0]),
-        RunnerStandIn("p-2", PLAIN, ports[1]),
-        RunnerStandIn("e-1", ENGINES, ports[2], stage="prefill"),
-        RunnerStandIn("e-2", ENGINES, ports[3], stage="decode"),
-        RunnerStandIn("e-3", ENGINES, ports[4], stage="decode"),
-    ]
-
-
 @asynccontextmanager
 async def platform_world(
     log_path: str, hosts: int = 1, settle: bool = True, **bounds: Any
