--- a/src/siskinlever_testbed/platform_demo.py
+++ b/src/siskinlever_testbed/platform_demo.py
@@ -51,9 +51,8 @@
     check(await fleet.hosts[2].ended(WAIT_S) == 0, "it ends by itself")
     fleet.hosts[1].kill()
     check(await _named(fleet, 1), "a host that was killed is no longer named")
-    check(
-        (await _send(fleet, 0, "/safe/x", "d-4")).status == 200, "the last one serves"
-    )
+    answer = await _send(fleet, 0, "/safe/x", "d-4")
+    check(answer.status == 200, "the last one serves")
     return wrong
 
 
--- a/src/siskinlever_testbed/platform_fleet.py
+++ b/src/siskinlever_testbed/platform_fleet.py
@@ -20,6 +20,7 @@
 # Ports of a host's interfaces; each host has a number of loopback of its own.
 PORTS = {"frontend": 8144, "readiness": 8140, "registry": 8143, "control_plane": 8146}
 BEAT_PERIOD_S = 0.5
+DAEMON = (sys.executable, "-m", "siskinlever._internal.cli.daemon")
 NODE_FILE = """
 node_name = "edge-{number}"
 ip = "{ip}"
@@ -231,12 +232,7 @@
             path.write_text(node_file(number, addresses[0]))
             process = Process(
                 f"edge-{number}",
-                [
-                    sys.executable,
-                    "-m",
-                    "siskinlever._internal.cli.daemon",
-                    "--platform",
-                ],
+                [*DAEMON, "--platform"],
                 directory / f"edge-{number}.log",
                 fleet.address(number),
                 {"SISKINLEVER_NODE_FILE": str(path)},
--- a/tests/functional/test_platform_process.py
+++ b/tests/functional/test_platform_process.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from siskinlever_testbed.platform_fleet import HOST, platform_fleet, send_raw
+from siskinlever_testbed.platform_fleet import DAEMON, HOST, platform_fleet, send_raw
 
 pytestmark = pytest.mark.system
 
@@ -31,9 +31,7 @@
             await asyncio.sleep(0.05)
 
 
-async def test_process_starts_no_other_and_uses_nothing_forbidden(
-    tmp_path, monkeypatch
-):
+async def test_process_uses_nothing_forbidden(tmp_path, monkeypatch):
     monkeypatch.setenv("UV_USE_IO_URING", "1")
     async with platform_fleet(tmp_path, 1) as fleet:
         await ready(fleet, [0])
@@ -66,7 +64,7 @@
     path = tmp_path / "node.toml"
     path.write_text("node_name = 4\n")
     process = await asyncio.create_subprocess_exec(
-        "siskinleverd",
+        *DAEMON,
         "--platform",
         "--check",
         env=os.environ | {"SISKINLEVER_NODE_FILE": str(path)},
