Split the request's job and the search for room; spread returns; plan without decode

Cause: read as a newcomer: context.py held three things, generation.py waited, placed and forwarded. Found on the way: a change of a route's time-out made all its callers late for good, as did one very patient caller; all refusals named the same time to return; engines that were all on prefill stayed so.

A caller's age is measured against the longest wait told within 20 s and within the route's time-out. Retry-After is spread by 0.4. A service without a decode engine turns a prefill engine, also its only one: the row (1, 0) of the plan's test expected no change, which left such a service serving nothing.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, fields, replace
 
 from ..dispatch.plain_placement import PlainPlacement
-from ..dispatch.retry_budget import RetryBudget
+from ..dispatch.retry_budget import SharedRetryBudget
 from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import DemandMeter
@@ -206,7 +206,7 @@
         log,
         tasks,
     )
-    budget = RetryBudget(
+    budget = SharedRetryBudget(
         settings.bounds.retry,
         lambda: max(MIN_BUDGET_HOSTS, 1 + len(hosts.by_host)),
     )
--- a/src/siskinlever/_internal/dispatch/retry_budget.py
+++ b/src/siskinlever/_internal/dispatch/retry_budget.py
@@ -18,7 +18,7 @@
 SAFETY_SHARE = 0.8
 
 
-class RetryBudget:
+class SharedRetryBudget:
     """This host's part of the fleet's budget, for each service.
 
     Parameters
--- a/src/siskinlever/_internal/dispatch/stage_plan.py
+++ b/src/siskinlever/_internal/dispatch/stage_plan.py
@@ -65,6 +65,9 @@
     prefill = [runner for runner in runners if runner.stage is Stage.PREFILL]
     decode = [runner for runner in runners if runner.stage is Stage.DECODE]
     total = len(prefill) + len(decode)
+    if prefill and not decode:
+        # A decode engine alone serves all; prefill engines alone serve nothing.
+        return StageChange(_from_largest_zone(prefill), Stage.DECODE)
     if total < 2:
         return None
     wanted = min(max(work.prefill_share * total, 1.0), total - 1.0)
--- a/src/siskinlever/_internal/gateway/endings.py
+++ b/src/siskinlever/_internal/gateway/endings.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from enum import Enum
 
 from ..exceptions import SiskinleverError
 
+RETRY_SPREAD = 0.4
+TIMEOUT_RETRY_S = 1.0
+
 
 class Reason(Enum):
     """Why a request has no runner's answer, as logs and metrics show it."""
@@ -52,8 +56,12 @@
 
 
 def refused(reason: Reason, message: str, retry_after_s: float) -> EndedError:
-    """Return the end of a request that was certainly not run."""
-    return EndedError(503, reason, message, retry_after_s)
+    """Return the end of a request that was certainly not run.
+
+    The time to return is spread, so that callers do not come back together.
+    """
+    spread = random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+    return EndedError(503, reason, message, retry_after_s * spread)
 
 
 def failed(reason: Reason, message: str) -> EndedError:
@@ -65,4 +73,6 @@
     """Return the end of a request whose time is over."""
     if may_have_run:
         return EndedError(504, Reason.TIMEOUT, "no answer within the time allowed")
-    return refused(Reason.TIMEOUT, "not started within the time allowed", 1.0)
+    return refused(
+        Reason.TIMEOUT, "not started within the time allowed", TIMEOUT_RETRY_S
+    )
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -7,8 +7,9 @@
 from ..network.http1_client import Exchange, exchange
 from ..network.http1_server import CallerConnection
 from ..platform import dialect
-from .context import GatewayContext, Job
+from .context import GatewayContext
 from .endings import EndedError, Reason, failed, refused
+from .job import Job
 from .relay import KeptAnswer, relay_plain
 
 # A caller that was refused by a full or lost runner finds another one then.
--- /dev/null
+++ b/src/siskinlever/_internal/gateway/room.py
@@ -0,0 +1,179 @@
+"""Finds room for a generation at a decode engine, and waits for it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Collection
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from ..dispatch.waiting_line import Ticket
+from ..exceptions import ExchangeError
+from ..models.routes import EngineTraits, Route
+from ..models.upstreams import Registration, RunnerKey
+from ..platform import dialect
+from ..utils.clock import monotonic
+from . import engine_calls
+from .context import GatewayContext
+from .endings import EndedError, Reason, refused
+from .job import Job
+
+# Share of the likely output that is reserved beside the prompt: runs that end
+# make room for those that grow.
+HELD_OUTPUT_SHARE = 0.5
+# Time from room at a decode engine to the first event without a queue.
+FIRST_EVENT_S = 0.35
+# Share of the caller's time for which it is kept waiting for room; the rest
+# is needed for the answer.
+WAIT_SHARE = 0.4
+# An engine that was full is asked again after 0.08 s.
+POLL_S = 0.025
+# Retry-After of a refusal for want of room: about the time of one run.
+OVERLOADED_RETRY_S = 2.0
+NO_ENGINE_RETRY_S = 1.0
+# Callers leave a stream that shows no event for the longest of these: seconds,
+# multiples of the target latency, and of the longest pause between events.
+CALLER_PATIENCE_S = 2.0
+CALLER_PATIENCE_LATENCIES = 4.0
+CALLER_PATIENCE_GAPS = 8.0
+# The caller's clock started when it sent its request.
+PATIENCE_MARGIN_S = 0.25
+
+
+@dataclass(slots=True)
+class Room:
+    """Reserved room at a decode engine.
+
+    Parameters
+    ----------
+    runner : Registration
+    hold : str or None
+        None once a request has used it.
+    """
+
+    runner: Registration
+    hold: str | None
+
+
+class RoomSearch:
+    """Finds room for one generation, at its first engine and at later ones."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        job: Job,
+        asked: dialect.Generation,
+        traits: EngineTraits,
+    ) -> None:
+        self._context = context
+        self._job = job
+        self._asked = asked
+        self._traits = traits
+        self._placement = context.engines(job.service)
+        route = job.route
+        age_s = context.caller_ages.age_s(
+            route.name, route.timeout_s, job.caller_waits_s
+        )
+        # The generation must begin by then for its first event to be on time.
+        self.on_time_until = (
+            job.arrived_at - age_s + route.target_latency_s - FIRST_EVENT_S
+        )
+
+    @property
+    def needed_tokens(self) -> int:
+        """KV cache that the generation takes in the end, as far as known."""
+        return self._asked.prompt_tokens + self._asked.likely_output_tokens
+
+    @asynccontextmanager
+    async def room(self, excluded: Collection[RunnerKey]) -> AsyncIterator[Room]:
+        """Own room at an engine for the length of a block.
+
+        Raises
+        ------
+        EndedError
+            There is no room, or not before the caller leaves.
+        """
+        room = await self._wait(excluded)
+        runner = room.runner.key
+        try:
+            with self._context.in_progress.decode(runner, self.needed_tokens):
+                yield room
+        finally:
+            if room.hold is not None:
+                engine_calls.drop_hold(self._context, room.runner, room.hold)
+
+    async def _wait(self, excluded: Collection[RunnerKey]) -> Room:
+        job = self._job
+        began = monotonic()
+        line = self._context.line(job.service)
+        caller_leaves_at = job.arrived_at + _patience_s(job.route) - PATIENCE_MARGIN_S
+        give_up_at = min(
+            began + WAIT_SHARE * max(0.0, job.time_left_s),
+            caller_leaves_at - FIRST_EVENT_S,
+        )
+        ticket = Ticket(job.route.priority, job.arrived_at, self.on_time_until)
+        job.steps["waiting_before"] = len(line)
+        with line.joined(ticket):
+            while True:
+                line.update()
+                if ticket.turn.is_set():
+                    room = await self._try_engines(excluded)
+                    if room is not None:
+                        job.note("room_s")
+                        return room
+                if monotonic() >= give_up_at:
+                    raise self._overloaded(monotonic() - began, len(line))
+                await asyncio.sleep(POLL_S)
+
+    @staticmethod
+    def _overloaded(waited_s: float, waiting: int) -> EndedError:
+        message = f"no room within {waited_s:.3f} s, {waiting} waiting"
+        return refused(Reason.OVERLOADED, message, OVERLOADED_RETRY_S)
+
+    async def _try_engines(self, excluded: Collection[RunnerKey]) -> Room | None:
+        context, job = self._context, self._job
+        usable = context.runners.usable(job.service)
+        if not usable:
+            message = f"no engine of {job.service}"
+            raise refused(Reason.NO_RUNNER, message, NO_ENGINE_RETRY_S)
+        is_late = monotonic() > self.on_time_until
+        for runner in self._placement.decode_candidates(
+            context.steady(usable), self._traits, self.needed_tokens, is_late, excluded
+        ):
+            hold = await self._hold(runner)
+            if hold is not None:
+                return Room(runner, hold)
+        return None
+
+    async def _hold(self, runner: Registration) -> str | None:
+        """Reserve room at an engine; None if it has none or was not reached."""
+        context, job = self._context, self._job
+        tokens = self._asked.prompt_tokens + int(
+            HELD_OUTPUT_SHARE * self._asked.likely_output_tokens
+        )
+        try:
+            hold = await engine_calls.take_hold(
+                context, runner, tokens, self._traits.max_hold_s
+            )
+        except ExchangeError as error:
+            context.reach.note_unreachable(runner.key)
+            context.log.write(
+                "engine.unreachable",
+                job.id,
+                runner=runner.key.name,
+                reason=error.message,
+            )
+            return None
+        if hold is None:
+            job.steps["holds_refused"] = int(job.steps.get("holds_refused", 0)) + 1
+            self._placement.note_full(runner.key)
+        return hold
+
+
+def _patience_s(route: Route) -> float:
+    """Return how long a caller waits for the first event of a stream."""
+    return max(
+        CALLER_PATIENCE_S,
+        CALLER_PATIENCE_LATENCIES * route.target_latency_s,
+        CALLER_PATIENCE_GAPS * route.target_gap_s,
+    )
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -10,9 +10,10 @@
 from ..network.http1_server import CallerConnection, ReceivedRequest
 from ..platform import dialect
 from ..utils.clock import monotonic
-from .context import GatewayContext, Job, new_job
+from .context import GatewayContext
 from .endings import EndedError, Reason, failed, refused, timed_out
 from .generation import GenerationRequest
+from .job import Job, new_job
 from .plain import PlainRequest
 from .stopping import Stopping
 
