Keep messages between hosts from growing with the fleet

Each exchange named all peers, and all runners that had gone in a minute.

Peers are named only when asked for, on meeting; leaving runners for 15 s; a host makes 40 exchanges a second at the most, and hosts count as alive accordingly longer.

--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -93,12 +93,13 @@
     status: HostStatus
     work: HostWork
     heard_at: float
+    alive_for_s: float
     is_suspect: bool = False
 
     @property
     def is_alive(self) -> bool:
         """Whether the host was heard lately; sooner lost if a call failed."""
-        limit_s = SUSPECT_ALIVE_FOR_S if self.is_suspect else ALIVE_FOR_S
+        limit_s = SUSPECT_ALIVE_FOR_S if self.is_suspect else self.alive_for_s
         return monotonic() - self.heard_at <= limit_s
 
 
@@ -116,6 +117,8 @@
         self._log = log
         self.by_host: dict[HostName, KnownHost] = {}
         self._alive: set[HostName] = set()
+        # Grows with the time between exchanges in a large fleet.
+        self.alive_for_s = ALIVE_FOR_S
 
     def hear(self, status: HostStatus, work: HostWork) -> None:
         """Take in a host's own word, unless a later start has spoken."""
@@ -126,7 +129,9 @@
             return
         if known is None or known.status.serving != status.serving:
             self._log.write("host.status", of=status.host, serving=status.serving)
-        self.by_host[status.host] = KnownHost(status, work, monotonic())
+        self.by_host[status.host] = KnownHost(
+            status, work, monotonic(), self.alive_for_s
+        )
         self.note_alive()
 
     def alive(self) -> list[KnownHost]:
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -17,7 +17,7 @@
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
 from .demand import Demand, DemandMeter
-from .hosts import FORGET_S, HostStatus, HostTable, HostWork, RunnerLoad
+from .hosts import ALIVE_FOR_S, FORGET_S, HostStatus, HostTable, HostWork, RunnerLoad
 from .in_progress import InProgress
 from .reach import Reach
 from .runners import Runner, RunnerDirectory
@@ -28,9 +28,21 @@
 MIN_PERIOD_S = 0.05
 # Hosts answer in milliseconds; a second try follows on a new connection.
 CALL_TIMEOUT_S = 0.4
+# News of a leaving runner is repeated for this long; later the store tells.
+TOLD_S = 15.0
+# A host exchanges its state with others this often at the most; with more peers
+# the pairs do so less often, so that its messages do not grow with the fleet.
+MAX_EXCHANGES_PER_S = 40.0
+# One exchange may fail.
+ALIVE_PERIODS = 3.0
 AGE_UNKNOWN_MS = 0xFFFFFFFF
 
 
+def exchange_period_s(peers: int) -> float:
+    """Return the time between two exchanges of a pair of hosts."""
+    return max(PERIOD_S, peers / MAX_EXCHANGES_PER_S)
+
+
 class PeerSync:
     """Tells the other hosts what this one knows and learns from them.
 
@@ -102,22 +114,29 @@
         """Announce news of configuration and leaving runners until cancelled."""
         while True:
             await asyncio.sleep(MIN_PERIOD_S)
-            leaving = {r.registration.key for r in self._runners.leaving()}
+            leaving = {r.registration.key for r in self._runners.leaving(TOLD_S)}
             version = self._configuration.version
             if leaving - self._told_leaving or version > self._told_version:
                 self.announce()
             self._told_leaving = leaving
             self._told_version = version
+            peers = len(self._urgent_by_address)
+            self._hosts.alive_for_s = max(
+                ALIVE_FOR_S, ALIVE_PERIODS * exchange_period_s(peers)
+            )
             self._hosts.note_alive()
 
     async def _exchange_with(self, address: Address) -> None:
         urgent = self._urgent_by_address[address]
+        # Later only the store and newcomers' own calls bring new hosts.
+        asks_peers = True
         heard_at = monotonic()
         while monotonic() - heard_at < FORGET_S:
             try:
                 reply = await self._peers.call_address(
-                    address, "Sync", self._state(), CALL_TIMEOUT_S
+                    address, "Sync", self._state(asks_peers=asks_peers), CALL_TIMEOUT_S
                 )
+                asks_peers = False
                 heard_at = monotonic()
                 await self._hear(address, reply)
             except PeerError:
@@ -134,7 +153,8 @@
 
         One exchange tells both hosts, so one call a period is enough for a pair.
         """
-        period_s = PERIOD_S * random.uniform(0.85, 1.15)
+        period_s = exchange_period_s(len(self._urgent_by_address))
+        period_s *= random.uniform(0.85, 1.15)
         try:
             async with asyncio.timeout(period_s):
                 await urgent.wait()
@@ -152,7 +172,7 @@
         if state.configuration_version > self._configuration.version:
             self._tasks.start(self._fetch(address), "fetch-configuration")
         self.meet(address)
-        return self._state()
+        return self._state(tells_peers=state.asks_peers)
 
     async def serve_documents(
         self, request: peer_pb2.FleetDocumentsRequest
@@ -234,7 +254,12 @@
         else:
             self._runners.note_gone(key.name, key.started_at, leaving.sequence, source)
 
-    def _state(self) -> peer_pb2.FleetState:
+    def _known_peers(self) -> list[str]:
+        return [known.status.peers_address for known in self._hosts.alive()]
+
+    def _state(
+        self, tells_peers: bool = False, asks_peers: bool = False
+    ) -> peer_pb2.FleetState:
         own = self.own_status()
         return peer_pb2.FleetState(
             host=peer_pb2.FleetHost(
@@ -249,7 +274,7 @@
             ),
             configuration_version=self._configuration.version,
             configuration_age_ms=self._configuration_age_ms(),
-            leaving=[_leaving(runner) for runner in self._runners.leaving()],
+            leaving=[_leaving(runner) for runner in self._runners.leaving(TOLD_S)],
             loads=[
                 peer_pb2.FleetLoad(
                     runner=_runner(key),
@@ -276,7 +301,8 @@
                 for key, switch in self._switching.by_runner().items()
             ],
             unreachable=[_runner(key) for key in self._reach.unreachable()],
-            peers=[known.status.peers_address for known in self._hosts.alive()],
+            peers=self._known_peers() if tells_peers else (),
+            asks_peers=asks_peers,
         )
 
     def _configuration_age_ms(self) -> int:
--- a/src/siskinlever/_internal/fleet/runners.py
+++ b/src/siskinlever/_internal/fleet/runners.py
@@ -90,9 +90,14 @@
         runner = self.by_key.get(key)
         return runner is not None and runner.state in USABLE
 
-    def leaving(self) -> list[Runner]:
-        """Return processes known to leave or to be gone, for other hosts."""
-        return [r for r in self.by_key.values() if r.state not in USABLE]
+    def leaving(self, within_s: float) -> list[Runner]:
+        """Return processes that leave or are gone since some time, for other hosts."""
+        since = monotonic() - within_s
+        return [
+            runner
+            for runner in self.by_key.values()
+            if runner.state not in USABLE and runner.since >= since
+        ]
 
     def replace_all(
         self, registrations: Iterable[Registration], outage_ended_at: float
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -176,6 +176,17 @@
         await emptying
 
 
+async def test_host_meets_all_through_one_seed_while_the_store_is_out(log_path):
+    async with platform_world(log_path, hosts=3, settle=False) as world:
+        for port in world.store_ports:
+            world.store.fault_by_port[port] = StoreFault.BUSY
+        alive = lambda host: len(host.context.hosts.alive())  # noqa: E731
+        await until(lambda: all(alive(host) == 2 for host in world.hosts))
+        # Later exchanges need not name the peers again.
+        state = world.hosts[0].sync._state()
+        assert not state.peers and not state.asks_peers
+
+
 async def test_host_that_falls_silent_is_no_longer_named(log_path):
     """Callers try each address for a second, so it must go soon."""
     async with platform_world(log_path, hosts=2) as world:
