--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -180,7 +180,7 @@
     async with platform_world(log_path, hosts=3, settle=False) as world:
         for port in world.store_ports:
             world.store.fault_by_port[port] = StoreFault.BUSY
-        alive = lambda host: len(host.context.hosts.alive())  # noqa: E731
+        alive = lambda host: len(host.context.hosts.alive())
         await until(lambda: all(alive(host) == 2 for host in world.hosts))
         # Later exchanges need not name the peers again.
         state = world.hosts[0].sync._state()
