Bound what callers make a host hold; end one request on a fault

Cause: bodies of 4 MB are allowed and the smaller site gives a process 150 MB: forty callers could end it. Connections had no limit beside the descriptors. An exception that nobody expected left the caller without an answer and the log without a line.

Bodies have a quarter of the memory together, taken by their length before they are read; beyond that 503, which is true. Callers' connections have 0.4 of the descriptors.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -30,7 +30,12 @@
 from ..models.host_settings import HostSettings
 from ..models.ids import Incarnation
 from ..models.routes import CallerLimits
-from ..network.http1_server import CallerConnection, ReceivedRequest, caller_listener
+from ..network.http1_server import (
+    BodyBuffers,
+    CallerConnection,
+    ReceivedRequest,
+    caller_listener,
+)
 from ..peers.link import peer_links
 from ..peers.server import Handler, peer_server
 from ..platform import dialect
@@ -48,6 +53,11 @@
 # Hosts of one platform share a network of their own; the platform hands out
 # no key for them.
 PEER_KEY = ""
+# Shares of the process's memory for bodies, and of its descriptors for each kind
+# of callers: each request has a connection to a runner as well.
+BODY_MEMORY_SHARE = 0.25
+CALLER_DESCRIPTOR_SHARE = 0.4
+DEFAULT_LIMITS = {BODY_MEMORY_SHARE: 150_000_000, CALLER_DESCRIPTOR_SHARE: 4_096}
 # Hosts that a budget for retries is divided among at the least, so that a host
 # which has not met the others yet does not take their parts.
 MIN_BUDGET_HOSTS = 8
@@ -64,6 +74,7 @@
     stopping: Stopping
     lease: OrderLease
     orders: StageOrders
+    buffers: BodyBuffers
     log: LogLines
 
 
@@ -238,7 +249,10 @@
         is_held_elsewhere=hosts.is_order_right_held,
     )
     orders = StageOrders(context, lease, sync.announce)
-    return GatewayHost(settings, context, follower, sync, stopping, lease, orders, log)
+    buffers = BodyBuffers(_share(settings.memory_limit_bytes, BODY_MEMORY_SHARE))
+    return GatewayHost(
+        settings, context, follower, sync, stopping, lease, orders, buffers, log
+    )
 
 
 async def _listen(host: GatewayHost, metrics: Metrics, stack: AsyncExitStack) -> None:
@@ -268,5 +282,13 @@
         listeners.lookup: serving({dialect.LOOKUP_PATH: lookup}),
         listeners.metrics: serving({METRICS_PATH: exposition}),
     }
+    most = _share(host.settings.descriptor_limit, CALLER_DESCRIPTOR_SHARE)
     for address, handle in by_address.items():
-        await stack.enter_async_context(caller_listener(address, limits, handle))
+        await stack.enter_async_context(
+            caller_listener(address, limits, handle, host.buffers, most)
+        )
+
+
+def _share(limit: int, share: float) -> int:
+    """Return a share of a limit of the process, or a usual one if there is none."""
+    return int((limit or DEFAULT_LIMITS[share]) * share)
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -90,6 +90,12 @@
         except AnswerBrokenError as error:
             self._log_end(job, request, 0, "broken", error.message)
             self._connection.abort()
+        except CallerGoneError:
+            raise
+        except Exception as error:
+            # A fault of this program ends one request, and is seen in the log.
+            self._context.metrics.count("faults")
+            await self._end(job, request, failed(Reason.INTERNAL, repr(error)))
 
     def _refuses_while_stopping(self, job: Job) -> bool:
         asked = dialect.generation(job.request)
--- a/src/siskinlever/_internal/network/http1_server.py
+++ b/src/siskinlever/_internal/network/http1_server.py
@@ -53,6 +53,29 @@
         return None
 
 
+class BodyBuffers:
+    """The bytes of callers' bodies that a process holds, and their limit.
+
+    Parameters
+    ----------
+    limit_bytes : int
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def take(self, size: int) -> None:
+        """Count bytes; raises `InvalidRequestError` beyond the limit."""
+        if self.held_bytes + size > self._limit_bytes:
+            raise InvalidRequestError(503, "too many bodies are being received")
+        self.held_bytes += size
+
+    def release(self, size: int) -> None:
+        """Count bytes no more."""
+        self.held_bytes -= size
+
+
 class CallerConnection:
     """One connection of a caller.
 
@@ -61,6 +84,8 @@
     reader, writer : asyncio streams
     limits : callable
         Returns the limits in force.
+    buffers : BodyBuffers
+        Shared by all connections.
     """
 
     def __init__(
@@ -68,9 +93,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         limits: Callable[[], CallerLimits],
+        buffers: BodyBuffers,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._buffers = buffers
+        self._buffered_bytes = 0
         self._limits = limits
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
@@ -99,6 +127,7 @@
             self._parser.start_next_cycle()
             self._pipelined_bytes = len(self._parser.trailing_data[0])
         self.answer_started = False
+        self._release_body()
         limits = self._limits()
         if not (
             self._parser.trailing_data[0]
@@ -117,7 +146,7 @@
             raise InvalidRequestError(
                 431, f"the headers exceed {limits.max_header_bytes} bytes"
             )
-        body = await self._body(limits)
+        body = await self._body(limits, _content_length(head))
         headers = tuple(head.headers.raw_items())
         return ReceivedRequest(head.method, head.target, headers, body)
 
@@ -130,7 +159,10 @@
         self._parser.receive_data(data)
         return bool(data)
 
-    async def _body(self, limits: CallerLimits) -> bytes:
+    async def _body(self, limits: CallerLimits, length: int | None) -> bytes:
+        """Read a body; one of known length has its place before it is read."""
+        if length is not None:
+            self._take(length, limits)
         if self._parser.they_are_waiting_for_100_continue:
             await self._write(
                 self._parser.send(
@@ -148,11 +180,20 @@
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if isinstance(event, h11.Data):
+                if length is None:
+                    self._take(len(event.data), limits)
                 body += event.data
-            if len(body) > limits.max_body_bytes:
-                raise InvalidRequestError(
-                    413, f"the body exceeds {limits.max_body_bytes} bytes"
-                )
+
+    def _take(self, size: int, limits: CallerLimits) -> None:
+        if self._buffered_bytes + size > limits.max_body_bytes:
+            message = f"the body exceeds {limits.max_body_bytes} bytes"
+            raise InvalidRequestError(413, message)
+        self._buffers.take(size)
+        self._buffered_bytes += size
+
+    def _release_body(self) -> None:
+        self._buffers.release(self._buffered_bytes)
+        self._buffered_bytes = 0
 
     async def _next_event(self) -> object:
         while True:
@@ -237,9 +278,18 @@
 
     def close(self) -> None:
         """Close the connection after what was written."""
+        self._release_body()
         self._writer.close()
 
 
+def _content_length(head: h11.Request) -> int | None:
+    """Return a body's length, None if it comes in chunks."""
+    lengths = dict(head.headers)
+    if b"transfer-encoding" in lengths:
+        return None
+    return int(lengths.get(b"content-length", b"0"))
+
+
 def _head_bytes(head: h11.Request) -> int:
     lines = len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n\r\n")
     return lines + sum(
@@ -253,20 +303,44 @@
 
 @asynccontextmanager
 async def caller_listener(
-    address: str, limits: Callable[[], CallerLimits], handle: Handler
+    address: str,
+    limits: Callable[[], CallerLimits],
+    handle: Handler,
+    buffers: BodyBuffers,
+    max_connections: int,
 ) -> AsyncIterator[asyncio.Server]:
-    """Accept connections for the length of a block; each has one task."""
+    """Accept connections for the length of a block; each has one task.
+
+    Parameters
+    ----------
+    address : str
+    limits : callable
+        Returns the limits in force.
+    handle : callable
+        Serves one connection.
+    buffers : BodyBuffers
+    max_connections : int
+        Connections beyond are reset, which promises nothing: a caller tries
+        another host.
+    """
+    open_connections = 0
 
     async def accepted(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        nonlocal open_connections
+        if open_connections >= max_connections:
+            writer.transport.abort()
+            return
         detect_silence_of(writer.transport)
-        connection = CallerConnection(reader, writer, limits)
+        connection = CallerConnection(reader, writer, limits, buffers)
+        open_connections += 1
         try:
             await handle(connection)
         except CallerGoneError:
             connection.abort()
         finally:
+            open_connections -= 1
             connection.close()
 
     host, port = split_address(address)
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from contextlib import AsyncExitStack
 
 import pytest
 from lib.platform_world import (
@@ -17,6 +18,10 @@
     until,
 )
 
+from siskinlever._internal.gateway.information import serving
+from siskinlever._internal.models.routes import CallerLimits
+from siskinlever._internal.network.http1_server import BodyBuffers, caller_listener
+from siskinlever_testbed.processes import free_addresses
 from siskinlever_testbed.standins.platform.runner import RunnerFault
 
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
@@ -191,6 +196,68 @@
     assert answer.status == status
 
 
+async def test_bodies_are_bounded_together_and_released(log_path):
+    """Callers that send much at once must not end the process for its memory."""
+    async with platform_world(log_path) as world:
+        set_faults(world, RunnerFault.MUTE)
+        size = 990_000
+        # A few of them fill the buffers; the limit is set lower for the test.
+        world.hosts[0].buffers._limit_bytes = 3 * size
+        sends = [
+            asyncio.create_task(
+                world.send("/short/x", "POST", f"b-{n}", b"x" * size, deadline_ms=300)
+            )
+            for n in range(5)
+        ]
+        answers = await asyncio.gather(*sends)
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses == [503, 503, 504, 504, 504]
+        await until(lambda: world.hosts[0].buffers.held_bytes == 0)
+        set_faults(world, RunnerFault.NONE)
+        answer = await world.send("/once/x", "POST", "b-9", b"x" * size)
+    assert answer.status == 200
+
+
+async def test_connections_beyond_the_limit_are_reset(log_path):
+    async with platform_world(log_path) as world:
+        async with AsyncExitStack() as stack:
+            address = f"127.0.0.1:{free_addresses(1)[0].rpartition(':')[2]}"
+            serve = serving({"/x": lambda request: (200, [], b"ok")})
+            buffers = BodyBuffers(1000)
+            await stack.enter_async_context(
+                caller_listener(address, CallerLimits, serve, buffers, 2)
+            )
+            host, _, port = address.rpartition(":")
+            kept = [await asyncio.open_connection(host, int(port)) for _ in range(2)]
+            await asyncio.sleep(0.05)
+            refused = await send_raw(address, "GET", "/x", {"Host": "h"}, b"")
+            assert refused.status == 0
+            kept[0][1].close()
+            await asyncio.sleep(0.05)
+            answer = await send_raw(address, "GET", "/x", {"Host": "h"}, b"")
+            assert answer.status == 200
+            kept[1][1].close()
+        assert world.hosts
+
+
+async def test_fault_of_the_program_ends_one_request_and_is_logged(
+    log_path, monkeypatch
+):
+    async with platform_world(log_path) as world:
+        placement = world.hosts[0].context.plain
+
+        def broken(self, runners, tried):
+            raise KeyError("a fault")
+
+        monkeypatch.setattr(type(placement), "choose", broken)
+        answer = await world.send("/safe/x", identifier="f-1")
+        monkeypatch.undo()
+        assert (await world.send("/safe/x", identifier="f-2")).status == 200
+        (line,) = [x for x in world.lines("request.ended") if x["request"] == "f-1"]
+    assert answer.status == 502 and "a fault" in line["detail"]
+    assert line["outcome"] == "internal"
+
+
 async def test_requests_of_one_connection_are_answered_in_turn(log_path):
     async with platform_world(log_path) as world:
         host, _, port = world.hosts[0].settings.listeners.callers.rpartition(":")
