--- /dev/null
+++ b/src/siskinlever/_internal/fleet/messages.py
@@ -0,0 +1,121 @@
+"""Conversion between what hosts tell each other and its messages."""
+
+from __future__ import annotations
+
+from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
+from ..models.upstreams import Address, RunnerKey, Stage, StartedAt
+from ..peers import peer_pb2
+from ..stages.switching import StageSwitch
+from ..utils.clock import MS_PER_S
+from .demand import Demand
+from .hosts import HostStatus, HostWork, RunnerLoad
+from .runners import Runner
+
+
+def to_host(status: HostStatus) -> peer_pb2.FleetHost:
+    """Return the message of a host's status."""
+    return peer_pb2.FleetHost(
+        host=status.host,
+        zone=status.zone,
+        incarnation=status.incarnation,
+        callers_address=status.callers_address,
+        peers_address=status.peers_address,
+        serving=status.serving,
+        reads_store=status.reads_store,
+        holds_orders=status.holds_orders,
+    )
+
+
+def status_of(host: peer_pb2.FleetHost) -> HostStatus:
+    """Return the status of a host's message."""
+    return HostStatus(
+        host=HostName(host.host),
+        zone=ZoneName(host.zone),
+        incarnation=Incarnation(host.incarnation),
+        callers_address=Address(host.callers_address),
+        peers_address=Address(host.peers_address),
+        serving=host.serving,
+        reads_store=host.reads_store,
+        holds_orders=host.holds_orders,
+    )
+
+
+def work_of(state: peer_pb2.FleetState) -> HostWork:
+    """Return what the sender of a message has in progress."""
+    return HostWork(
+        load_by_runner={
+            key_of(load.runner): RunnerLoad(
+                load.requests, load.decode_tokens, load.prefill_tokens
+            )
+            for load in state.loads
+        },
+        demand_by_service={
+            ServiceName(demand.service): Demand(
+                demand.prompt_tokens_per_s, demand.decode_tokens
+            )
+            for demand in state.demands
+        },
+        switch_by_runner={
+            key_of(switch.runner): StageSwitch(
+                Stage(switch.stage), switch.remaining_ms / MS_PER_S
+            )
+            for switch in state.switches
+        },
+        unreachable=frozenset(key_of(runner) for runner in state.unreachable),
+    )
+
+
+def to_loads(work: HostWork) -> list[peer_pb2.FleetLoad]:
+    """Return the messages of a host's loads."""
+    return [
+        peer_pb2.FleetLoad(
+            runner=to_runner(key),
+            requests=load.requests,
+            decode_tokens=load.decode_tokens,
+            prefill_tokens=load.prefill_tokens,
+        )
+        for key, load in work.load_by_runner.items()
+    ]
+
+
+def to_demands(work: HostWork) -> list[peer_pb2.FleetDemand]:
+    """Return the messages of a host's demand."""
+    return [
+        peer_pb2.FleetDemand(
+            service=service,
+            prompt_tokens_per_s=int(demand.prompt_tokens_per_s),
+            decode_tokens=int(demand.decode_tokens),
+        )
+        for service, demand in work.demand_by_service.items()
+    ]
+
+
+def to_switches(work: HostWork) -> list[peer_pb2.FleetSwitch]:
+    """Return the messages of the changes of stages that a host has ordered."""
+    return [
+        peer_pb2.FleetSwitch(
+            runner=to_runner(key),
+            remaining_ms=int(switch.takes_none_s * MS_PER_S),
+            stage=switch.stage.value,
+        )
+        for key, switch in work.switch_by_runner.items()
+    ]
+
+
+def to_leaving(runner: Runner) -> peer_pb2.FleetLeaving:
+    """Return the message of a process that gets no requests any more."""
+    return peer_pb2.FleetLeaving(
+        runner=to_runner(runner.registration.key),
+        sequence=runner.registration.sequence,
+        drained=runner.has_drained,
+    )
+
+
+def to_runner(key: RunnerKey) -> peer_pb2.FleetRunner:
+    """Return the message of a runner's process."""
+    return peer_pb2.FleetRunner(runner=key.name, started_at=key.started_at)
+
+
+def key_of(runner: peer_pb2.FleetRunner) -> RunnerKey:
+    """Return the process of a message."""
+    return RunnerKey(RunnerName(runner.runner), StartedAt(runner.started_at))
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -8,19 +8,29 @@
 
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
-from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
-from ..models.upstreams import Address, RunnerKey, Stage, StartedAt
+from ..models.upstreams import Address, RunnerKey
 from ..peers import peer_pb2
 from ..peers.link import Peers
-from ..stages.switching import StageSwitch, Switching
+from ..stages.switching import Switching
 from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
-from .demand import Demand, DemandMeter
-from .hosts import ALIVE_FOR_S, FORGET_S, HostStatus, HostTable, HostWork, RunnerLoad
+from .demand import DemandMeter
+from .hosts import ALIVE_FOR_S, FORGET_S, HostStatus, HostTable, HostWork
 from .in_progress import InProgress
+from .messages import (
+    key_of,
+    status_of,
+    to_demands,
+    to_host,
+    to_leaving,
+    to_loads,
+    to_runner,
+    to_switches,
+    work_of,
+)
 from .reach import Reach
-from .runners import Runner, RunnerDirectory
+from .runners import RunnerDirectory
 from .store_follower import StoreFollower
 
 PERIOD_S = 0.9
@@ -211,44 +221,16 @@
         self._follower.add_known([(i.key, i.value) for i in documents.registrations])
 
     def _learn(self, state: peer_pb2.FleetState) -> None:
-        host = state.host
-        self._hosts.hear(
-            HostStatus(
-                host=HostName(host.host),
-                zone=ZoneName(host.zone),
-                incarnation=Incarnation(host.incarnation),
-                callers_address=Address(host.callers_address),
-                peers_address=Address(host.peers_address),
-                serving=host.serving,
-                reads_store=host.reads_store,
-                holds_orders=host.holds_orders,
-            ),
-            HostWork(
-                {_key(load.runner): _load(load) for load in state.loads},
-                {
-                    ServiceName(demand.service): Demand(
-                        demand.prompt_tokens_per_s, demand.decode_tokens
-                    )
-                    for demand in state.demands
-                },
-                {
-                    _key(switch.runner): StageSwitch(
-                        Stage(switch.stage), switch.remaining_ms / MS_PER_S
-                    )
-                    for switch in state.switches
-                },
-                frozenset(_key(runner) for runner in state.unreachable),
-            ),
-        )
+        self._hosts.hear(status_of(state.host), work_of(state))
         for leaving in state.leaving:
-            self._learn_leaving(leaving, f"host {host.host}")
+            self._learn_leaving(leaving, f"host {state.host.host}")
         same_version = state.configuration_version == self._configuration.version
         if same_version and state.configuration_age_ms != AGE_UNKNOWN_MS:
             age_s = state.configuration_age_ms / MS_PER_S
             self._configuration.confirm(monotonic() - age_s)
 
     def _learn_leaving(self, leaving: peer_pb2.FleetLeaving, source: str) -> None:
-        key = _key(leaving.runner)
+        key = key_of(leaving.runner)
         if leaving.drained:
             self._runners.note_draining(key.name, key.started_at, source)
         else:
@@ -260,47 +242,21 @@
     def _state(
         self, tells_peers: bool = False, asks_peers: bool = False
     ) -> peer_pb2.FleetState:
-        own = self.own_status()
+        work = HostWork(
+            self._in_progress.load_by_runner,
+            self._demand.by_service(),
+            self._switching.by_runner(),
+            frozenset(self._reach.unreachable()),
+        )
         return peer_pb2.FleetState(
-            host=peer_pb2.FleetHost(
-                host=own.host,
-                zone=own.zone,
-                incarnation=own.incarnation,
-                callers_address=own.callers_address,
-                peers_address=own.peers_address,
-                serving=own.serving,
-                reads_store=own.reads_store,
-                holds_orders=own.holds_orders,
-            ),
+            host=to_host(self.own_status()),
             configuration_version=self._configuration.version,
             configuration_age_ms=self._configuration_age_ms(),
-            leaving=[_leaving(runner) for runner in self._runners.leaving(TOLD_S)],
-            loads=[
-                peer_pb2.FleetLoad(
-                    runner=_runner(key),
-                    requests=load.requests,
-                    decode_tokens=load.decode_tokens,
-                    prefill_tokens=load.prefill_tokens,
-                )
-                for key, load in self._in_progress.load_by_runner.items()
-            ],
-            demands=[
-                peer_pb2.FleetDemand(
-                    service=service,
-                    prompt_tokens_per_s=int(demand.prompt_tokens_per_s),
-                    decode_tokens=int(demand.decode_tokens),
-                )
-                for service, demand in self._demand.by_service().items()
-            ],
-            switches=[
-                peer_pb2.FleetSwitch(
-                    runner=_runner(key),
-                    remaining_ms=int(switch.takes_none_s * MS_PER_S),
-                    stage=switch.stage.value,
-                )
-                for key, switch in self._switching.by_runner().items()
-            ],
-            unreachable=[_runner(key) for key in self._reach.unreachable()],
+            leaving=[to_leaving(runner) for runner in self._runners.leaving(TOLD_S)],
+            loads=to_loads(work),
+            demands=to_demands(work),
+            switches=to_switches(work),
+            unreachable=[to_runner(key) for key in work.unreachable],
             peers=self._known_peers() if tells_peers else (),
             asks_peers=asks_peers,
         )
@@ -308,23 +264,3 @@
     def _configuration_age_ms(self) -> int:
         age_ms = self._configuration.confirmed_age_s * MS_PER_S
         return int(min(age_ms, AGE_UNKNOWN_MS))
-
-
-def _runner(key: RunnerKey) -> peer_pb2.FleetRunner:
-    return peer_pb2.FleetRunner(runner=key.name, started_at=key.started_at)
-
-
-def _leaving(runner: Runner) -> peer_pb2.FleetLeaving:
-    return peer_pb2.FleetLeaving(
-        runner=_runner(runner.registration.key),
-        sequence=runner.registration.sequence,
-        drained=runner.has_drained,
-    )
-
-
-def _key(runner: peer_pb2.FleetRunner) -> RunnerKey:
-    return RunnerKey(RunnerName(runner.runner), StartedAt(runner.started_at))
-
-
-def _load(load: peer_pb2.FleetLoad) -> RunnerLoad:
-    return RunnerLoad(load.requests, load.decode_tokens, load.prefill_tokens)
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -19,6 +19,8 @@
 
 # A runner answers by itself at the deadline; its answer needs time to pass.
 DEADLINE_MARGIN_S = 0.08
+# A host learns the configuration within a second of reaching any other.
+UNSURE_RETRY_S = 0.5
 # Another host serves a caller that a stopping one refused.
 STOPPING_RETRY_S = 0.05
 
@@ -106,7 +108,9 @@
     def _route(self, request: ReceivedRequest) -> Route:
         configuration = self._context.configuration
         if configuration.current is None:
-            raise refused(Reason.NO_CONFIGURATION, "no configuration is known yet", 0.5)
+            raise refused(
+                Reason.NO_CONFIGURATION, "no configuration is known yet", UNSURE_RETRY_S
+            )
         host = dialect.host_name(request)
         route = configuration.current.route_for(host, request.path)
         if route is not None:
@@ -116,7 +120,7 @@
                 Reason.CONFIGURATION_UNCERTAIN,
                 f"no route in version {configuration.version}, which was last "
                 f"confirmed {configuration.confirmed_age_s:.1f} s ago",
-                0.5,
+                UNSURE_RETRY_S,
             )
         raise EndedError(404, Reason.NO_ROUTE, f"no route in {configuration.version}")
 
