--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -92,7 +92,8 @@
         except AnswerBrokenError as error:
             self._log_end(job, request, 0, "broken", error.message)
             self._connection.abort()
-        except CallerGoneError:
+        except CallerGoneError as error:
+            self._log_end(job, request, 0, "caller_gone", error.message)
             raise
         except Exception as error:
             # A fault of this program ends one request, and is seen in the log.
