Name the runners of a request where it ends

Cause: the line of a request that timed out told how many runners had it, not which; the on-call page could not lead to the runner.

The test of a timed-out send now asks for the name.

--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -185,7 +185,7 @@
                 "route": job.route.name,
                 "service": job.service,
                 "taken_s": round(taken_s, 3),
-                "runners": len(job.sent_to),
+                "sent_to": ",".join(sorted(key.name for key in job.sent_to)),
             }
             fields |= job.steps
         context.log.write(
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -125,7 +125,10 @@
         set_faults(world, RunnerFault.MUTE)
         answer = await world.send("/short/x", "POST", "t-1", b"body")
         assert times_run(world, "t-1") == 1
+        (line,) = [x for x in world.lines("request.ended") if x["request"] == "t-1"]
+        (runner,) = [r.name for r in world.runners if "t-1" in r.ran]
     assert answer.status == 504
+    assert line["outcome"] == "timeout" and line["sent_to"] == runner
 
 
 async def test_rejected_request_is_refused_with_time_to_return(log_path):
