--- /dev/null
+++ b/tests/unit/test_store_link.py
@@ -0,0 +1,40 @@
+"""Whether the store serves a host, as its calls show."""
+
+from __future__ import annotations
+
+import os
+
+from siskinlever._internal.exceptions import StoreUnavailableError
+from siskinlever._internal.fleet.store_follower import StoreLink
+from siskinlever._internal.logs.lines import LogLines
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.utils.clock import monotonic
+
+ERROR = StoreUnavailableError("no answer")
+
+
+def new_link() -> StoreLink:
+    metrics = Metrics()
+    log = LogLines("host", metrics, os.open(os.devnull, os.O_WRONLY))
+    return StoreLink(log, metrics)
+
+
+def test_failed_call_begins_an_outage_and_a_served_one_ends_it():
+    link = new_link()
+    link.failed(ERROR, asked_at=monotonic())
+    assert link.is_out
+    before = monotonic()
+    link.served()
+    assert not link.is_out and link.outage_ended_at >= before
+
+
+def test_call_that_began_in_an_outage_and_fails_after_it_is_no_second_one():
+    link = new_link()
+    asked_at = monotonic()
+    link.failed(ERROR, asked_at=asked_at)
+    link.served()
+    ended_at = link.outage_ended_at
+    link.failed(ERROR, asked_at=asked_at)
+    assert not link.is_out
+    link.served()
+    assert link.outage_ended_at == ended_at
