Say "not run" only if another keeper knows of no run

Cause: a host that wrongly holds a request's home for dead registers at the home of its own view and dispatched on its own word alone, or on that of one keeper.

Mend, three parts: the own word no longer confirms an attempt if there is another keeper; a keeper tells that the attempt replaced may have run; a refusal, also of a plain service's idempotent request, asks a keeper and says "not run" only if that one knows of no run. The first confirmation that arrives is taken from a queue, in arrival order: iterating a set of tasks made runs of the fuzz unrepeatable.

--- a/src/siskinlever/_internal/peers/peer_grpc.py
+++ b/src/siskinlever/_internal/peers/peer_grpc.py
@@ -70,6 +70,10 @@
     async def Sync(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetState, siskinlever._internal.peers.peer_pb2.FleetState]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TellWork(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetWork, siskinlever._internal.peers.peer_pb2.Nothing]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchFleetDocuments(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetDocumentsRequest, siskinlever._internal.peers.peer_pb2.FleetDocuments]') -> None:
         pass
@@ -160,6 +164,12 @@
                 siskinlever._internal.peers.peer_pb2.FleetState,
                 siskinlever._internal.peers.peer_pb2.FleetState,
             ),
+            '/siskinlever.peers.Peer/TellWork': grpclib.const.Handler(
+                self.TellWork,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.FleetWork,
+                siskinlever._internal.peers.peer_pb2.Nothing,
+            ),
             '/siskinlever.peers.Peer/FetchFleetDocuments': grpclib.const.Handler(
                 self.FetchFleetDocuments,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -256,6 +266,12 @@
             siskinlever._internal.peers.peer_pb2.FleetState,
             siskinlever._internal.peers.peer_pb2.FleetState,
         )
+        self.TellWork = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/TellWork',
+            siskinlever._internal.peers.peer_pb2.FleetWork,
+            siskinlever._internal.peers.peer_pb2.Nothing,
+        )
         self.FetchFleetDocuments = grpclib.client.UnaryUnaryMethod(
             channel,
             '/siskinlever.peers.Peer/FetchFleetDocuments',
--- a/src/siskinlever/_internal/requests/attempts.py
+++ b/src/siskinlever/_internal/requests/attempts.py
@@ -166,7 +166,9 @@
             known.ran |= news.ran
             return known.nonce == news.nonce
         if known is not None:
-            news.ran |= known.ran
+            # Its home may not have known of the attempt that is replaced.
+            same = known.nonce == news.nonce
+            news.ran |= known.ran if same else known.may_have_run
         self.by_key[key] = news
         return True
 
--- a/src/siskinlever/_internal/requests/deliveries.py
+++ b/src/siskinlever/_internal/requests/deliveries.py
@@ -24,7 +24,8 @@
 from ..utils.digests import content_digest
 from ..utils.tasks import TaskSet
 from .claims import Claims
-from .registration import Registrar, Standing
+from .registration import Registered, Registrar, Standing
+from .running import taken_over
 
 IDEMPOTENT_TRIES = 2
 BUSY_RETRY_S = 0.5
@@ -137,7 +138,7 @@
         registered = registration.ok
         standing = Standing.UNKNOWN
         try:
-            result = await self._run_idempotent(request)
+            result = await self._run_confirmed(request, registered)
             if result.is_ok():
                 standing = await self._registrar.complete(request, registered)
         finally:
@@ -146,13 +147,26 @@
                     self._registrar.abandon(request, registered, ran=True), "abandon"
                 )
         if result.is_ok() and standing is not Standing.CURRENT:
-            message = "another attempt replaced this one"
-            return Error(Failed(Reason.TAKEN_OVER, message))
-        if result.is_error() and registered.ran:
-            # An earlier attempt with this id may have run.
-            return Error(uncertain(result.error))
+            return Error(taken_over())
         return result
 
+    async def _run_confirmed(
+        self, request: ServiceRequest, registered: Registered
+    ) -> ServiceResult:
+        """Run a request that another host knows of, so that no host denies it."""
+        confirmation = await self._registrar.confirm(request, registered, ())
+        if confirmation.standing is Standing.REPLACED:
+            return Error(taken_over())
+        if confirmation.standing is Standing.UNKNOWN:
+            return Error(self._registrar.home_silent(request))
+        result = await self._run_idempotent(request)
+        if result.is_ok():
+            return result
+        confirmation = await self._registrar.confirm(request, registered, ())
+        if confirmation.allows_not_run:
+            return result
+        return Error(uncertain(result.error))
+
     async def _run_idempotent(self, request: ServiceRequest) -> ServiceResult:
         budget = self._budget_by_service[request.service.name]
         budget.earn()
--- a/src/siskinlever/_internal/requests/execution.py
+++ b/src/siskinlever/_internal/requests/execution.py
@@ -12,7 +12,7 @@
 from ..metrics.registry import Metrics
 from ..models.events import EventKind
 from ..models.ids import Attempt, ReservationId
-from ..models.outcome import Answered, Ending, Failed, Reason, Refused
+from ..models.outcome import Answered, Ending, Failed, Reason, Refused, uncertain
 from ..models.work import ModelRequest, PlacementRequest
 from ..routing.placement import AdoptingPlacement, Placement, Reservation
 from ..timeline.recorder import Recorder
@@ -82,14 +82,14 @@
         """
         if not isinstance(ending, Refused) or running.request.generated_id:
             return ending
-        standing = await self._registrar.confirm(
+        confirmation = await self._registrar.confirm(
             running.request, running.registered, running.handles
         )
-        if standing is Standing.CURRENT:
+        if confirmation.allows_not_run:
             return ending
-        if standing is Standing.REPLACED:
+        if confirmation.standing is Standing.REPLACED:
             return taken_over()
-        return Failed(ending.reason, ending.message, ending.retry_after_s)
+        return uncertain(ending)
 
     def stop(self, workspace: str, request_id: str, newer: Attempt) -> bool:
         """Stop an attempt that a newer one has replaced."""
--- a/src/siskinlever/_internal/requests/generation.py
+++ b/src/siskinlever/_internal/requests/generation.py
@@ -120,9 +120,11 @@
         """
         while monotonic() - running.confirmed_at > CONFIRMATION_VALID_S:
             asked_at = monotonic()
-            standing = await self._registrar.confirm(
+            confirmation = await self._registrar.confirm(
                 running.request, running.registered, running.handles
             )
+            standing = confirmation.standing
+            running.started |= confirmation.ran
             if standing is Standing.REPLACED:
                 raise AttemptEndedError(taken_over())
             if standing is Standing.UNKNOWN:
--- a/src/siskinlever/_internal/requests/home.py
+++ b/src/siskinlever/_internal/requests/home.py
@@ -136,7 +136,8 @@
             return peer_pb2.HoldReply(current=False)
         current = self.table.hold(key, entry)
         self._kept(key)
-        return peer_pb2.HoldReply(current=current)
+        ran = self.table.by_key[key].ran
+        return peer_pb2.HoldReply(current=current, ran=ran)
 
     async def complete(
         self, request: peer_pb2.CompleteRequest
--- a/src/siskinlever/_internal/requests/registration.py
+++ b/src/siskinlever/_internal/requests/registration.py
@@ -48,6 +48,27 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """What a keeper, other than this host if there is one, says of an attempt.
+
+    Parameters
+    ----------
+    standing : Standing
+    ran : bool
+        Whether an engine may have run an attempt at the same request; hosts
+        that misjudge each other know of different ones.
+    """
+
+    standing: Standing
+    ran: bool = False
+
+    @property
+    def allows_not_run(self) -> bool:
+        """Whether a refusal may still say that the request has not run."""
+        return self.standing is Standing.CURRENT and not self.ran
+
+
 @dataclass(frozen=True, slots=True)
 class Registered:
     """An attempt that its home lets run.
@@ -118,10 +139,12 @@
         request: Registrable,
         registered: Registered,
         handles: tuple[EngineHandle, ...],
-    ) -> Standing:
+    ) -> Confirmation:
         """Have a keeper note what the attempt is about to hold.
 
-        Home and backup are told at once; the first that answers decides.
+        Home and backup are told at once; the first that answers decides. This
+        host's own word counts only if there is no other keeper: it may hold
+        the true home for dead.
         """
         entry = self._own_entry(request, registered)
         entry.handles = handles
@@ -131,9 +154,10 @@
         while True:
             reply = await self._first_hold(request.key, message)
             if reply is not None:
-                return Standing.CURRENT if reply.current else Standing.REPLACED
+                standing = Standing.CURRENT if reply.current else Standing.REPLACED
+                return Confirmation(standing, registered.ran or reply.ran)
             if limit.passed or not self._members.has_majority:
-                return Standing.UNKNOWN
+                return Confirmation(Standing.UNKNOWN)
             await asyncio.sleep(RETRY_PAUSE_S)
 
     async def complete(self, request: Registrable, registered: Registered) -> Standing:
@@ -239,18 +263,20 @@
         self, key: str, message: peer_pb2.HoldRequest
     ) -> peer_pb2.HoldReply | None:
         """Return the first answer to a hold; a late one is not waited for."""
-        pending = {
-            self._tasks.start(self._repeat(host, "Hold", message, HOLD_TRIES), "hold")
-            for host in self._keepers(key)
-        }
-        while pending:
-            done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                reply: peer_pb2.HoldReply | None = task.result()
-                if reply is not None:
-                    return reply
+        keepers = self._keepers(key)
+        own = self._members.own_host
+        asked = [host for host in keepers if host != own] or keepers
+        answers: asyncio.Queue[peer_pb2.HoldReply | None] = asyncio.Queue()
+
+        async def ask(host: HostName) -> None:
+            answers.put_nowait(await self._repeat(host, "Hold", message, HOLD_TRIES))
+
+        for host in asked:
+            self._tasks.start(ask(host), "hold")
+        for _ in asked:
+            reply = await answers.get()
+            if reply is not None:
+                return reply
         return None
 
     async def _repeat(
--- a/tests/lib/virtual_time.py
+++ b/src/siskinlever_testbed/model/virtual_time.py
@@ -18,7 +18,9 @@
         super().__init__()
         self.slept_s = 0.0
 
-    def select(self, timeout=None):
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is None:
             raise RuntimeError("every task waits for another")
         self.slept_s += max(0.0, timeout)
--- a/tests/fuzz/test_claims.py
+++ b/tests/fuzz/test_claims.py
@@ -7,13 +7,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from lib.fake_key_value import FakeKeyValue, Fate
-from lib.virtual_time import VirtualTimeLoop
 
 from siskinlever._internal.coordination.leases import RetentionLease
 from siskinlever._internal.metrics.registry import Metrics
 from siskinlever._internal.requests.claim_batches import ClaimBatches
 from siskinlever._internal.requests.claims import Claims
 from siskinlever._internal.utils.tasks import TaskSet
+from siskinlever_testbed.model.virtual_time import VirtualTimeLoop
 
 HOSTS = ("host-a", "host-b", "host-c")
 REQUEST_KEYS = ("atelier/proof-1", "brosur/draft-1")
--- a/tests/fuzz/test_configuration.py
+++ b/tests/fuzz/test_configuration.py
@@ -5,7 +5,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from lib.fake_key_value import FakeKeyValue, Fate
-from lib.virtual_time import VirtualTimeLoop
 
 from siskinlever._internal.configuration.current import CurrentConfiguration
 from siskinlever._internal.configuration.root import Root
@@ -16,6 +15,7 @@
     StoreUnavailableError,
 )
 from siskinlever._internal.models.declaration import Declaration
+from siskinlever_testbed.model.virtual_time import VirtualTimeLoop
 
 HOSTS = 3
 MAX_RUNNING = 6
--- a/tests/fuzz/test_order_right.py
+++ b/tests/fuzz/test_order_right.py
@@ -9,7 +9,6 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from lib.virtual_time import VirtualTimeLoop
 
 from siskinlever._internal.exceptions import (
     LeaseLapsedError,
@@ -21,6 +20,7 @@
 from siskinlever._internal.metrics.registry import Metrics
 from siskinlever._internal.platform.store import Item
 from siskinlever._internal.stages.lease import ORDERS_KEY, OrderLease
+from siskinlever_testbed.model.virtual_time import VirtualTimeLoop
 
 HOSTS = ["host-a", "host-b", "host-c"]
 TTL_S = 3.0
