Add a model of the engines on which decisions are played

`make model` plays the product's own placement and waiting line over seeded arrivals in virtual time: batch slowdown, chunked prefill, memory by blocks, reservations, handles that lapse, transfers between zones, put-back generations, callers that come back once. It prints worth, on time, late, refused, the largest tenth and prompts read in vain, and draws worth over time. Policies: as it runs, the version before, one line for all hosts as a bound, and naive. `make bench` runs it first.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: demo test lint bench slopes fuzz proto clean
+.PHONY: demo test lint bench model slopes fuzz proto clean
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -16,9 +16,13 @@
 	$(BIN)/python -m siskinlever_testbed platform_demo
 
 # QUICK=1 is one seed of two scenarios; ARGS passes further options.
-bench: $(STAMP)
+# The model plays the version before and the naive policy over the same arrivals.
+bench: $(STAMP) model
 	$(BIN)/python -m siskinlever_testbed bench $(if $(QUICK),--quick) $(ARGS)
 
+model: $(STAMP)
+	$(BIN)/python -m siskinlever_testbed model
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/siskinlever_testbed/__main__.py
+++ b/src/siskinlever_testbed/__main__.py
@@ -6,6 +6,7 @@
 Tools:
   bench   Measure the policies under load and faults.
   demo    Start a fleet and send it real requests.
+  model   Play variants of the decisions on a model of the engines.
   platform_demo
           The same behind stand-ins of the users' platform.
   slopes  Measure what each part costs.
@@ -19,7 +20,7 @@
 
 from docopt import docopt
 
-TOOLS = frozenset({"bench", "demo", "platform_demo", "slopes"})
+TOOLS = frozenset({"bench", "demo", "model", "platform_demo", "slopes"})
 
 
 def main() -> int:
--- /dev/null
+++ b/src/siskinlever_testbed/model/deployments.py
@@ -0,0 +1,106 @@
+"""The engines and arrivals of the users' deployments."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from siskinlever._internal.models.ids import ZoneName
+
+from .arrivals import Arrivals, Burst, Sizes
+from .engines import EngineSpeed
+from .serving import Objectives
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Hosts, engines and what callers ask of them; figures of the site files."""
+
+    zones: tuple[ZoneName, ...]
+    hosts: int
+    engines: int
+    prefill_engines: int
+    speed: EngineSpeed
+    arrivals: Arrivals
+    objectives: Objectives
+    stage_switch_s: float = 6.0
+    max_hold_s: float = 2.0
+
+    def zone(self, number: int) -> ZoneName:
+        """Return the zone of a host or an engine."""
+        return self.zones[number % len(self.zones)]
+
+
+def transfer_ms_per_token(bytes_per_token: int, bits_per_s: float) -> float:
+    """Return the time in which the KV cache of one token comes over a link."""
+    return bytes_per_token * 8 * 1_000 / bits_per_s
+
+
+def _zones(*names: str) -> tuple[ZoneName, ...]:
+    return tuple(ZoneName(name) for name in names)
+
+
+PROMPTS = Sizes(3_000, 0.5, 6_600)
+
+# Those of the calm day.
+BURSTS = (
+    Burst(6.0, 5.0, 1.6),
+    Burst(17.0, 4.0, 2.0),
+    Burst(22.3, 5.0, 2.0),
+    Burst(27.0, 4.0, 1.9),
+)
+DEPLOYMENT_BY_NAME = {
+    "ramdin-atelier": Deployment(
+        zones=_zones("pamplemousses", "grand-baie", "goodlands"),
+        hosts=8,
+        engines=6,
+        prefill_engines=1,
+        speed=EngineSpeed(
+            batch=64,
+            capacity=36_068,
+            step_ms=5.61,
+            step_ms_per_run=0.121,
+            prefill_tokens_per_ms=33.333,
+            first_ms=61.0,
+            transfer_ms_per_token=transfer_ms_per_token(18_432, 170e9),
+            transfer_ms=8.0,
+        ),
+        arrivals=Arrivals(
+            per_s=5.85,
+            length_s=34.0,
+            prompt=PROMPTS,
+            events=Sizes(73, 0.7, 170),
+            shared_prompt=200,
+            tokens_per_event=7,
+            hint_sigma=0.5,
+            bursts=BURSTS,
+        ),
+        objectives=Objectives(),
+    ),
+    "brosur-kl": Deployment(
+        zones=_zones("hall-a", "hall-b", "hall-c"),
+        hosts=7,
+        engines=5,
+        prefill_engines=1,
+        speed=EngineSpeed(
+            batch=48,
+            capacity=42_411,
+            step_ms=3.7,
+            step_ms_per_run=0.0193,
+            prefill_tokens_per_ms=33.333,
+            first_ms=1.0,
+            transfer_ms_per_token=transfer_ms_per_token(327_680, 3_300e9),
+            transfer_ms=2.7,
+        ),
+        arrivals=Arrivals(
+            per_s=5.2,
+            length_s=34.0,
+            prompt=PROMPTS,
+            events=Sizes(69, 0.7, 160),
+            shared_prompt=200,
+            tokens_per_event=12,
+            hint_sigma=0.5,
+            bursts=BURSTS,
+        ),
+        objectives=Objectives(),
+    ),
+}
--- /dev/null
+++ b/src/siskinlever_testbed/model/engines.py
@@ -0,0 +1,263 @@
+"""Model engines in virtual time: batches, chunked prefill, memory by blocks.
+
+One step produces a token for each generation that decodes and reads a chunk of
+one prompt. Memory is counted in blocks; if it runs out, the newest generation
+that has no reservation is put back and has to be read again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NewType
+
+from siskinlever._internal.models.ids import ZoneName
+
+HoldId = NewType("HoldId", int)
+
+MS_PER_S = 1000.0
+# A decode engine reads prompts at half speed, in chunks a quarter of the size.
+DECODE_READ_SPEED = 0.5
+DECODE_CHUNK_SHARE = 0.25
+
+
+class EngineFullError(Exception):
+    """The engine has no room."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpeed:
+    """What an engine can do, as the deployments' files state it.
+
+    Parameters
+    ----------
+    batch : int
+        Generations at once.
+    capacity : int
+        Tokens of KV cache.
+    step_ms, step_ms_per_run : float
+        Time of a step, and more for each generation in it.
+    prefill_tokens_per_ms : float
+    first_ms : float
+        From a prompt's arrival until it is read, beside the reading.
+    transfer_ms_per_token : float
+    transfer_ms : float
+        Of a transfer, beside its tokens.
+    chunk, block : int
+        Tokens.
+    handle_s : float
+        How long the KV cache of a prompt is kept for another engine.
+    """
+
+    batch: int
+    capacity: int
+    step_ms: float
+    step_ms_per_run: float
+    prefill_tokens_per_ms: float
+    first_ms: float
+    transfer_ms_per_token: float
+    transfer_ms: float
+    chunk: int = 1_024
+    block: int = 16
+    handle_s: float = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A generation, or a prompt that is only read, at one engine.
+
+    Parameters
+    ----------
+    prompt, output : int
+        Tokens; no output if the prompt is only read.
+    unread : int
+        Tokens of the prompt, and of the output so far, that have to be read.
+    reserved : int
+        Tokens that cannot be taken away.
+    """
+
+    prompt: int
+    output: int
+    unread: int
+    reserved: int = 0
+    made: int = 0
+    stalled_at: float | None = None
+    longest_gap_s: float = 0.0
+    first: asyncio.Event = field(default_factory=asyncio.Event)
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Engine:
+    """One engine; it is a prefill engine until it is told to decode.
+
+    Parameters
+    ----------
+    name, zone : str
+    speed : EngineSpeed
+    decodes : bool
+    now : callable
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: ZoneName,
+        speed: EngineSpeed,
+        decodes: bool,
+        now: Callable[[], float],
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.speed = speed
+        self.decodes = decodes
+        self.tokens_read = 0
+        self.tokens_read_again = 0
+        self.preempted = 0
+        self.busy_s = 0.0
+        self._now = now
+        self._runs: list[Run] = []
+        self._tokens_by_hold: dict[HoldId, int] = {}
+        self._holds = 0
+        self._handles = 0
+        self._has_work = asyncio.Event()
+
+    @property
+    def used(self) -> int:
+        """Tokens of memory that are taken or reserved."""
+        return (
+            sum(max(self._blocks(r), r.reserved) for r in self._runs)
+            + sum(self._tokens_by_hold.values())
+            + self._handles
+        )
+
+    def take_hold(self, tokens: int) -> HoldId:
+        """Reserve a slot and memory; raises `EngineFullError`."""
+        taken = len(self._runs) + len(self._tokens_by_hold)
+        if taken >= self.speed.batch or self.used + tokens > self.speed.capacity:
+            raise EngineFullError(self.name)
+        self._holds += 1
+        hold = HoldId(self._holds)
+        self._tokens_by_hold[hold] = tokens
+        return hold
+
+    def drop_hold(self, hold: HoldId) -> None:
+        """Release a reservation."""
+        self._tokens_by_hold.pop(hold, None)
+
+    async def prefill(self, tokens: int) -> None:
+        """Read a prompt and keep it for a decode engine."""
+        run = Run(tokens, 0, tokens)
+        await asyncio.sleep(self.speed.first_ms / MS_PER_S)
+        self._start(run)
+        await run.ended.wait()
+        self._handles += tokens
+        asyncio.get_running_loop().call_later(self.speed.handle_s, self._expire, tokens)
+
+    def decode(
+        self, prompt: int, output: int, hold: HoldId | None, is_read: bool
+    ) -> Run:
+        """Run a generation, with its prompt read or not.
+
+        Without a reservation it raises `EngineFullError` if there is no room.
+        """
+        if hold is None:
+            self.drop_hold(self.take_hold(prompt))
+        reserved = self._tokens_by_hold.pop(hold, 0) if hold is not None else 0
+        run = Run(prompt, output, 0 if is_read else prompt, reserved)
+        self._start(run)
+        return run
+
+    def transfer_s(self, tokens: int, from_zone: ZoneName) -> float:
+        """Return the time in which a prompt's KV cache comes over."""
+        distance = 1.0 if from_zone == self.zone else 2.0
+        speed = self.speed
+        ms = speed.transfer_ms + distance * tokens * speed.transfer_ms_per_token
+        return ms / MS_PER_S
+
+    async def work(self) -> None:
+        """Run steps until cancelled."""
+        while True:
+            if not self._runs:
+                self._has_work.clear()
+                await self._has_work.wait()
+            step_s = self._step_s()
+            await asyncio.sleep(step_s)
+            self.busy_s += step_s
+
+    def _step_s(self) -> float:
+        """Do one step; return how long it takes."""
+        speed = self.speed
+        reading = next((run for run in self._runs if run.unread), None)
+        decoding = [run for run in self._runs if not run.unread]
+        ms = 0.0
+        if decoding:
+            ms += speed.step_ms + speed.step_ms_per_run * len(decoding)
+        if reading is not None:
+            ms += self._read(reading)
+        for run in decoding:
+            self._produce(run)
+        self._make_room()
+        return ms / MS_PER_S
+
+    def _read(self, run: Run) -> float:
+        speed = self.speed
+        rate, chunk = speed.prefill_tokens_per_ms, float(speed.chunk)
+        if self.decodes:
+            rate, chunk = rate * DECODE_READ_SPEED, chunk * DECODE_CHUNK_SHARE
+        tokens = min(run.unread, int(chunk))
+        run.unread -= tokens
+        self.tokens_read += tokens
+        if not run.unread and not run.output:
+            self._end(run)
+        return tokens / rate
+
+    def _produce(self, run: Run) -> None:
+        now = self._now()
+        if run.stalled_at is not None:
+            run.longest_gap_s = max(run.longest_gap_s, now - run.stalled_at)
+            run.stalled_at = None
+        run.made += 1
+        run.first.set()
+        if run.made >= run.output:
+            self._end(run)
+
+    def _make_room(self) -> None:
+        while self.used > self.speed.capacity:
+            grown = [r for r in self._runs if r.output and self._blocks(r) > r.reserved]
+            if not grown:
+                return
+            newest = grown[-1]
+            self.preempted += 1
+            self.tokens_read_again += newest.prompt + newest.made
+            self._runs.remove(newest)
+            newest.unread = newest.prompt + newest.made
+            newest.reserved = 0
+            newest.stalled_at = self._now()
+            asyncio.get_running_loop().call_later(
+                self.speed.step_ms / MS_PER_S, self._readmit, newest
+            )
+
+    def _readmit(self, run: Run) -> None:
+        if self.used + run.unread <= self.speed.capacity:
+            self._start(run)
+            return
+        asyncio.get_running_loop().call_later(
+            self.speed.step_ms / MS_PER_S, self._readmit, run
+        )
+
+    def _start(self, run: Run) -> None:
+        self._runs.append(run)
+        self._has_work.set()
+
+    def _end(self, run: Run) -> None:
+        self._runs.remove(run)
+        run.ended.set()
+
+    def _expire(self, tokens: int) -> None:
+        self._handles -= tokens
+
+    def _blocks(self, run: Run) -> int:
+        tokens = run.prompt + run.made - (run.unread if not run.made else 0)
+        return math.ceil(tokens / self.speed.block) * self.speed.block
--- /dev/null
+++ b/src/siskinlever_testbed/model/experiment.py
@@ -0,0 +1,171 @@
+"""Plays one policy over the arrivals of one seed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+
+from siskinlever._internal.models.routes import EngineTraits
+from siskinlever._internal.utils.clock import monotonic
+
+from .arrivals import draw
+from .deployments import Deployment
+from .engines import Engine
+from .policies import Policy
+from .serving import Ending, Fleet, Outcome
+from .virtual_time import VirtualTimeLoop
+
+# After the last arrival all generations end within this time.
+SETTLE_S = 20.0
+WINDOW_S = 2
+SERVED = (Ending.ON_TIME, Ending.LATE)
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What callers got in one run.
+
+    Parameters
+    ----------
+    worth : float
+        Earned over owed.
+    worst_windows : float
+        The same in the two worst windows of two seconds.
+    on_time, late, refused : float
+        Shares of the generations; those whose callers left count as refused.
+    largest_served : float
+        Share of the largest tenth that was served, late or not.
+    read_in_vain : float
+        Share of the prompt tokens read that no served generation needed.
+    preempted : int
+    worth_by_window : tuple of float
+    """
+
+    worth: float
+    worst_windows: float
+    on_time: float
+    late: float
+    refused: float
+    largest_served: float
+    read_in_vain: float
+    preempted: int
+    worth_by_window: tuple[float, ...]
+
+
+def play(deployment: Deployment, policy: Policy, seed: int, load: float) -> Result:
+    """Run a deployment for the length of its arrivals, in virtual time.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    policy : Policy
+    seed : int
+        Of the arrivals and of the callers' choice of hosts.
+    load : float
+        Times the usual rate of arrivals.
+    """
+    loop = VirtualTimeLoop()
+    try:
+        return loop.run_until_complete(_play(deployment, policy, seed, load))
+    finally:
+        loop.finish()
+
+
+async def _play(
+    deployment: Deployment, policy: Policy, seed: int, load: float
+) -> Result:
+    engines = _engines(deployment)
+    fleet = Fleet(
+        engines,
+        [deployment.zone(number) for number in range(deployment.hosts)],
+        _traits(deployment),
+        deployment.objectives,
+        policy,
+        seed,
+    )
+    arrivals = replace(deployment.arrivals, per_s=deployment.arrivals.per_s * load)
+    began = monotonic()
+    served = []
+    with _running(fleet, engines):
+        for arrival in draw(arrivals, seed):
+            await asyncio.sleep(max(0.0, began + arrival.at_s - monotonic()))
+            served.append(asyncio.create_task(fleet.serve(arrival)))
+        await asyncio.wait(served, timeout=SETTLE_S)
+    return _result(fleet, arrivals.length_s)
+
+
+@contextmanager
+def _running(fleet: Fleet, engines: Sequence[Engine]) -> Iterator[None]:
+    tasks = [asyncio.create_task(engine.work()) for engine in engines]
+    tasks.append(asyncio.create_task(fleet.exchange_news()))
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def _engines(deployment: Deployment) -> list[Engine]:
+    return [
+        Engine(
+            f"engine-{number}",
+            deployment.zone(number),
+            deployment.speed,
+            number >= deployment.prefill_engines,
+            monotonic,
+        )
+        for number in range(deployment.engines)
+    ]
+
+
+def _traits(deployment: Deployment) -> EngineTraits:
+    speed = deployment.speed
+    return EngineTraits(
+        slots=speed.batch,
+        kv_capacity=speed.capacity,
+        handle_lifetime_s=speed.handle_s,
+        stage_switch_s=deployment.stage_switch_s,
+        max_hold_s=deployment.max_hold_s,
+    )
+
+
+def _result(fleet: Fleet, length_s: float) -> Result:
+    outcomes = fleet.outcomes
+    by_size = sorted(outcomes, key=lambda outcome: outcome.arrival.worth)
+    largest = by_size[-max(1, len(outcomes) // 10) :]
+    windows = [
+        _worth(fleet, inside)
+        for start in range(0, int(length_s), WINDOW_S)
+        if (inside := _arrived(outcomes, start))
+    ]
+    read = sum(engine.tokens_read for engine in fleet.engines.values())
+    needed = sum(o.arrival.prompt for o in outcomes if o.ending in SERVED)
+    return Result(
+        worth=_worth(fleet, outcomes),
+        worst_windows=sum(sorted(windows)[:2]) / 2,
+        on_time=_share(outcomes, Ending.ON_TIME),
+        late=_share(outcomes, Ending.LATE),
+        refused=_share(outcomes, Ending.REFUSED, Ending.LEFT),
+        largest_served=_share(largest, *SERVED),
+        read_in_vain=max(0.0, 1 - needed / read),
+        preempted=sum(engine.preempted for engine in fleet.engines.values()),
+        worth_by_window=tuple(windows),
+    )
+
+
+def _arrived(outcomes: Sequence[Outcome], start_s: float) -> list[Outcome]:
+    end_s = start_s + WINDOW_S
+    return [o for o in outcomes if start_s <= o.arrival.at_s < end_s]
+
+
+def _share(outcomes: Sequence[Outcome], *endings: Ending) -> float:
+    return sum(outcome.ending in endings for outcome in outcomes) / len(outcomes)
+
+
+def _worth(fleet: Fleet, outcomes: Sequence[Outcome]) -> float:
+    share = {Ending.ON_TIME: 1.0, Ending.LATE: fleet.objectives.late_worth}
+    owed = sum(o.arrival.worth for o in outcomes)
+    earned = sum(o.arrival.worth * share.get(o.ending, 0.0) for o in outcomes)
+    return earned / owed
--- /dev/null
+++ b/src/siskinlever_testbed/model/serving.py
@@ -0,0 +1,269 @@
+"""Hosts that place generations on the model's engines by the product's decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from siskinlever._internal.dispatch.doubt import Doubt
+from siskinlever._internal.dispatch.engine_placement import EnginePlacement
+from siskinlever._internal.dispatch.waiting_line import Ticket, WaitingLine
+from siskinlever._internal.fleet.hosts import RunnerLoad
+from siskinlever._internal.fleet.in_progress import InProgress
+from siskinlever._internal.gateway.room import (
+    FIRST_EVENT_S,
+    HELD_OUTPUT_SHARE,
+    OVERLOADED_RETRY_S,
+    POLL_S,
+    WAIT_SHARE,
+)
+from siskinlever._internal.models.ids import RunnerName, ServiceName, ZoneName
+from siskinlever._internal.models.routes import EngineTraits
+from siskinlever._internal.models.upstreams import (
+    Address,
+    Registration,
+    RunnerKey,
+    Stage,
+    StartedAt,
+)
+from siskinlever._internal.utils.clock import monotonic
+
+from .arrivals import Arrival
+from .engines import Engine, EngineFullError, HoldId, Run
+from .policies import Policy
+
+# A call to an engine, or between hosts, and its answer.
+ROUND_TRIP_S = 0.003
+
+
+@dataclass(frozen=True, slots=True)
+class Objectives:
+    """What callers of a route expect.
+
+    Parameters
+    ----------
+    first_event_s, gap_s : float
+        For the full worth.
+    patience_s : float
+        Without a first event the caller leaves.
+    deadline_s : float
+    late_worth : float
+        Share of the worth of an answer that is late.
+    """
+
+    first_event_s: float = 0.9
+    gap_s: float = 0.3
+    patience_s: float = 3.6
+    deadline_s: float = 14.0
+    late_worth: float = 0.2
+
+
+class Ending(Enum):
+    """What became of a generation."""
+
+    ON_TIME = "on time"
+    LATE = "late"
+    REFUSED = "refused"
+    LEFT = "its caller left"
+
+
+@dataclass(slots=True)
+class Outcome:
+    """A generation and its ending."""
+
+    arrival: Arrival
+    ending: Ending
+    waited_s: float
+
+
+class Fleet:
+    """All hosts of a deployment before its engines."""
+
+    def __init__(
+        self,
+        engines: Sequence[Engine],
+        zones: Sequence[ZoneName],
+        traits: EngineTraits,
+        objectives: Objectives,
+        policy: Policy,
+        seed: int,
+    ) -> None:
+        self.engines = {_registration(e).key: e for e in engines}
+        self.registrations = [_registration(e) for e in engines]
+        self.traits = traits
+        self.objectives = objectives
+        self.policy = policy
+        self.random = random.Random(seed)
+        self.outcomes: list[Outcome] = []
+        line = WaitingLine()
+        self.hosts = [
+            Host(self, zone, line if policy.one_line else WaitingLine())
+            for zone in zones
+        ]
+
+    async def exchange_news(self) -> None:
+        """Have all hosts learn of the others' work until cancelled."""
+        if math.isinf(self.policy.news_period_s):
+            return
+        while True:
+            for host in self.hosts:
+                host.learn()
+            await asyncio.sleep(self.policy.news_period_s)
+
+    async def serve(self, arrival: Arrival) -> None:
+        """Serve a generation at a host chosen at random, and again if refused."""
+        began = monotonic()
+        ending = await self.random.choice(self.hosts).serve(arrival, began)
+        if ending is Ending.REFUSED:
+            await asyncio.sleep(OVERLOADED_RETRY_S)
+            ending = await self.random.choice(self.hosts).serve(arrival, began)
+        self.outcomes.append(Outcome(arrival, ending, monotonic() - began))
+
+
+@dataclass(slots=True)
+class Host:
+    """One host: its own work, and what it knows of the others'."""
+
+    fleet: Fleet
+    zone: ZoneName
+    line: WaitingLine
+    own: InProgress = field(default_factory=InProgress)
+    others: dict[RunnerKey, RunnerLoad] = field(default_factory=dict)
+    placement: EnginePlacement = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.placement = EnginePlacement(
+            self.zone, self._load_at, lambda runner: Doubt.NONE
+        )
+
+    def learn(self) -> None:
+        """Learn of the other hosts' work."""
+        self.others = {}
+        for host in self.fleet.hosts:
+            if host is not self:
+                for runner, load in host.own.load_by_runner.items():
+                    known = self.others.get(runner, RunnerLoad())
+                    self.others[runner] = _sum(known, load)
+
+    def _load_at(self, runner: RunnerKey) -> RunnerLoad:
+        return _sum(self.own.at(runner), self.others.get(runner, RunnerLoad()))
+
+    async def serve(self, arrival: Arrival, first_asked_at: float) -> Ending:
+        """Serve one request of a caller."""
+        arrived_at = monotonic()
+        on_time_until = (
+            first_asked_at + self.fleet.objectives.first_event_s - FIRST_EVENT_S
+        )
+        room: tuple[Registration, HoldId | None] | None = self._any_engine()
+        if self.fleet.policy.reserves:
+            room = await self._room(arrival, arrived_at, on_time_until)
+        if room is None:
+            return Ending.REFUSED
+        runner, hold = room
+        with self.own.decode(runner.key, arrival.prompt + arrival.hint):
+            engine = self.fleet.engines[runner.key]
+            is_read = await self._prefill(arrival, engine, on_time_until)
+            try:
+                run = engine.decode(arrival.prompt, arrival.output, hold, is_read)
+            except EngineFullError:
+                return Ending.REFUSED
+            return await self._relay(run, arrived_at, first_asked_at)
+
+    async def _relay(
+        self, run: Run, arrived_at: float, first_asked_at: float
+    ) -> Ending:
+        objectives = self.fleet.objectives
+        await run.first.wait()
+        if monotonic() - arrived_at > objectives.patience_s:
+            # The engine works on in the model; callers that leave are few.
+            return Ending.LEFT
+        is_late = monotonic() > first_asked_at + objectives.first_event_s
+        await run.ended.wait()
+        if is_late or run.longest_gap_s > objectives.gap_s:
+            return Ending.LATE
+        return Ending.ON_TIME
+
+    def _any_engine(self) -> tuple[Registration, HoldId | None]:
+        """Return the decode engine with the least work of this host."""
+        decoding = [r for r in self.fleet.registrations if r.stage is Stage.DECODE]
+        return min(decoding, key=lambda r: self.own.at(r.key).requests), None
+
+    async def _room(
+        self, arrival: Arrival, arrived_at: float, on_time_until: float
+    ) -> tuple[Registration, HoldId] | None:
+        objectives = self.fleet.objectives
+        give_up_at = arrived_at + min(
+            WAIT_SHARE * objectives.deadline_s,
+            objectives.patience_s - FIRST_EVENT_S,
+        )
+        ticket = Ticket(1, arrived_at, on_time_until)
+        with self.line.joined(ticket):
+            while True:
+                self.line.update()
+                if ticket.turn.is_set():
+                    room = await self._try_engines(arrival, on_time_until)
+                    if room is not None:
+                        return room
+                if monotonic() >= give_up_at:
+                    return None
+                await asyncio.sleep(POLL_S)
+
+    async def _try_engines(
+        self, arrival: Arrival, on_time_until: float
+    ) -> tuple[Registration, HoldId] | None:
+        held = arrival.prompt + int(HELD_OUTPUT_SHARE * arrival.hint)
+        for runner in self.placement.decode_candidates(
+            self.fleet.registrations,
+            self.fleet.traits,
+            arrival.prompt + arrival.hint,
+            monotonic() > on_time_until,
+        ):
+            await asyncio.sleep(ROUND_TRIP_S)
+            try:
+                return runner, self.fleet.engines[runner.key].take_hold(held)
+            except EngineFullError:
+                self.placement.note_full(runner.key)
+        return None
+
+    async def _prefill(
+        self, arrival: Arrival, engine: Engine, on_time_until: float
+    ) -> bool:
+        runner = self.placement.prefill_candidate(
+            self.fleet.registrations, engine.zone, on_time_until - monotonic()
+        )
+        if runner is None:
+            return False
+        source = self.fleet.engines[runner.key]
+        queued = self._load_at(runner.key).prefill_tokens
+        began = monotonic()
+        with self.own.prefill(runner.key, arrival.prompt):
+            await source.prefill(arrival.prompt)
+        if queued == 0:
+            self.placement.note_prefill(arrival.prompt, monotonic() - began)
+        await asyncio.sleep(engine.transfer_s(arrival.prompt, source.zone))
+        return True
+
+
+def _registration(engine: Engine) -> Registration:
+    return Registration(
+        RunnerKey(RunnerName(engine.name), StartedAt(0)),
+        ServiceName("model"),
+        Address(engine.name),
+        engine.zone,
+        engine.speed.batch,
+        False,
+        1,
+        Stage.DECODE if engine.decodes else Stage.PREFILL,
+    )
+
+
+def _sum(first: RunnerLoad, second: RunnerLoad) -> RunnerLoad:
+    return RunnerLoad(
+        first.requests + second.requests,
+        first.decode_tokens + second.decode_tokens,
+        first.prefill_tokens + second.prefill_tokens,
+    )
