Tell the other hosts at once what is in progress at engines

Cause: hosts exchanged their loads about once a second. A prompt is read in 0.3 s and a generation takes 3.3 s, so hosts chose engines by what the others had in progress before the last burst; several chose the same engine, whose memory ran out, and the shortest prefill queue was a guess.

A host tells each other host its loads at engines when they change, each 0.1 s at the most, in one small call; tellings carry a number, so one that was overtaken changes nothing. More hosts are told less often, and none beyond 35, where the regular exchange does as much.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -21,6 +21,7 @@
 from ..fleet.reach import Reach
 from ..fleet.runners import RunnerDirectory
 from ..fleet.store_follower import StoreFollower, StoreLink
+from ..fleet.work_news import WorkNews
 from ..gateway.context import GatewayContext
 from ..gateway.information import JSON_HEADERS, TEXT_HEADERS, Answer, serving
 from ..gateway.session import Session
@@ -71,6 +72,7 @@
     context: GatewayContext
     follower: StoreFollower
     sync: PeerSync
+    work_news: WorkNews
     stopping: Stopping
     lease: OrderLease
     orders: StageOrders
@@ -94,6 +96,7 @@
         handlers: dict[str, Handler] = {
             "Sync": host.sync.serve,
             "FetchFleetDocuments": host.sync.serve_documents,
+            "TellWork": host.work_news.serve,
         }
         await stack.enter_async_context(
             peer_server(listeners.peers, PEER_KEY, None, handlers)
@@ -203,6 +206,7 @@
         meet=lambda address: sync.meet(address),
         readers=hosts.readers,
     )
+    work_news = WorkNews(own_status, links, hosts, in_progress, tasks)
     sync = PeerSync(
         own_status,
         links,
@@ -210,6 +214,7 @@
         runners,
         hosts,
         in_progress,
+        work_news,
         demand,
         switching,
         reach,
@@ -251,7 +256,16 @@
     orders = StageOrders(context, lease, sync.announce)
     buffers = BodyBuffers(_share(settings.memory_limit_bytes, BODY_MEMORY_SHARE))
     return GatewayHost(
-        settings, context, follower, sync, stopping, lease, orders, buffers, log
+        settings,
+        context,
+        follower,
+        sync,
+        work_news,
+        stopping,
+        lease,
+        orders,
+        buffers,
+        log,
     )
 
 
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..logs.lines import LogLines
 from ..models.ids import HostName, Incarnation, ServiceName, ZoneName
@@ -37,6 +37,11 @@
     decode_tokens: int = 0
     prefill_tokens: int = 0
 
+    @property
+    def is_at_engine(self) -> bool:
+        """Whether there are generations or prompts in it."""
+        return bool(self.decode_tokens or self.prefill_tokens)
+
 
 @dataclass(frozen=True, slots=True)
 class HostStatus:
@@ -78,12 +83,34 @@
         Engines that the host has ordered to change their stage.
     unreachable : frozenset of RunnerKey
         Runners that lately took no connection from the host.
+    number : int
+        Grows with each change of the loads at engines.
     """
 
     load_by_runner: Mapping[RunnerKey, RunnerLoad] = field(default_factory=dict)
     demand_by_service: Mapping[ServiceName, Demand] = field(default_factory=dict)
     switch_by_runner: Mapping[RunnerKey, StageSwitch] = field(default_factory=dict)
     unreachable: frozenset[RunnerKey] = frozenset()
+    number: int = 0
+
+    def with_engine_loads(
+        self, loads: Mapping[RunnerKey, RunnerLoad], number: int
+    ) -> HostWork:
+        """Return this with other loads at engines."""
+        plain = {
+            runner: load
+            for runner, load in self.load_by_runner.items()
+            if not load.is_at_engine
+        }
+        return replace(self, load_by_runner={**plain, **loads}, number=number)
+
+    def engine_loads(self) -> dict[RunnerKey, RunnerLoad]:
+        """Return the loads at engines alone."""
+        return {
+            runner: load
+            for runner, load in self.load_by_runner.items()
+            if load.is_at_engine
+        }
 
 
 @dataclass(slots=True)
@@ -129,11 +156,30 @@
             return
         if known is None or known.status.serving != status.serving:
             self._log.write("host.status", of=status.host, serving=status.serving)
+        is_same = known and known.status.incarnation == status.incarnation
+        if known and is_same and known.work.number > work.number:
+            # A later telling of the loads has overtaken this word.
+            told = known.work
+            work = work.with_engine_loads(told.engine_loads(), told.number)
         self.by_host[status.host] = KnownHost(
             status, work, monotonic(), self.alive_for_s
         )
         self.note_alive()
 
+    def hear_engine_loads(
+        self,
+        host: HostName,
+        incarnation: Incarnation,
+        number: int,
+        loads: Mapping[RunnerKey, RunnerLoad],
+    ) -> None:
+        """Take in what a known host has in progress at engines, if it is news."""
+        known = self.by_host.get(host)
+        if known is None or known.status.incarnation != incarnation:
+            return
+        if number > known.work.number:
+            known.work = known.work.with_engine_loads(loads, number)
+
     def alive(self) -> list[KnownHost]:
         """Return the hosts heard of late."""
         return [known for known in self.by_host.values() if known.is_alive]
--- a/src/siskinlever/_internal/fleet/in_progress.py
+++ b/src/siskinlever/_internal/fleet/in_progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
 
@@ -13,10 +13,22 @@
 
 
 class InProgress:
-    """Requests and tokens in progress, by runner."""
+    """Requests and tokens in progress, by runner.
+
+    Attributes
+    ----------
+    engine_changes : int
+        Changes of the work at engines since the host's start.
+    """
 
     def __init__(self) -> None:
         self.load_by_runner: dict[RunnerKey, RunnerLoad] = {}
+        self.engine_changes = 0
+        self._observers: list[Callable[[], None]] = []
+
+    def subscribe(self, observer: Callable[[], None]) -> None:
+        """Call an observer after each change of the work at engines."""
+        self._observers.append(observer)
 
     def at(self, runner: RunnerKey) -> RunnerLoad:
         """Return what is in progress at a runner."""
@@ -56,3 +68,7 @@
             self.load_by_runner.pop(runner, None)
         else:
             self.load_by_runner[runner] = after
+        if load.is_at_engine:
+            self.engine_changes += 1
+            for observer in self._observers:
+                observer()
--- a/src/siskinlever/_internal/fleet/messages.py
+++ b/src/siskinlever/_internal/fleet/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
+
 from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
 from ..models.upstreams import Address, RunnerKey, Stage, StartedAt
 from ..peers import peer_pb2
@@ -43,12 +45,7 @@
 def work_of(state: peer_pb2.FleetState) -> HostWork:
     """Return what the sender of a message has in progress."""
     return HostWork(
-        load_by_runner={
-            key_of(load.runner): RunnerLoad(
-                load.requests, load.decode_tokens, load.prefill_tokens
-            )
-            for load in state.loads
-        },
+        load_by_runner=loads_of(state.loads),
         demand_by_service={
             ServiceName(demand.service): Demand(
                 demand.prompt_tokens_per_s, demand.decode_tokens
@@ -62,10 +59,25 @@
             for switch in state.switches
         },
         unreachable=frozenset(key_of(runner) for runner in state.unreachable),
+        number=state.work_number,
     )
 
 
-def to_loads(work: HostWork) -> list[peer_pb2.FleetLoad]:
+def loads_of(
+    loads: Iterable[peer_pb2.FleetLoad],
+) -> dict[RunnerKey, RunnerLoad]:
+    """Return the loads of messages, by runner."""
+    return {
+        key_of(load.runner): RunnerLoad(
+            load.requests, load.decode_tokens, load.prefill_tokens
+        )
+        for load in loads
+    }
+
+
+def to_loads(
+    load_by_runner: Mapping[RunnerKey, RunnerLoad],
+) -> list[peer_pb2.FleetLoad]:
     """Return the messages of a host's loads."""
     return [
         peer_pb2.FleetLoad(
@@ -74,7 +86,7 @@
             decode_tokens=load.decode_tokens,
             prefill_tokens=load.prefill_tokens,
         )
-        for key, load in work.load_by_runner.items()
+        for key, load in load_by_runner.items()
     ]
 
 
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -32,6 +32,7 @@
 from .reach import Reach
 from .runners import RunnerDirectory
 from .store_follower import StoreFollower
+from .work_news import WorkNews
 
 PERIOD_S = 0.9
 # Between two exchanges with the same peer when there is news.
@@ -65,6 +66,8 @@
     runners : RunnerDirectory
     hosts : HostTable
     in_progress : InProgress
+    work_news : WorkNews
+        Tells each host that is met here what changes at engines.
     demand : DemandMeter
     switching : Switching
         Engines that this host has ordered to change their stage.
@@ -83,6 +86,7 @@
         runners: RunnerDirectory,
         hosts: HostTable,
         in_progress: InProgress,
+        work_news: WorkNews,
         demand: DemandMeter,
         switching: Switching,
         reach: Reach,
@@ -96,6 +100,7 @@
         self._runners = runners
         self._hosts = hosts
         self._in_progress = in_progress
+        self._work_news = work_news
         self._demand = demand
         self._switching = switching
         self._reach = reach
@@ -113,7 +118,7 @@
         if address == own or address in self._urgent_by_address:
             return
         self._urgent_by_address[address] = asyncio.Event()
-        self._tasks.start(self._exchange_with(address), f"peer-{address}")
+        self._tasks.start(self._keep_in_touch(address), f"peer-{address}")
 
     def announce(self) -> None:
         """Tell all hosts at once what is new here."""
@@ -136,6 +141,10 @@
             )
             self._hosts.note_alive()
 
+    async def _keep_in_touch(self, address: Address) -> None:
+        with self._work_news.told_to(address):
+            await self._exchange_with(address)
+
     async def _exchange_with(self, address: Address) -> None:
         urgent = self._urgent_by_address[address]
         # Later only the store and newcomers' own calls bring new hosts.
@@ -247,13 +256,15 @@
             self._demand.by_service(),
             self._switching.by_runner(),
             frozenset(self._reach.unreachable()),
+            self._in_progress.engine_changes,
         )
         return peer_pb2.FleetState(
             host=to_host(self.own_status()),
             configuration_version=self._configuration.version,
             configuration_age_ms=self._configuration_age_ms(),
             leaving=[to_leaving(runner) for runner in self._runners.leaving(TOLD_S)],
-            loads=to_loads(work),
+            loads=to_loads(work.load_by_runner),
+            work_number=work.number,
             demands=to_demands(work),
             switches=to_switches(work),
             unreachable=[to_runner(key) for key in work.unreachable],
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -253,3 +253,15 @@
         await until(lambda: other.may_order, 12.0)
         assert not leases[holder].may_order
         assert other.fencing_token > token
+
+
+async def test_work_at_engines_is_told_at_once(log_path):
+    """An exchange a second would leave the others to choose the same engine."""
+    async with platform_world(log_path, hosts=3) as world:
+        await until(lambda: all(len(h.context.hosts.alive()) == 2 for h in world.hosts))
+        first, *others = (host.context for host in world.hosts)
+        engine = next(iter(first.runners.by_key))
+        with first.in_progress.decode(engine, 3_000):
+            told = lambda: [c.load_at(engine).decode_tokens for c in others]
+            await until(lambda: told() == [3_000, 3_000], 0.4)
+        await until(lambda: told() == [0, 0], 0.4)
--- /dev/null
+++ b/tests/unit/test_work_news.py
@@ -0,0 +1,93 @@
+"""Hosts tell each other at once what they have in progress at engines."""
+
+from __future__ import annotations
+
+import os
+
+from siskinlever._internal.fleet.hosts import (
+    HostStatus,
+    HostTable,
+    HostWork,
+    RunnerLoad,
+)
+from siskinlever._internal.fleet.in_progress import InProgress
+from siskinlever._internal.fleet.work_news import PERIOD_S, telling_period_s
+from siskinlever._internal.logs.lines import LogLines
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.models.upstreams import RunnerKey
+
+ENGINE, PLAIN = RunnerKey("e-1", 0), RunnerKey("p-1", 0)
+PLAIN_LOAD = RunnerLoad(requests=3)
+
+
+def generation(tokens: int) -> dict[RunnerKey, RunnerLoad]:
+    return {ENGINE: RunnerLoad(1, tokens)}
+
+
+def table() -> HostTable:
+    log = LogLines("host-a", Metrics(), os.open(os.devnull, os.O_WRONLY))
+    return HostTable("host-a", log)
+
+
+def status(incarnation: int = 1) -> HostStatus:
+    return HostStatus("host-b", "zone", incarnation, "10.0.0.2:1", "10.0.0.2:2", True)
+
+
+def work(tokens: int, number: int) -> HostWork:
+    loads = {PLAIN: PLAIN_LOAD, **generation(tokens)}
+    return HostWork(load_by_runner=loads, number=number)
+
+
+def test_telling_replaces_the_loads_at_engines_only():
+    hosts = table()
+    hosts.hear(status(), work(1_000, number=4))
+    hosts.hear_engine_loads("host-b", 1, 5, generation(3_000))
+    assert hosts.load_at(ENGINE) == RunnerLoad(1, 3_000)
+    assert hosts.load_at(PLAIN) == PLAIN_LOAD
+    hosts.hear_engine_loads("host-b", 1, 6, {})
+    assert hosts.load_at(ENGINE) == RunnerLoad()
+
+
+def test_telling_that_was_overtaken_changes_nothing():
+    hosts = table()
+    hosts.hear(status(), work(1_000, number=4))
+    hosts.hear_engine_loads("host-b", 1, 6, generation(2_000))
+    hosts.hear_engine_loads("host-b", 1, 5, generation(3_000))
+    assert hosts.load_at(ENGINE) == RunnerLoad(1, 2_000)
+
+
+def test_exchange_that_was_overtaken_keeps_the_loads_told_later():
+    hosts = table()
+    hosts.hear(status(), work(1_000, number=4))
+    hosts.hear_engine_loads("host-b", 1, 6, generation(2_000))
+    hosts.hear(status(), work(1_000, number=5))
+    assert hosts.load_at(ENGINE) == RunnerLoad(1, 2_000)
+    hosts.hear(status(), work(4_000, number=7))
+    assert hosts.load_at(ENGINE) == RunnerLoad(1, 4_000)
+
+
+def test_loads_of_another_start_are_not_mixed():
+    hosts = table()
+    hosts.hear_engine_loads("host-b", 1, 1, generation(500))
+    assert hosts.load_at(ENGINE) == RunnerLoad()
+    hosts.hear(status(incarnation=2), work(1_000, number=1))
+    hosts.hear_engine_loads("host-b", 1, 9, generation(9_000))
+    assert hosts.load_at(ENGINE) == RunnerLoad(1, 1_000)
+    hosts.hear(status(incarnation=3), work(2_000, number=0))
+    assert hosts.load_at(ENGINE) == RunnerLoad(1, 2_000)
+
+
+def test_only_changes_at_engines_are_told():
+    in_progress = InProgress()
+    changes = []
+    in_progress.subscribe(lambda: changes.append(in_progress.engine_changes))
+    with in_progress.request(PLAIN):
+        assert not changes
+    with in_progress.prefill(ENGINE, 3_000), in_progress.decode(ENGINE, 3_500):
+        assert changes == [1, 2]
+    assert changes == [1, 2, 3, 4]
+
+
+def test_more_hosts_are_told_less_often():
+    assert telling_period_s(7) == PERIOD_S
+    assert telling_period_s(35) == 0.5
