Avoid runners of plain services whose answers break off

Such a request may not be repeated, so its caller loses it. A runner's share of failures had an allowance for those that all runners have, and let such a runner go on as the nearest.

A broken answer now counts by itself, as much as one and a half full runners, and half as much after each 2 s.

--- a/src/siskinlever/_internal/dispatch/plain_placement.py
+++ b/src/siskinlever/_internal/dispatch/plain_placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -24,6 +25,11 @@
 # Runners fail this share of some requests by themselves, the same for all.
 USUAL_FAILURES = 0.2
 FAILURE_PENALTY = 2.0
+# An answer that broke off is one request lost; runners do so only if something
+# is wrong with them. One such answer outweighs a full runner of another zone.
+BROKEN_PENALTY = 1.5
+# Runners lose answers for seconds; one that is avoided gives no new outcomes.
+BROKEN_HALF_LIFE_S = 2.0
 # A runner that cannot be reached comes after all others.
 DOUBT_PENALTY = {Doubt.NONE: 0.0, Doubt.OTHERS: 2.0, Doubt.OWN: 100.0}
 # Reported load older than this says nothing of short requests.
@@ -32,12 +38,27 @@
 
 @dataclass(slots=True)
 class RunnerRecord:
-    """What was seen of one runner."""
+    """What was seen of one runner.
+
+    Parameters
+    ----------
+    failures : float
+        Share of the requests that it answered badly.
+    broken : float
+        Answers that broke off, fewer with time; `broken_at` is the last change.
+    """
 
     failures: float = 0.0
+    broken: float = 0.0
+    broken_at: float = 0.0
     report: LoadReport | None = None
     reported_at: float = float("-inf")
 
+    def broken_lately(self, now: float) -> float:
+        """Return the number of answers that broke off, the old ones less."""
+        half_lives = (now - self.broken_at) / BROKEN_HALF_LIFE_S
+        return self.broken * math.exp2(-half_lives)
+
 
 @dataclass(slots=True)
 class PlainPlacement:
@@ -77,6 +98,7 @@
         cost = requests / max(1, runner.slots)
         cost += OTHER_ZONE_PENALTY * (runner.zone != self.zone)
         cost += FAILURE_PENALTY * max(0.0, record.failures - USUAL_FAILURES)
+        cost += BROKEN_PENALTY * record.broken_lately(now)
         return cost + DOUBT_PENALTY[self.doubt_about(runner.key)]
 
     def note_outcome(self, runner: RunnerKey, failed: bool) -> None:
@@ -84,6 +106,13 @@
         record = self._record(runner)
         record.failures += OUTCOME_WEIGHT * (failed - record.failures)
 
+    def note_broken(self, runner: RunnerKey) -> None:
+        """Note that an answer of a runner broke off."""
+        self.note_outcome(runner, failed=True)
+        record, now = self._record(runner), monotonic()
+        record.broken = record.broken_lately(now) + 1.0
+        record.broken_at = now
+
     def note_load(self, runner: RunnerKey, report: LoadReport) -> None:
         """Note the load that a runner told."""
         record = self._record(runner)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -92,7 +92,7 @@
             return refused(Reason.UNREACHABLE, error.message, RETRY_AFTER_S)
         except AnswerBrokenError as error:
             job.ran = True
-            plain.note_outcome(runner.key, failed=True)
+            plain.note_broken(runner.key)
             return failed(Reason.BROKEN, error.message)
 
     async def _take(self, runner: Registration, answer: Exchange) -> EndedError | None:
--- a/tests/lib/outcomes.py
+++ b/tests/lib/outcomes.py
@@ -111,11 +111,23 @@
                 found = condition()
                 if await found if inspect.isawaitable(found) else found:
                     return
-                assert time.monotonic() < limit, f"not within {within_s} s: {what}"
+                assert time.monotonic() < limit, (
+                    f"not within {within_s} s: {what}; ended: {self._ended()}"
+                )
                 await asyncio.sleep(POLL_S)
 
         self.run(poll())
 
+    def _ended(self) -> dict[str, str]:
+        """Return the requests that have ended, and how."""
+        done = {i: task for i, task in self.task_by_id.items() if task.done()}
+        return {
+            i: "cancelled"
+            if task.cancelled()
+            else str(task.exception() or task.result())
+            for i, task in done.items()
+        }
+
     def reply(self, task: asyncio.Task[Reply], within_s: float = 30.0) -> Reply:
         async def join() -> Reply:
             return await asyncio.wait_for(asyncio.shield(task), within_s)
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -250,3 +250,20 @@
     times = [refused(Reason.OVERLOADED, "full", 2.0).retry_after_s for _ in range(40)]
     assert min(times) >= 1.2 and max(times) <= 2.8
     assert max(times) - min(times) > 0.8
+
+
+def test_runner_whose_answers_break_off_is_left_alone_for_a_while(monkeypatch):
+    """Each such answer is lost for its caller: the request may not be repeated."""
+    clock = Clock()
+    monkeypatch.setattr(
+        "siskinlever._internal.dispatch.plain_placement.monotonic", clock
+    )
+    placement = PlainPlacement("a", lambda runner: 0, sure)
+    near, far = plain("near", "a"), plain("far", "b")
+    placement.note_broken(near.key)
+    assert placement.choose([near, far], set()) is far
+    clock.now += 10.0
+    assert placement.choose([near, far], set()) is near
+    placement.note_broken(near.key)
+    placement.note_broken(far.key)
+    assert placement.choose([near, far], set()) is near
