Keep the retry budget when hosts start again

A host that starts knows nothing of what it spent before.

Ruled out: telling what was spent (all hosts may be killed at once, and nothing is kept on hosts), the store (a write for each retry).

A host that starts later than the whole fleet gets its part of the fixed extra only when a window has passed; its share of its own requests it may spend at once. The settings say whether the whole fleet starts for the first time.

Also: the times of requests were dropped from the window only when a retry was asked for, so a host without retries kept all of them.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -225,6 +225,7 @@
     budget = SharedRetryBudget(
         settings.bounds.retry,
         lambda: max(MIN_BUDGET_HOSTS, 1 + len(hosts.by_host)),
+        settings.is_first_start,
     )
     context = GatewayContext(
         settings=settings,
--- a/src/siskinlever/_internal/dispatch/retry_budget.py
+++ b/src/siskinlever/_internal/dispatch/retry_budget.py
@@ -26,6 +26,9 @@
     bounds : RetryBounds
     host_count : callable
         Returns the largest number of hosts that may be spending.
+    is_first_start : bool
+        No host has spent anything yet. A host that starts later does not know
+        what it, or the host that it replaces, spent before.
     now : callable, default=monotonic
     """
 
@@ -33,28 +36,37 @@
         self,
         bounds: RetryBounds,
         host_count: Callable[[], int],
+        is_first_start: bool,
         now: Callable[[], float] = monotonic,
     ) -> None:
         self.bounds = bounds
         self._host_count = host_count
         self._now = now
+        self._extra_from = now() + (0.0 if is_first_start else bounds.window_s)
         self._requests: dict[ServiceName, deque[float]] = defaultdict(deque)
         self._spent: dict[ServiceName, deque[float]] = defaultdict(deque)
 
     def note_request(self, service: ServiceName) -> None:
         """Count a caller's request."""
-        self._requests[service].append(self._now())
+        self._in_window(self._requests[service]).append(self._now())
 
     def spend(self, service: ServiceName) -> bool:
         """Take one send beyond a request's first; False if none is left."""
-        since = self._now() - self.bounds.window_s
-        requests, spent = self._requests[service], self._spent[service]
-        for times in (requests, spent):
-            while times and times[0] < since:
-                times.popleft()
-        extra = self.bounds.extra / max(1, self._host_count())
-        allowed = SAFETY_SHARE * (self.bounds.share * len(requests) + extra)
+        requests = self._in_window(self._requests[service])
+        spent = self._in_window(self._spent[service])
+        allowed = SAFETY_SHARE * (self.bounds.share * len(requests) + self._extra())
         if len(spent) + 1 > allowed:
             return False
         spent.append(self._now())
         return True
+
+    def _extra(self) -> float:
+        if self._now() < self._extra_from:
+            return 0.0
+        return self.bounds.extra / max(1, self._host_count())
+
+    def _in_window(self, times: deque[float]) -> deque[float]:
+        since = self._now() - self.bounds.window_s
+        while times and times[0] < since:
+            times.popleft()
+        return times
--- a/src/siskinlever/_internal/models/host_settings.py
+++ b/src/siskinlever/_internal/models/host_settings.py
@@ -118,6 +118,8 @@
     descriptor_limit : int
     runner_heartbeat_s : float
         Period in which runners register.
+    is_first_start : bool
+        The whole fleet starts for the first time.
     """
 
     host: HostName
@@ -131,3 +133,4 @@
     memory_limit_bytes: int
     descriptor_limit: int
     runner_heartbeat_s: float
+    is_first_start: bool = False
--- a/src/siskinlever/_internal/platform/settings.py
+++ b/src/siskinlever/_internal/platform/settings.py
@@ -64,6 +64,7 @@
         memory_limit_bytes=optional(limits, "memory_mb", 0) * BYTES_PER_MB,
         descriptor_limit=optional(limits, "max_fds", 0),
         runner_heartbeat_s=optional(document, "heartbeat_ms", 1200) / MS_PER_S,
+        is_first_start=optional(document, "bootstrap", False),
     )
 
 
--- a/src/siskinlever_testbed/platform_fleet.py
+++ b/src/siskinlever_testbed/platform_fleet.py
@@ -27,6 +27,7 @@
 zone = "zone-a"
 region = "region"
 seed_nodes = ["{seed}"]
+bootstrap = true
 [zones]
 zone-a = "region"
 [listen]
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -128,6 +128,7 @@
     settings = decode_settings(
         {
             "node_name": f"edge-{number}",
+            "bootstrap": True,
             "ip": "127.0.0.1",
             "zone": "zone-a",
             "region": "region",
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -44,7 +44,7 @@
 def test_budget_of_all_hosts_together_keeps_the_bound():
     """Every runner fails all requests: each host retries as often as it may."""
     clock = Clock()
-    budgets = [SharedRetryBudget(BOUNDS, lambda: 8, clock) for _ in range(8)]
+    budgets = [SharedRetryBudget(BOUNDS, lambda: 8, True, clock) for _ in range(8)]
     spent: list[float] = []
     requests: list[float] = []
     for _ in range(400):
@@ -63,11 +63,31 @@
 
 def test_host_that_has_met_no_other_spends_its_part_only():
     clock = Clock()
-    budget = SharedRetryBudget(BOUNDS, lambda: 8, clock)
+    budget = SharedRetryBudget(BOUNDS, lambda: 8, True, clock)
     budget.note_request(SERVICE)
     assert sum(budget.spend(SERVICE) for _ in range(100)) <= 56 / 8 + 1
 
 
+def test_host_that_starts_again_spends_no_extra_for_a_window():
+    """What it spent before its start is still in the fleet's window."""
+    clock = Clock()
+    budget = SharedRetryBudget(BOUNDS, lambda: 8, False, clock)
+    for _ in range(20):
+        budget.note_request(SERVICE)
+    assert sum(budget.spend(SERVICE) for _ in range(100)) == 3
+    clock.now += 10.1
+    assert sum(budget.spend(SERVICE) for _ in range(100)) == 5
+
+
+def test_budget_keeps_no_requests_from_before_the_window():
+    clock = Clock()
+    budget = SharedRetryBudget(BOUNDS, lambda: 8, True, clock)
+    for _ in range(10_000):
+        clock.now += 0.1
+        budget.note_request(SERVICE)
+    assert len(budget._requests[SERVICE]) <= 101
+
+
 def test_plain_requests_spread_and_prefer_their_zone():
     in_progress: Counter = Counter()
     placement = PlainPlacement("a", lambda key: in_progress[key], sure)
--- a/tests/unit/test_platform_records.py
+++ b/tests/unit/test_platform_records.py
@@ -80,6 +80,9 @@
     assert read.listeners.callers == "10.1.0.35:8144"
     assert read.bounds.retry.extra == 56 and read.bounds.retry.window_s == 10.0
     assert read.bounds.order_lease_s == 3.0
+    assert not read.is_first_start
+    path.write_text("bootstrap = true\n" + SETTINGS)
+    assert settings.read_settings(path).is_first_start
 
 
 @pytest.mark.parametrize(
