Count every send of a generation that the retry budget counts

From the hosts' code and the figures: a rejected prefill counts as an arrival, but the decode that follows it took nothing from the budget, and each new try prefilled again for the price of one send. Retries of plain requests were counted rightly.

A generation now keeps which of its sends count: the first is free, so is the first prefill that an engine accepts; all others take from the budget before they are sent. A try after the first lets the decode engine read the prompt. If no retry is left, the request is refused at once, with when to come back.

--- a/src/siskinlever/_internal/gateway/endings.py
+++ b/src/siskinlever/_internal/gateway/endings.py
@@ -20,6 +20,7 @@
     NO_RUNNER = "no_runner"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
+    NO_RETRY_LEFT = "no_retry_left"
     STOPPING = "stopping"
     REJECTED = "rejected_by_runner"
     FAILED_BY_RUNNER = "failed_by_runner"
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from ..dispatch.counted_sends import CountedSends
 from ..exceptions import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -56,6 +57,7 @@
         self._placement = context.engines(job.service)
         self._failed_engines: set[RunnerKey] = set()
         self._search = RoomSearch(context, job, asked, traits)
+        self._sends = CountedSends(lambda: context.budget.spend(job.service))
 
     async def serve(self) -> str:
         """Answer the request; return the name of the decode engine.
@@ -105,7 +107,7 @@
             ending is not None
             and ending.reason is Reason.REJECTED
             and source is not None
-            and self._context.budget.spend(self._job.service)
+            and self._sends.may_send()
         ):
             # The prompt's KV cache was lost on the way; the engine reads it.
             ending = await self._decode(room, None)
@@ -122,9 +124,12 @@
         """
         usable = self._context.runners.usable(self._job.service)
         slack_s = self._search.on_time_until - monotonic()
-        runner = self._placement.prefill_candidate(
-            self._context.steady(usable), decode.zone, slack_s
-        )
+        runner = None
+        # A prefill after the first send would be a retry of its own.
+        if self._sends.is_first:
+            runner = self._placement.prefill_candidate(
+                self._context.steady(usable), decode.zone, slack_s
+            )
         handle = await self._prefill(runner) if runner is not None else None
         if runner is None or handle is None:
             yield None
@@ -152,6 +157,7 @@
             last_event=self._relay.last_event,
         )
         began = monotonic()
+        has_arrived = True
         try:
             with self._context.in_progress.prefill(runner.key, tokens):
                 async with asyncio.timeout(timeout_s):
@@ -159,16 +165,23 @@
                     async with exchange(runner.address, call) as answer:
                         body = await answer.read(PREFILL_ANSWER_BYTES)
             if answer.head.status == 200:
+                self._sends.note_prefilled()
                 if queued == 0:
                     self._placement.note_prefill(tokens, monotonic() - began)
                 return dialect.prefill_handle(body)
             reason = f"status {answer.head.status}"
+        except ConnectFailedError as error:
+            reason = error.message
+            has_arrived = False
+            self._context.reach.note_unreachable(runner.key)
         except (ExchangeError, InvalidRecordError) as error:
             reason = error.message
             self._context.reach.note_unreachable(runner.key)
         except TimeoutError:
             reason = f"not read within {timeout_s:.3f} s"
             self._context.reach.note_unreachable(runner.key)
+        if has_arrived:
+            self._sends.note_arrival()
         self._context.metrics.count("prefills_failed")
         self._context.log.write(
             "prefill.failed",
@@ -181,6 +194,9 @@
 
     async def _decode(self, room: Room, source: str | None) -> EndedError | None:
         job, runner = self._job, room.runner
+        if not self._sends.may_send():
+            message = "an engine rejected the prompt and no retry is left"
+            return refused(Reason.NO_RETRY_LEFT, message, FAILED_RETRY_S)
         options = dialect.SendOptions(
             runner.key,
             job.time_left_s,
@@ -199,11 +215,13 @@
             self._context.reach.note_unreachable(runner.key)
             return refused(Reason.UNREACHABLE, error.message, FAILED_RETRY_S)
         except AnswerBrokenError as error:
+            self._sends.note_arrival()
             job.ran = True
             return failed(Reason.BROKEN, error.message)
 
     async def _take(self, runner: Registration, answer: Exchange) -> EndedError | None:
         head = answer.head
+        self._sends.note_arrival()
         if dialect.is_not_run(head):
             self._job.not_run()
             if dialect.is_other_runner(head, runner.key.name):
@@ -230,4 +248,4 @@
             return False
         if not job.has_attempts_left:
             return False
-        return self._context.budget.spend(job.service)
+        return self._sends.may_send()
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -424,3 +424,24 @@
         usable = world.hosts[0].context.runners.usable(stale.service)
         assert registered not in {runner.key.name for runner in usable}
         assert not any(f"m-{number}" in stale.ran for number in range(4))
+
+
+@pytest.mark.parametrize("shedding", [("e-1", "e-2", "e-3"), ("e-2", "e-3"), ("e-1",)])
+async def test_rejected_generations_keep_the_retry_budget(log_path, shedding):
+    """A prefill that is rejected counts like any send; only an accepted one is free."""
+    number, share, extra = 20, 0.2, 16
+    bounds = {"retry_budget_ratio": share, "retry_min_extra": extra}
+    async with platform_world(log_path, **bounds) as world:
+        for name in shedding:
+            world.named(name).fault = RunnerFault.SHED
+        for n in range(number):
+            await world.send(
+                "/resume/x", "POST", f"g-{n}", b"p", headers=GENERATION, deadline_ms=900
+            )
+        engines = [world.named(name) for name in ("e-1", "e-2", "e-3")]
+        sent = [r.get("attempt-id") for engine in engines for r in engine.received]
+        accepted = {
+            r.get("attempt-id") for r in engines[0].received if "e-1" not in shedding
+        }
+    arrivals_beyond_the_first = len(sent) - len(accepted) - len(set(sent))
+    assert arrivals_beyond_the_first <= share * number + extra
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -8,6 +8,7 @@
 from lib.runners import engine, plain
 
 from siskinlever._internal.dispatch.caller_ages import CallerAges
+from siskinlever._internal.dispatch.counted_sends import CountedSends
 from siskinlever._internal.dispatch.doubt import Doubt
 from siskinlever._internal.dispatch.engine_placement import EnginePlacement
 from siskinlever._internal.dispatch.plain_placement import PlainPlacement
@@ -287,3 +288,27 @@
     placement.note_broken(near.key)
     placement.note_broken(far.key)
     assert placement.choose([near, far], set()) is near
+
+
+def test_first_accepted_prefill_is_free_and_a_rejected_one_is_not():
+    taken = []
+    sends = CountedSends(lambda: taken.append(1) or True)
+    assert sends.may_send()
+    sends.note_prefilled()
+    assert sends.may_send() and not taken
+    sends.note_arrival()
+    assert sends.may_send() and len(taken) == 1
+    rejected = CountedSends(lambda: False)
+    rejected.note_arrival()
+    assert not rejected.may_send()
+
+
+def test_send_that_was_paid_for_and_not_made_stays_paid():
+    taken = []
+    sends = CountedSends(lambda: taken.append(1) or True)
+    sends.note_arrival()
+    assert sends.may_send() and sends.may_send() and len(taken) == 1
+    sends.note_prefilled()
+    assert sends.may_send() and len(taken) == 1
+    sends.note_prefilled()
+    assert sends.may_send() and len(taken) == 2
