Use engines less that lately lost or rejected generations

Engines were chosen by their memory and by whether they can be reached; nothing was kept of what they did with generations.

Failures of engines and broken answers of plain runners now share one small counter with a half-life (dispatch/recent_failures.py). A failure counts as 0.15 of an engine's memory, or 0.1 s of a prompt's wait.

--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -17,6 +17,7 @@
 from ..models.upstreams import Registration, RunnerKey, Stage
 from ..utils.clock import monotonic
 from .doubt import Doubt
+from .recent_failures import RecentFailures
 
 # After an engine refused to reserve room; a run ends about each 0.2 s there.
 FULL_RETRY_S = 0.08
@@ -29,6 +30,12 @@
 # end. Few of them end at once, and the engine itself refuses what has no room.
 ON_TIME_CAPACITY_SHARE = 1.15
 LATE_CAPACITY_SHARE = 0.8
+# An engine that lately lost or rejected a generation must have this share of its
+# capacity more to be preferred, or a prompt must wait so much longer elsewhere.
+FAILURE_CAPACITY_SHARE = 0.15
+FAILURE_WAIT_S = 0.1
+# Engines fail for seconds, and a host sends one of them a generation a second.
+FAILURE_HALF_LIFE_S = 3.0
 # A late generation rather waits than slows others; but its caller leaves.
 LATE_PREFILL_WAIT_S = 1.0
 
@@ -52,6 +59,9 @@
     doubt_about: Callable[[RunnerKey], Doubt]
     prefill_rate: float = INITIAL_PREFILL_RATE
     full_until_by_runner: dict[RunnerKey, float] = field(default_factory=dict)
+    failures: RecentFailures = field(
+        default_factory=lambda: RecentFailures(FAILURE_HALF_LIFE_S)
+    )
 
     def decode_candidates(
         self,
@@ -110,7 +120,8 @@
         waits = [
             (
                 self.doubt_about(runner.key),
-                self._prefill_wait_s(runner),
+                self._prefill_wait_s(runner)
+                + FAILURE_WAIT_S * self.failures.of(runner.key),
                 runner.zone != decode_zone,
                 runner,
             )
@@ -148,7 +159,8 @@
 
     def _free_share(self, runner: Registration, traits: EngineTraits) -> float:
         used = self.load_at(runner.key).decode_tokens / max(1, traits.kv_capacity)
-        return 1.0 - used + SAME_ZONE_BONUS * (runner.zone == self.zone)
+        failed = FAILURE_CAPACITY_SHARE * self.failures.of(runner.key)
+        return 1.0 - used + SAME_ZONE_BONUS * (runner.zone == self.zone) - failed
 
     def _prefill_wait_s(self, runner: Registration) -> float:
         return self.load_at(runner.key).prefill_tokens / self.prefill_rate
--- a/src/siskinlever/_internal/dispatch/plain_placement.py
+++ b/src/siskinlever/_internal/dispatch/plain_placement.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -16,6 +15,7 @@
 from ..models.upstreams import LoadReport, Registration, RunnerKey
 from ..utils.clock import monotonic
 from .doubt import Doubt
+from .recent_failures import RecentFailures
 
 # A runner of another zone must be this much less busy, in shares of its slots,
 # to be preferred: bytes between zones are dear.
@@ -44,21 +44,12 @@
     ----------
     failures : float
         Share of the requests that it answered badly.
-    broken : float
-        Answers that broke off, fewer with time; `broken_at` is the last change.
     """
 
     failures: float = 0.0
-    broken: float = 0.0
-    broken_at: float = 0.0
     report: LoadReport | None = None
     reported_at: float = float("-inf")
 
-    def broken_lately(self, now: float) -> float:
-        """Return the number of answers that broke off, the old ones less."""
-        half_lives = (now - self.broken_at) / BROKEN_HALF_LIFE_S
-        return self.broken * math.exp2(-half_lives)
-
 
 @dataclass(slots=True)
 class PlainPlacement:
@@ -78,6 +69,9 @@
     requests_at: Callable[[RunnerKey], int]
     doubt_about: Callable[[RunnerKey], Doubt]
     record_by_runner: dict[RunnerKey, RunnerRecord] = field(default_factory=dict)
+    broken: RecentFailures = field(
+        default_factory=lambda: RecentFailures(BROKEN_HALF_LIFE_S)
+    )
 
     def choose(
         self, runners: Iterable[Registration], tried: Collection[RunnerKey]
@@ -98,7 +92,7 @@
         cost = requests / max(1, runner.slots)
         cost += OTHER_ZONE_PENALTY * (runner.zone != self.zone)
         cost += FAILURE_PENALTY * max(0.0, record.failures - USUAL_FAILURES)
-        cost += BROKEN_PENALTY * record.broken_lately(now)
+        cost += BROKEN_PENALTY * self.broken.of(runner.key)
         return cost + DOUBT_PENALTY[self.doubt_about(runner.key)]
 
     def note_outcome(self, runner: RunnerKey, failed: bool) -> None:
@@ -109,9 +103,7 @@
     def note_broken(self, runner: RunnerKey) -> None:
         """Note that an answer of a runner broke off."""
         self.note_outcome(runner, failed=True)
-        record, now = self._record(runner), monotonic()
-        record.broken = record.broken_lately(now) + 1.0
-        record.broken_at = now
+        self.broken.note(runner)
 
     def note_load(self, runner: RunnerKey, report: LoadReport) -> None:
         """Note the load that a runner told."""
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -169,6 +169,7 @@
                 if queued == 0:
                     self._placement.note_prefill(tokens, monotonic() - began)
                 return dialect.prefill_handle(body)
+            self._placement.failures.note(runner.key)
             reason = f"status {answer.head.status}"
         except ConnectFailedError as error:
             reason = error.message
@@ -216,6 +217,7 @@
             return refused(Reason.UNREACHABLE, error.message, FAILED_RETRY_S)
         except AnswerBrokenError as error:
             self._sends.note_arrival()
+            self._placement.failures.note(runner.key)
             job.ran = True
             return failed(Reason.BROKEN, error.message)
 
@@ -227,10 +229,13 @@
             if dialect.is_other_runner(head, runner.key.name):
                 self._context.runners.note_replaced(runner.key)
             self._placement.note_full(runner.key)
+            self._placement.failures.note(runner.key)
             message = f"{runner.key.name} answered {head.status}"
             return refused(Reason.REJECTED, message, FAILED_RETRY_S)
         self._job.has_run()
         self._job.note("first_event_s")
+        if head.status >= 500:
+            self._placement.failures.note(runner.key)
         if not dialect.answers(head, self._job.request) or not dialect.is_signed(head):
             return failed(Reason.FOREIGN, f"not this request's answer: {head.status}")
         if self._relay.started and head.status != 200:
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -12,6 +12,7 @@
 from siskinlever._internal.dispatch.doubt import Doubt
 from siskinlever._internal.dispatch.engine_placement import EnginePlacement
 from siskinlever._internal.dispatch.plain_placement import PlainPlacement
+from siskinlever._internal.dispatch.recent_failures import RecentFailures
 from siskinlever._internal.dispatch.retry_budget import SharedRetryBudget
 from siskinlever._internal.dispatch.stage_plan import Work, next_change
 from siskinlever._internal.dispatch.waiting_line import Ticket, WaitingLine
@@ -273,13 +274,11 @@
     assert max(times) - min(times) > 0.8
 
 
-def test_runner_whose_answers_break_off_is_left_alone_for_a_while(monkeypatch):
+def test_runner_whose_answers_break_off_is_left_alone_for_a_while():
     """Each such answer is lost for its caller: the request may not be repeated."""
     clock = Clock()
-    monkeypatch.setattr(
-        "siskinlever._internal.dispatch.plain_placement.monotonic", clock
-    )
     placement = PlainPlacement("a", lambda runner: 0, sure)
+    placement.broken = RecentFailures(2.0, clock)
     near, far = plain("near", "a"), plain("far", "b")
     placement.note_broken(near.key)
     assert placement.choose([near, far], set()) is far
@@ -312,3 +311,40 @@
     assert sends.may_send() and len(taken) == 1
     sends.note_prefilled()
     assert sends.may_send() and len(taken) == 2
+
+
+def test_engine_that_lost_a_generation_is_left_alone_for_a_while():
+    clock = Clock()
+    engines = [engine("e-1", Stage.DECODE), engine("e-2", Stage.DECODE)]
+    placement = placement_with({engines[1].key: RunnerLoad(1, 4_000)})
+    placement.failures = RecentFailures(3.0, clock)
+    first = lambda: placement.decode_candidates(engines, TRAITS, 4_000)[0].key.name
+    assert first() == "e-1"
+    placement.failures.note(engines[0].key)
+    assert first() == "e-2"
+    clock.now += 9.0
+    assert first() == "e-1"
+
+
+def test_prompt_avoids_an_engine_that_rejects_prompts():
+    clock = Clock()
+    engines = [engine("e-1", Stage.PREFILL), engine("e-2", Stage.PREFILL)]
+    placement = placement_with({engines[1].key: RunnerLoad(prefill_tokens=2_000)})
+    placement.failures = RecentFailures(3.0, clock)
+    chosen = lambda: placement.prefill_candidate(engines, "a", 1.0).key.name
+    assert chosen() == "e-1"
+    placement.failures.note(engines[0].key)
+    assert chosen() == "e-2"
+
+
+def test_old_failures_are_forgotten():
+    clock = Clock()
+    failures = RecentFailures(3.0, clock)
+    key = engine("e-1", Stage.DECODE).key
+    failures.note(key)
+    failures.note(key)
+    assert failures.of(key) == 2.0
+    clock.now += 3.0
+    assert failures.of(key) == 1.0
+    clock.now += 60.0
+    assert failures.of(key) == 0.0 and not failures._count_by_runner
