--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -145,11 +145,10 @@
                 engine_calls.free_handle(self._context, runner, handle)
 
     async def _prefill(self, runner: Registration) -> str | None:
+        """Return the handle of the prompt's KV cache, or None if there is none."""
         job, tokens = self._job, self._asked.prompt_tokens
         queued = self._context.load_at(runner.key).prefill_tokens
-        expected_s = (queued + tokens) / self._placement.prefill_rate
-        on_time_s = self._search.on_time_until - monotonic()
-        timeout_s = max(MIN_PREFILL_TIMEOUT_S, PREFILL_PATIENCE * expected_s, on_time_s)
+        timeout_s = self._prefill_timeout_s(queued)
         options = dialect.SendOptions(
             runner.key,
             min(timeout_s, job.time_left_s),
@@ -172,8 +171,8 @@
             self._placement.failures.note(runner.key)
             reason = f"status {answer.head.status}"
         except ConnectFailedError as error:
-            reason = error.message
             has_arrived = False
+            reason = error.message
             self._context.reach.note_unreachable(runner.key)
         except (ExchangeError, InvalidRecordError) as error:
             reason = error.message
@@ -193,6 +192,13 @@
         )
         return None
 
+    def _prefill_timeout_s(self, queued_tokens: int) -> float:
+        """Return how long to wait; as long as the first event can be on time."""
+        tokens = queued_tokens + self._asked.prompt_tokens
+        expected_s = tokens / self._placement.prefill_rate
+        on_time_s = self._search.on_time_until - monotonic()
+        return max(MIN_PREFILL_TIMEOUT_S, PREFILL_PATIENCE * expected_s, on_time_s)
+
     async def _decode(self, room: Room, source: str | None) -> EndedError | None:
         job, runner = self._job, room.runner
         if not self._sends.may_send():
