Check the model's options and name its collections by key

Read as a newcomer: one long function of the command chose, checked and played; a field of an outcome was not used; two dictionaries were not named by their key. Options that are no positive number, or name no policy, are refused with the option's name. Tests for both. Nothing of the program itself changed.

--- a/src/siskinlever_testbed/model/command.py
+++ b/src/siskinlever_testbed/model/command.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -35,44 +36,55 @@
 
 
 def _run(options: dict[str, Any]) -> int:
-    deployments = options["--deployments"].split(",")
-    policies = (options["--policies"] or ",".join(POLICY_BY_NAME)).split(",")
-    for option, names, known in (
-        ("--deployments", deployments, DEPLOYMENT_BY_NAME),
-        ("--policies", policies, POLICY_BY_NAME),
-    ):
-        unknown = sorted(set(names) - known.keys())
-        if unknown:
-            print(
-                f"{option}: found {unknown}, allowed: {sorted(known)}", file=sys.stderr
-            )
-            return 2
     try:
-        loads = [float(load) for load in options["--loads"].split(",")]
-        seeds = int(options["--seeds"])
+        cases = _chosen(options)
+        seeds = _numbers(options, "--seeds", int)[0]
     except ValueError as error:
-        print(f"--loads and --seeds take numbers: {error}", file=sys.stderr)
+        print(error, file=sys.stderr)
         return 2
-    cases = []
     print_header()
-    for deployment in deployments:
-        for load in loads:
-            for policy in policies:
-                case = Case(deployment, load, policy)
-                for seed in range(seeds):
-                    case.results.append(
-                        play(
-                            DEPLOYMENT_BY_NAME[deployment],
-                            POLICY_BY_NAME[policy],
-                            seed,
-                            load,
-                        )
-                    )
-                print_row(case)
-                cases.append(case)
+    for case in cases:
+        deployment = DEPLOYMENT_BY_NAME[case.deployment]
+        policy = POLICY_BY_NAME[case.policy]
+        case.results += [play(deployment, policy, n, case.load) for n in range(seeds)]
+        print_row(case)
     output = Path(options["--output"])
     output.mkdir(parents=True, exist_ok=True)
-    for deployment in deployments:
-        write_plot(output / f"{deployment}.png", deployment, cases)
+    for name in dict.fromkeys(case.deployment for case in cases):
+        write_plot(output / f"{name}.png", name, cases)
     print(f"plots: {output}")
     return 0
+
+
+def _chosen(options: dict[str, Any]) -> list[Case]:
+    """Return the cases to play; raises `ValueError` with the option's name."""
+    deployments = _names(options, "--deployments", DEPLOYMENT_BY_NAME)
+    policies = _names(options, "--policies", POLICY_BY_NAME)
+    loads = _numbers(options, "--loads", float)
+    return [
+        Case(deployment, load, policy)
+        for deployment in deployments
+        for load in loads
+        for policy in policies
+    ]
+
+
+def _names(options: dict[str, Any], option: str, known: Mapping[str, Any]) -> list[str]:
+    names = options[option].split(",") if options[option] else list(known)
+    unknown = sorted(set(names) - known.keys())
+    if unknown:
+        raise ValueError(f"{option}: found {unknown}, allowed: {sorted(known)}")
+    return names
+
+
+def _numbers(
+    options: dict[str, Any], option: str, type_: Callable[[str], float]
+) -> list[Any]:
+    try:
+        numbers = [type_(text) for text in options[option].split(",")]
+    except ValueError:
+        numbers = []
+    if not numbers or min(numbers) <= 0:
+        found = options[option]
+        raise ValueError(f"{option}: found {found!r}, expected positive numbers")
+    return numbers
--- a/src/siskinlever_testbed/model/experiment.py
+++ b/src/siskinlever_testbed/model/experiment.py
@@ -140,7 +140,7 @@
         for start in range(0, int(length_s), WINDOW_S)
         if (inside := _arrived(outcomes, start))
     ]
-    read = sum(engine.tokens_read for engine in fleet.engines.values())
+    read = sum(engine.tokens_read for engine in fleet.engine_by_runner.values())
     needed = sum(o.arrival.prompt for o in outcomes if o.ending in SERVED)
     return Result(
         worth=_worth(fleet, outcomes),
@@ -150,7 +150,7 @@
         refused=_share(outcomes, Ending.REFUSED, Ending.LEFT),
         largest_served=_share(largest, *SERVED),
         read_in_vain=max(0.0, 1 - needed / read),
-        preempted=sum(engine.preempted for engine in fleet.engines.values()),
+        preempted=sum(engine.preempted for engine in fleet.engine_by_runner.values()),
         worth_by_window=tuple(windows),
     )
 
--- a/src/siskinlever_testbed/model/serving.py
+++ b/src/siskinlever_testbed/model/serving.py
@@ -77,7 +77,6 @@
 
     arrival: Arrival
     ending: Ending
-    waited_s: float
 
 
 class Fleet:
@@ -92,7 +91,7 @@
         policy: Policy,
         seed: int,
     ) -> None:
-        self.engines = {_registration(e).key: e for e in engines}
+        self.engine_by_runner = {_registration(e).key: e for e in engines}
         self.registrations = [_registration(e) for e in engines]
         self.traits = traits
         self.objectives = objectives
@@ -121,7 +120,7 @@
         if ending is Ending.REFUSED:
             await asyncio.sleep(OVERLOADED_RETRY_S)
             ending = await self.random.choice(self.hosts).serve(arrival, began)
-        self.outcomes.append(Outcome(arrival, ending, monotonic() - began))
+        self.outcomes.append(Outcome(arrival, ending))
 
 
 @dataclass(slots=True)
@@ -132,7 +131,7 @@
     zone: ZoneName
     line: WaitingLine
     own: InProgress = field(default_factory=InProgress)
-    others: dict[RunnerKey, RunnerLoad] = field(default_factory=dict)
+    others_by_runner: dict[RunnerKey, RunnerLoad] = field(default_factory=dict)
     placement: EnginePlacement = field(init=False)
 
     def __post_init__(self) -> None:
@@ -142,15 +141,17 @@
 
     def learn(self) -> None:
         """Learn of the other hosts' work."""
-        self.others = {}
+        self.others_by_runner = {}
         for host in self.fleet.hosts:
             if host is not self:
                 for runner, load in host.own.load_by_runner.items():
-                    known = self.others.get(runner, RunnerLoad())
-                    self.others[runner] = _sum(known, load)
+                    known = self.others_by_runner.get(runner, RunnerLoad())
+                    self.others_by_runner[runner] = _sum(known, load)
 
     def _load_at(self, runner: RunnerKey) -> RunnerLoad:
-        return _sum(self.own.at(runner), self.others.get(runner, RunnerLoad()))
+        return _sum(
+            self.own.at(runner), self.others_by_runner.get(runner, RunnerLoad())
+        )
 
     async def serve(self, arrival: Arrival, first_asked_at: float) -> Ending:
         """Serve one request of a caller."""
@@ -165,7 +166,7 @@
             return Ending.REFUSED
         runner, hold = room
         with self.own.decode(runner.key, arrival.prompt + arrival.hint):
-            engine = self.fleet.engines[runner.key]
+            engine = self.fleet.engine_by_runner[runner.key]
             is_read = await self._prefill(arrival, engine, on_time_until)
             try:
                 run = engine.decode(arrival.prompt, arrival.output, hold, is_read)
@@ -224,7 +225,7 @@
         ):
             await asyncio.sleep(ROUND_TRIP_S)
             try:
-                return runner, self.fleet.engines[runner.key].take_hold(held)
+                return runner, self.fleet.engine_by_runner[runner.key].take_hold(held)
             except EngineFullError:
                 self.placement.note_full(runner.key)
         return None
@@ -237,7 +238,7 @@
         )
         if runner is None:
             return False
-        source = self.fleet.engines[runner.key]
+        source = self.fleet.engine_by_runner[runner.key]
         queued = self._load_at(runner.key).prefill_tokens
         began = monotonic()
         with self.own.prefill(runner.key, arrival.prompt):
--- a/tests/unit/test_load_model.py
+++ b/tests/unit/test_load_model.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from siskinlever_testbed.model import run
 from siskinlever_testbed.model.deployments import DEPLOYMENT_BY_NAME
 from siskinlever_testbed.model.experiment import play
 from siskinlever_testbed.model.policies import POLICY_BY_NAME
@@ -29,3 +30,17 @@
     deployment = DEPLOYMENT_BY_NAME["brosur-kl"]
     policy = POLICY_BY_NAME["told-at-once"]
     assert play(deployment, policy, 3, 0.5) == play(deployment, policy, 3, 0.5)
+
+
+@pytest.mark.parametrize("option", ["--loads=0", "--seeds=a", "--policies=x"])
+async def test_options_are_checked(option, capsys):
+    assert await run([option]) == 2
+    assert option.partition("=")[0] in capsys.readouterr().err
+
+
+async def test_command_prints_a_table_and_draws(tmp_path, capsys):
+    options = ["--deployments=brosur-kl", "--loads=0.3", "--seeds=1"]
+    assert await run([*options, f"--output={tmp_path}"]) == 0
+    printed = capsys.readouterr().out
+    assert all(name in printed for name in POLICY_BY_NAME)
+    assert (tmp_path / "brosur-kl.png").stat().st_size > 0
