Mend what a reading of the whole change found

Found and mended:

Written twice: a sum that fades with time (demand meter, recent failures) is now utils/decay.py; the sum of loads stood in three places; the calls of the testbed's caller shared all but the reading. The two deployments of the model share their arrivals.

State that could be derived, or meant nothing: one counter had three names (number, work_number, engine_changes); a second check of the retry budget stood before the one that decides; two sums of the model were never read; failures of runners that are gone stayed in memory.

Names: `may_send` took from the budget and is `take_next`; "an engine rejected the prompt" was said also when nothing had been rejected.

Faults: a second prefill could be sent, and count, after a decode that reached no engine. A fault in a keeper's call would have kept an attempt waiting for ever. The model left out generations that had not ended, swallowed faults of its tasks, and its engines worked on for callers that had left. The runners' stand-in told all requests that it ever ran as its load.

--- a/src/siskinlever/_internal/dispatch/counted_sends.py
+++ b/src/siskinlever/_internal/dispatch/counted_sends.py
@@ -22,30 +22,32 @@
     def __init__(self, spend: Callable[[], bool]) -> None:
         self._spend = spend
         self._has_arrived = False
-        self._is_paid = False
+        self._is_taken = False
         self._has_prefilled = False
 
     @property
-    def is_first(self) -> bool:
-        """Whether nothing that counts has been sent yet."""
-        return not self._has_arrived
+    def is_prefill_free(self) -> bool:
+        """Whether a prefill takes no retry, if an engine accepts it."""
+        return not self._has_arrived and not self._has_prefilled
 
-    def may_send(self) -> bool:
+    def take_next(self) -> bool:
         """Take the next send, if it is not the first, from the budget.
 
-        What was taken lasts until a send has arrived.
+        Returns
+        -------
+        taken : bool
+            False if the budget is spent. What was taken lasts until a send has
+            arrived, so it may be asked for more than once.
         """
-        if not self.is_first and not self._is_paid:
-            self._is_paid = self._spend()
-        return self.is_first or self._is_paid
+        if self._has_arrived and not self._is_taken:
+            self._is_taken = self._spend()
+        return self._is_taken or not self._has_arrived
 
     def note_arrival(self) -> None:
         """Count a send that reached an engine, or may have."""
         self._has_arrived = True
-        self._is_paid = False
+        self._is_taken = False
 
     def note_prefilled(self) -> None:
-        """Count a prefill that an engine accepted, unless it is the first."""
-        if self._has_prefilled:
-            self.note_arrival()
+        """Note that an engine accepted the one prefill that does not count."""
         self._has_prefilled = True
--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -34,7 +34,7 @@
 # capacity more to be preferred, or a prompt must wait so much longer elsewhere.
 FAILURE_CAPACITY_SHARE = 0.15
 FAILURE_WAIT_S = 0.1
-# Engines fail for seconds, and a host sends one of them a generation a second.
+# Engines fail for seconds; a host sends each of them a generation in some seconds.
 FAILURE_HALF_LIFE_S = 3.0
 # A late generation rather waits than slows others; but its caller leaves.
 LATE_PREFILL_WAIT_S = 1.0
--- a/src/siskinlever/_internal/dispatch/recent_failures.py
+++ b/src/siskinlever/_internal/dispatch/recent_failures.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 from ..models.upstreams import RunnerKey
 from ..utils.clock import monotonic
+from ..utils.decay import DecayingSum
 
-# Less than this is as good as none; the runner is dropped from the memory.
+# Less than this weighs nothing; the runner, which may be gone, is forgotten.
 NEGLIGIBLE = 0.01
 
 
@@ -32,19 +32,25 @@
     ) -> None:
         self._half_life_s = half_life_s
         self._now = now
-        self._count_by_runner: dict[RunnerKey, tuple[float, float]] = {}
+        self._count_by_runner: dict[RunnerKey, DecayingSum] = {}
 
     def note(self, runner: RunnerKey) -> None:
         """Count one failure."""
-        self._count_by_runner[runner] = (self.of(runner) + 1.0, self._now())
+        self._forget_old()
+        count = self._count_by_runner.get(runner)
+        if count is None:
+            count = DecayingSum(self._half_life_s, self._now)
+            self._count_by_runner[runner] = count
+        count.add(1.0)
 
     def of(self, runner: RunnerKey) -> float:
         """Return the number of recent failures of a runner."""
-        count, at = self._count_by_runner.get(runner, (0.0, 0.0))
-        if not count:
-            return 0.0
-        left = count * math.exp2((at - self._now()) / self._half_life_s)
-        if left < NEGLIGIBLE:
-            del self._count_by_runner[runner]
-            return 0.0
-        return left
+        count = self._count_by_runner.get(runner)
+        return 0.0 if count is None else count.value
+
+    def _forget_old(self) -> None:
+        self._count_by_runner = {
+            runner: count
+            for runner, count in self._count_by_runner.items()
+            if count.value >= NEGLIGIBLE
+        }
--- a/src/siskinlever/_internal/fleet/demand.py
+++ b/src/siskinlever/_internal/fleet/demand.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..models.ids import ServiceName
-from ..utils.clock import monotonic
+from ..utils.decay import DecayingSum
 
 # Bursts last some seconds; the measure covers one and what is around it.
 HALF_LIFE_S = 6.0
@@ -32,26 +32,18 @@
 
 
 class DecayingRate:
-    """Amounts a second, with a half-life."""
+    """Amounts a second, of which the old ones count less."""
 
     def __init__(self) -> None:
-        self._sum = 0.0
-        self._at = monotonic()
+        self._amounts = DecayingSum(HALF_LIFE_S)
 
     def add(self, amount: float) -> None:
         """Count an amount now."""
-        self._decay()
-        self._sum += amount
+        self._amounts.add(amount)
 
     def per_s(self) -> float:
         """Return the rate."""
-        self._decay()
-        return self._sum * math.log(2) / HALF_LIFE_S
-
-    def _decay(self) -> None:
-        now = monotonic()
-        self._sum *= 0.5 ** ((now - self._at) / HALF_LIFE_S)
-        self._at = now
+        return self._amounts.value * math.log(2) / HALF_LIFE_S
 
 
 class DemandMeter:
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -83,7 +83,7 @@
         Engines that the host has ordered to change their stage.
     unreachable : frozenset of RunnerKey
         Runners that lately took no connection from the host.
-    number : int
+    engine_changes : int
         Grows with each change of the loads at engines.
     """
 
@@ -91,10 +91,10 @@
     demand_by_service: Mapping[ServiceName, Demand] = field(default_factory=dict)
     switch_by_runner: Mapping[RunnerKey, StageSwitch] = field(default_factory=dict)
     unreachable: frozenset[RunnerKey] = frozenset()
-    number: int = 0
+    engine_changes: int = 0
 
     def with_engine_loads(
-        self, loads: Mapping[RunnerKey, RunnerLoad], number: int
+        self, loads: Mapping[RunnerKey, RunnerLoad], engine_changes: int
     ) -> HostWork:
         """Return this with other loads at engines."""
         plain = {
@@ -102,15 +102,9 @@
             for runner, load in self.load_by_runner.items()
             if not load.is_at_engine
         }
-        return replace(self, load_by_runner={**plain, **loads}, number=number)
-
-    def engine_loads(self) -> dict[RunnerKey, RunnerLoad]:
-        """Return the loads at engines alone."""
-        return {
-            runner: load
-            for runner, load in self.load_by_runner.items()
-            if load.is_at_engine
-        }
+        return replace(
+            self, load_by_runner={**plain, **loads}, engine_changes=engine_changes
+        )
 
 
 @dataclass(slots=True)
@@ -157,10 +151,12 @@
         if known is None or known.status.serving != status.serving:
             self._log.write("host.status", of=status.host, serving=status.serving)
         is_same = known and known.status.incarnation == status.incarnation
-        if known and is_same and known.work.number > work.number:
+        if known and is_same and known.work.engine_changes > work.engine_changes:
             # A later telling of the loads has overtaken this word.
             told = known.work
-            work = work.with_engine_loads(told.engine_loads(), told.number)
+            work = work.with_engine_loads(
+                engine_loads(told.load_by_runner), told.engine_changes
+            )
         self.by_host[status.host] = KnownHost(
             status, work, monotonic(), self.alive_for_s
         )
@@ -170,15 +166,15 @@
         self,
         host: HostName,
         incarnation: Incarnation,
-        number: int,
+        engine_changes: int,
         loads: Mapping[RunnerKey, RunnerLoad],
     ) -> None:
         """Take in what a known host has in progress at engines, if it is news."""
         known = self.by_host.get(host)
         if known is None or known.status.incarnation != incarnation:
             return
-        if number > known.work.number:
-            known.work = known.work.with_engine_loads(loads, number)
+        if engine_changes > known.work.engine_changes:
+            known.work = known.work.with_engine_loads(loads, engine_changes)
 
     def alive(self) -> list[KnownHost]:
         """Return the hosts heard of late."""
@@ -214,7 +210,7 @@
     def load_at(self, runner: RunnerKey) -> RunnerLoad:
         """Return what the other hosts have in progress at a runner."""
         loads = [known.work.load_by_runner.get(runner) for known in self.alive()]
-        return _total(load for load in loads if load is not None)
+        return total_load(load for load in loads if load is not None)
 
     def demand(self, service: ServiceName) -> Demand:
         """Return what callers of the other hosts ask of a service's engines."""
@@ -240,7 +236,15 @@
         return None
 
 
-def _total(loads: Iterable[RunnerLoad]) -> RunnerLoad:
+def engine_loads(
+    load_by_runner: Mapping[RunnerKey, RunnerLoad],
+) -> dict[RunnerKey, RunnerLoad]:
+    """Return the loads at engines alone."""
+    return {r: load for r, load in load_by_runner.items() if load.is_at_engine}
+
+
+def total_load(loads: Iterable[RunnerLoad]) -> RunnerLoad:
+    """Return the sum of loads."""
     requests = decode = prefill = 0
     for load in loads:
         requests += load.requests
--- a/src/siskinlever/_internal/fleet/messages.py
+++ b/src/siskinlever/_internal/fleet/messages.py
@@ -59,7 +59,7 @@
             for switch in state.switches
         },
         unreachable=frozenset(key_of(runner) for runner in state.unreachable),
-        number=state.work_number,
+        engine_changes=state.engine_changes,
     )
 
 
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -264,7 +264,7 @@
             configuration_age_ms=self._configuration_age_ms(),
             leaving=[to_leaving(runner) for runner in self._runners.leaving(TOLD_S)],
             loads=to_loads(work.load_by_runner),
-            work_number=work.number,
+            engine_changes=work.engine_changes,
             demands=to_demands(work),
             switches=to_switches(work),
             unreachable=[to_runner(key) for key in work.unreachable],
--- a/src/siskinlever/_internal/fleet/work_news.py
+++ b/src/siskinlever/_internal/fleet/work_news.py
@@ -16,7 +16,7 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..utils.tasks import TaskSet
-from .hosts import HostStatus, HostTable, HostWork
+from .hosts import HostStatus, HostTable, engine_loads
 from .in_progress import InProgress
 from .messages import loads_of, to_loads
 
@@ -82,7 +82,7 @@
         self._hosts.hear_engine_loads(
             HostName(news.host),
             Incarnation(news.incarnation),
-            news.number,
+            news.engine_changes,
             loads_of(news.loads),
         )
         return peer_pb2.Nothing()
@@ -103,12 +103,11 @@
 
     async def _tell_once(self, address: Address) -> None:
         own = self._own_status()
-        work = HostWork(self._in_progress.load_by_runner)
         message = peer_pb2.FleetWork(
             host=own.host,
             incarnation=own.incarnation,
-            number=self._in_progress.engine_changes,
-            loads=to_loads(work.engine_loads()),
+            engine_changes=self._in_progress.engine_changes,
+            loads=to_loads(engine_loads(self._in_progress.load_by_runner)),
         )
         try:
             await self._peers.call_address(
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -12,7 +12,7 @@
 from ..dispatch.waiting_line import WaitingLine
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
-from ..fleet.hosts import HostTable, RunnerLoad
+from ..fleet.hosts import HostTable, RunnerLoad, total_load
 from ..fleet.in_progress import InProgress
 from ..fleet.reach import Reach
 from ..fleet.runners import RunnerDirectory
@@ -69,12 +69,7 @@
 
     def load_at(self, runner: RunnerKey) -> RunnerLoad:
         """Return what all hosts have in progress at a runner."""
-        own, others = self.in_progress.at(runner), self.hosts.load_at(runner)
-        return RunnerLoad(
-            own.requests + others.requests,
-            own.decode_tokens + others.decode_tokens,
-            own.prefill_tokens + others.prefill_tokens,
-        )
+        return total_load((self.in_progress.at(runner), self.hosts.load_at(runner)))
 
     def doubt_about(self, runner: RunnerKey) -> Doubt:
         """Return whether a runner can be reached, as far as is known."""
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -107,7 +107,6 @@
             ending is not None
             and ending.reason is Reason.REJECTED
             and source is not None
-            and self._sends.may_send()
         ):
             # The prompt's KV cache was lost on the way; the engine reads it.
             ending = await self._decode(room, None)
@@ -125,8 +124,8 @@
         usable = self._context.runners.usable(self._job.service)
         slack_s = self._search.on_time_until - monotonic()
         runner = None
-        # A prefill after the first send would be a retry of its own.
-        if self._sends.is_first:
+        # A second prefill would be a retry of its own.
+        if self._sends.is_prefill_free:
             runner = self._placement.prefill_candidate(
                 self._context.steady(usable), decode.zone, slack_s
             )
@@ -201,8 +200,8 @@
 
     async def _decode(self, room: Room, source: str | None) -> EndedError | None:
         job, runner = self._job, room.runner
-        if not self._sends.may_send():
-            message = "an engine rejected the prompt and no retry is left"
+        if not self._sends.take_next():
+            message = "the retry budget is spent"
             return refused(Reason.NO_RETRY_LEFT, message, FAILED_RETRY_S)
         options = dialect.SendOptions(
             runner.key,
@@ -259,4 +258,4 @@
             return False
         if not job.has_attempts_left:
             return False
-        return self._sends.may_send()
+        return self._sends.take_next()
--- a/src/siskinlever/_internal/requests/registration.py
+++ b/src/siskinlever/_internal/requests/registration.py
@@ -269,7 +269,12 @@
         answers: asyncio.Queue[peer_pb2.HoldReply | None] = asyncio.Queue()
 
         async def ask(host: HostName) -> None:
-            answers.put_nowait(await self._repeat(host, "Hold", message, HOLD_TRIES))
+            reply: peer_pb2.HoldReply | None = None
+            try:
+                reply = await self._repeat(host, "Hold", message, HOLD_TRIES)
+            finally:
+                # Also after a fault, which the task set logs.
+                answers.put_nowait(reply)
 
         for host in asked:
             self._tasks.start(ask(host), "hold")
--- a/src/siskinlever_testbed/client.py
+++ b/src/siskinlever_testbed/client.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -23,11 +24,14 @@
         broke.
     token_times : list of float
         Seconds since sending, one for each piece.
+    began : float
+        Monotonic time of sending.
     ended_at : float
         Seconds of the wall clock, to compare with a stand-in's record.
     """
 
     status: int = 0
+    began: float = 0.0
     request_id: str = ""
     host: str = ""
     text: str = ""
@@ -75,43 +79,47 @@
             "max_tokens": max_tokens,
             "stream": stream,
         }
-        reply = Reply(request_id=request_id or "")
-        began = time.monotonic()
-        try:
-            async with self._session.post(
-                f"http://{address}/v1/completions",
-                json=body,
-                headers=self._headers(request_id, headers),
-            ) as response:
-                reply.status = response.status
-                reply.request_id = response.headers.get("X-Request-Id", "")
-                if stream and response.status == 200:
-                    await _read_stream(response, reply, began, on_piece)
-                else:
-                    _read_whole(await response.json(), response, reply)
-        except (aiohttp.ClientError, ConnectionError, TimeoutError):
-            pass
-        reply.elapsed_s = time.monotonic() - began
-        reply.ended_at = time.time()
-        return reply
+
+        async def read(response: aiohttp.ClientResponse, reply: Reply) -> None:
+            reply.request_id = response.headers.get("X-Request-Id", "")
+            if stream and response.status == 200:
+                await _read_stream(response, reply, on_piece)
+            else:
+                _read_whole(await response.json(), response, reply)
+
+        url = f"http://{address}/v1/completions"
+        return await self._post(url, body, request_id, read, headers)
 
     async def call_service(
         self, address: str, service: str, body: Any, request_id: str | None = None
     ) -> Reply:
         """Call a plain service."""
-        reply = Reply(request_id=request_id or "")
-        began = time.monotonic()
+
+        async def read(response: aiohttp.ClientResponse, reply: Reply) -> None:
+            _read_whole(await response.json(), response, reply)
+
+        url = f"http://{address}/v1/services/{service}/deliver"
+        return await self._post(url, body, request_id, read)
+
+    async def _post(
+        self,
+        url: str,
+        body: Any,
+        request_id: str | None,
+        read: Callable[[aiohttp.ClientResponse, Reply], Awaitable[None]],
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send a request; a broken connection leaves the reply without outcome."""
+        reply = Reply(request_id=request_id or "", began=time.monotonic())
         try:
             async with self._session.post(
-                f"http://{address}/v1/services/{service}/deliver",
-                json=body,
-                headers=self._headers(request_id, None),
+                url, json=body, headers=self._headers(request_id, headers)
             ) as response:
                 reply.status = response.status
-                _read_whole(await response.json(), response, reply)
+                await read(response, reply)
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             pass
-        reply.elapsed_s = time.monotonic() - began
+        reply.elapsed_s = time.monotonic() - reply.began
         reply.ended_at = time.time()
         return reply
 
@@ -125,7 +133,7 @@
 
 
 async def _read_stream(
-    response: aiohttp.ClientResponse, reply: Reply, began: float, on_piece: Any
+    response: aiohttp.ClientResponse, reply: Reply, on_piece: Any
 ) -> None:
     event = ""
     async for raw in response.content:
@@ -148,7 +156,7 @@
         text = body["choices"][0]["text"]
         if text:
             reply.text += text
-            reply.token_times.append(time.monotonic() - began)
+            reply.token_times.append(time.monotonic() - reply.began)
             if on_piece is not None:
                 await on_piece(reply)
 
--- a/src/siskinlever_testbed/model/deployments.py
+++ b/src/siskinlever_testbed/model/deployments.py
@@ -21,7 +21,7 @@
     prefill_engines: int
     speed: EngineSpeed
     arrivals: Arrivals
-    objectives: Objectives
+    objectives: Objectives = Objectives()
     stage_switch_s: float = 6.0
     max_hold_s: float = 2.0
 
@@ -48,6 +48,21 @@
     Burst(22.3, 5.0, 2.0),
     Burst(27.0, 4.0, 1.9),
 )
+
+
+def _arrivals(per_s: float, events: Sizes, tokens_per_event: int) -> Arrivals:
+    return Arrivals(
+        per_s=per_s,
+        length_s=34.0,
+        prompt=PROMPTS,
+        events=events,
+        shared_prompt=200,
+        tokens_per_event=tokens_per_event,
+        hint_sigma=0.5,
+        bursts=BURSTS,
+    )
+
+
 DEPLOYMENT_BY_NAME = {
     "ramdin-atelier": Deployment(
         zones=_zones("pamplemousses", "grand-baie", "goodlands"),
@@ -64,17 +79,7 @@
             transfer_ms_per_token=transfer_ms_per_token(18_432, 170e9),
             transfer_ms=8.0,
         ),
-        arrivals=Arrivals(
-            per_s=5.85,
-            length_s=34.0,
-            prompt=PROMPTS,
-            events=Sizes(73, 0.7, 170),
-            shared_prompt=200,
-            tokens_per_event=7,
-            hint_sigma=0.5,
-            bursts=BURSTS,
-        ),
-        objectives=Objectives(),
+        arrivals=_arrivals(5.85, Sizes(73, 0.7, 170), tokens_per_event=7),
     ),
     "brosur-kl": Deployment(
         zones=_zones("hall-a", "hall-b", "hall-c"),
@@ -91,16 +96,6 @@
             transfer_ms_per_token=transfer_ms_per_token(327_680, 3_300e9),
             transfer_ms=2.7,
         ),
-        arrivals=Arrivals(
-            per_s=5.2,
-            length_s=34.0,
-            prompt=PROMPTS,
-            events=Sizes(69, 0.7, 160),
-            shared_prompt=200,
-            tokens_per_event=12,
-            hint_sigma=0.5,
-            bursts=BURSTS,
-        ),
-        objectives=Objectives(),
+        arrivals=_arrivals(5.2, Sizes(69, 0.7, 160), tokens_per_event=12),
     ),
 }
--- a/src/siskinlever_testbed/model/engines.py
+++ b/src/siskinlever_testbed/model/engines.py
@@ -76,6 +76,14 @@
         Tokens of the prompt, and of the output so far, that have to be read.
     reserved : int
         Tokens that cannot be taken away.
+    made : int
+        Tokens of output so far.
+    stalled_at : float or None
+        When it was put back, until it goes on.
+    longest_gap_s : float
+        Between two tokens, for having been put back.
+    first, ended : asyncio.Event
+        Its first token is made; it ended, or its caller left.
     """
 
     prompt: int
@@ -90,7 +98,7 @@
 
 
 class Engine:
-    """One engine; it is a prefill engine until it is told to decode.
+    """One engine of one stage.
 
     Parameters
     ----------
@@ -98,6 +106,13 @@
     speed : EngineSpeed
     decodes : bool
     now : callable
+
+    Attributes
+    ----------
+    tokens_read : int
+        Prompt tokens, those that were read again included.
+    preempted : int
+        Generations that were put back for want of memory.
     """
 
     def __init__(
@@ -113,9 +128,7 @@
         self.speed = speed
         self.decodes = decodes
         self.tokens_read = 0
-        self.tokens_read_again = 0
         self.preempted = 0
-        self.busy_s = 0.0
         self._now = now
         self._runs: list[Run] = []
         self._tokens_by_hold: dict[HoldId, int] = {}
@@ -169,6 +182,12 @@
         self._start(run)
         return run
 
+    def cancel(self, run: Run) -> None:
+        """End a generation that its caller no longer waits for."""
+        if run in self._runs:
+            self._runs.remove(run)
+        run.ended.set()
+
     def transfer_s(self, tokens: int, from_zone: ZoneName) -> float:
         """Return the time in which a prompt's KV cache comes over."""
         distance = 1.0 if from_zone == self.zone else 2.0
@@ -182,9 +201,7 @@
             if not self._runs:
                 self._has_work.clear()
                 await self._has_work.wait()
-            step_s = self._step_s()
-            await asyncio.sleep(step_s)
-            self.busy_s += step_s
+            await asyncio.sleep(self._step_s())
 
     def _step_s(self) -> float:
         """Do one step; return how long it takes."""
@@ -230,7 +247,6 @@
                 return
             newest = grown[-1]
             self.preempted += 1
-            self.tokens_read_again += newest.prompt + newest.made
             self._runs.remove(newest)
             newest.unread = newest.prompt + newest.made
             newest.reserved = 0
@@ -240,6 +256,8 @@
             )
 
     def _readmit(self, run: Run) -> None:
+        if run.ended.is_set():
+            return
         if self.used + run.unread <= self.speed.capacity:
             self._start(run)
             return
--- a/src/siskinlever_testbed/model/experiment.py
+++ b/src/siskinlever_testbed/model/experiment.py
@@ -17,7 +17,8 @@
 from .serving import Ending, Fleet, Outcome
 from .virtual_time import VirtualTimeLoop
 
-# After the last arrival all generations end within this time.
+# After the last arrival; longer than any caller waits, so that those whose
+# generation has not ended by then have left.
 SETTLE_S = 20.0
 WINDOW_S = 2
 SERVED = (Ending.ON_TIME, Ending.LATE)
@@ -87,12 +88,16 @@
     )
     arrivals = replace(deployment.arrivals, per_s=deployment.arrivals.per_s * load)
     began = monotonic()
-    served = []
+    arrival_by_task = {}
     with _running(fleet, engines):
         for arrival in draw(arrivals, seed):
             await asyncio.sleep(max(0.0, began + arrival.at_s - monotonic()))
-            served.append(asyncio.create_task(fleet.serve(arrival)))
-        await asyncio.wait(served, timeout=SETTLE_S)
+            arrival_by_task[asyncio.create_task(fleet.serve(arrival))] = arrival
+        ended, unended = await asyncio.wait(arrival_by_task, timeout=SETTLE_S)
+    for task in ended:
+        task.result()
+    for task in unended:
+        fleet.outcomes.append(Outcome(arrival_by_task[task], Ending.LEFT))
     return _result(fleet, arrivals.length_s)
 
 
--- a/src/siskinlever_testbed/model/serving.py
+++ b/src/siskinlever_testbed/model/serving.py
@@ -12,8 +12,8 @@
 from siskinlever._internal.dispatch.doubt import Doubt
 from siskinlever._internal.dispatch.engine_placement import EnginePlacement
 from siskinlever._internal.dispatch.waiting_line import Ticket, WaitingLine
-from siskinlever._internal.fleet.hosts import RunnerLoad
-from siskinlever._internal.fleet.in_progress import InProgress
+from siskinlever._internal.fleet.hosts import RunnerLoad, total_load
+from siskinlever._internal.fleet.in_progress import IDLE, InProgress
 from siskinlever._internal.gateway.room import (
     FIRST_EVENT_S,
     HELD_OUTPUT_SHARE,
@@ -145,13 +145,12 @@
         for host in self.fleet.hosts:
             if host is not self:
                 for runner, load in host.own.load_by_runner.items():
-                    known = self.others_by_runner.get(runner, RunnerLoad())
-                    self.others_by_runner[runner] = _sum(known, load)
+                    known = self.others_by_runner.get(runner, IDLE)
+                    self.others_by_runner[runner] = total_load((known, load))
 
     def _load_at(self, runner: RunnerKey) -> RunnerLoad:
-        return _sum(
-            self.own.at(runner), self.others_by_runner.get(runner, RunnerLoad())
-        )
+        others = self.others_by_runner.get(runner, IDLE)
+        return total_load((self.own.at(runner), others))
 
     async def serve(self, arrival: Arrival, first_asked_at: float) -> Ending:
         """Serve one request of a caller."""
@@ -165,6 +164,7 @@
         if room is None:
             return Ending.REFUSED
         runner, hold = room
+        leaves_at = arrived_at + self.fleet.objectives.patience_s
         with self.own.decode(runner.key, arrival.prompt + arrival.hint):
             engine = self.fleet.engine_by_runner[runner.key]
             is_read = await self._prefill(arrival, engine, on_time_until)
@@ -172,15 +172,17 @@
                 run = engine.decode(arrival.prompt, arrival.output, hold, is_read)
             except EngineFullError:
                 return Ending.REFUSED
-            return await self._relay(run, arrived_at, first_asked_at)
+            return await self._relay(engine, run, leaves_at, first_asked_at)
 
     async def _relay(
-        self, run: Run, arrived_at: float, first_asked_at: float
+        self, engine: Engine, run: Run, leaves_at: float, first_asked_at: float
     ) -> Ending:
         objectives = self.fleet.objectives
-        await run.first.wait()
-        if monotonic() - arrived_at > objectives.patience_s:
-            # The engine works on in the model; callers that leave are few.
+        try:
+            async with asyncio.timeout(max(0.0, leaves_at - monotonic())):
+                await run.first.wait()
+        except TimeoutError:
+            engine.cancel(run)
             return Ending.LEFT
         is_late = monotonic() > first_asked_at + objectives.first_event_s
         await run.ended.wait()
@@ -260,11 +262,3 @@
         1,
         Stage.DECODE if engine.decodes else Stage.PREFILL,
     )
-
-
-def _sum(first: RunnerLoad, second: RunnerLoad) -> RunnerLoad:
-    return RunnerLoad(
-        first.requests + second.requests,
-        first.decode_tokens + second.decode_tokens,
-        first.prefill_tokens + second.prefill_tokens,
-    )
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -81,6 +81,8 @@
     sequence: int = 0
     draining: bool = False
     ran: list[str] = field(default_factory=list)
+    # Requests that it works on now.
+    running: int = 0
     received: list[Request] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -156,6 +158,19 @@
             await reader.read(1)
             self.cancelled.append(identifier)
             return
+        self.running += 1
+        try:
+            await self._run(request, fault, reader, writer)
+        finally:
+            self.running -= 1
+
+    async def _run(
+        self,
+        request: Request,
+        fault: RunnerFault,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         if self.stage == "prefill" or request.get("serving-stage") == "prefill":
             await self._prefill(request, writer)
             return
@@ -236,6 +251,12 @@
             await _send(writer, 503, [("Not-Executed", "1")], b"")
             return
         self.ran.append(identifier)
+        if fault is RunnerFault.ERROR:
+            await _send(writer, 500, self._head(identifier), b"failed")
+            return
+        if fault is RunnerFault.RESET_AFTER_RUN:
+            _reset(writer)
+            return
         self.used_tokens += prompt + most
         try:
             await self._stream(request, fault, reader, writer, most)
@@ -281,7 +302,7 @@
         return [
             ("Attempt-Id", identifier),
             ("Server-Signature", f"{self.name}.{identifier}"),
-            ("Instance-Load", f"{len(self.ran)},0,{self.slots}"),
+            ("Instance-Load", f"{self.running},0,{self.slots}"),
         ]
 
     def report(self, request: Request) -> tuple[int, dict[str, Any]]:
--- /dev/null
+++ b/tests/functional/test_gateway_failing_runners.py
@@ -0,0 +1,148 @@
+"""Runners that fail part of their requests, and what retries they may cost."""
+
+from __future__ import annotations
+
+import pytest
+from lib.platform_world import platform_world, until
+
+from siskinlever._internal.gateway import engine_calls
+from siskinlever_testbed.processes import free_addresses
+from siskinlever_testbed.standins.platform.runner import RunnerFault
+
+GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
+
+
+@pytest.fixture
+def log_path(tmp_path) -> str:
+    return str(tmp_path / "log")
+
+
+async def generate(world, identifier: str, path: str = "/stream/x"):
+    return await world.send(path, "POST", identifier, b"p", headers=GENERATION)
+
+
+def failures_of(world, name: str) -> float:
+    runner = world.named(name)
+    context = world.hosts[0].context
+    key = next(key for key in context.runners.by_key if key.name == name)
+    return context.engines(runner.service).failures.of(key)
+
+
+async def test_plain_runner_that_loses_answers_is_left_alone(log_path):
+    """Each answer lost is a request lost: it may not be repeated."""
+    async with platform_world(log_path) as world:
+        world.named("p-1").fault = RunnerFault.RESET_AFTER_RUN
+        answers = [
+            await world.send("/once/x", "POST", f"b-{n}", b"body") for n in range(12)
+        ]
+    assert len(world.named("p-1").ran) <= 1
+    assert sum(answer.status == 200 for answer in answers) >= 11
+
+
+@pytest.mark.parametrize("fault", [RunnerFault.SHED, RunnerFault.ERROR])
+async def test_decode_engine_that_fails_is_used_less(log_path, fault):
+    async with platform_world(log_path) as world:
+        for name in ("e-2", "e-3"):
+            world.named(name).fault = fault
+        await generate(world, "g-1")
+        assert failures_of(world, "e-2") + failures_of(world, "e-3") > 0.5
+
+
+async def test_decode_engine_that_breaks_a_stream_is_used_less(log_path):
+    async with platform_world(log_path) as world:
+        for name in ("e-2", "e-3"):
+            world.named(name).break_after_events = 2
+        await generate(world, "g-1")
+        assert failures_of(world, "e-2") + failures_of(world, "e-3") > 0.5
+
+
+async def test_prefill_engine_that_rejects_is_used_less(log_path):
+    async with platform_world(log_path) as world:
+        world.named("e-1").fault = RunnerFault.SHED
+        answer = await generate(world, "g-1")
+        assert answer.status == 200 and answer.complete
+        assert failures_of(world, "e-1") > 0.5
+
+
+async def test_prefill_that_reached_no_engine_takes_no_retry(log_path):
+    """The host has no retry at all: it has just started, with one request."""
+    async with platform_world(log_path, first_start=False) as world:
+        closed = free_addresses(1)[0]
+        world.named("e-1").port = int(closed.rpartition(":")[2])
+        world.beat()
+        context = world.hosts[0].context
+        await until_moved(context, closed)
+        answer = await generate(world, "g-1")
+    assert answer.status == 200 and answer.complete
+
+
+async def until_moved(context, address: str) -> None:
+    """Wait until the runner's new address is known."""
+    usable = lambda: {runner.address for runner in context.runners.usable("engines")}
+    await until(lambda: address in usable())
+
+
+async def test_rejected_prefill_without_a_retry_ends_the_request_at_once(log_path):
+    async with platform_world(log_path, first_start=False) as world:
+        world.named("e-1").fault = RunnerFault.SHED
+        answer = await generate(world, "g-1")
+        assert not any(world.named(name).received for name in ("e-2", "e-3"))
+        assert world.lines("request.ended")[-1]["outcome"] == "no_retry_left"
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+
+
+@pytest.mark.parametrize(("first_start", "arrivals"), [(True, 2), (False, 1)])
+async def test_host_that_starts_again_has_no_part_in_the_fixed_extra(
+    log_path, first_start, arrivals
+):
+    async with platform_world(log_path, first_start=first_start) as world:
+        runners = [world.named("p-1"), world.named("p-2")]
+        for runner in runners:
+            runner.fault = RunnerFault.SHED
+        await world.send("/once/x", "POST", "s-1", b"body")
+        assert sum(len(runner.received) for runner in runners) == arrivals
+
+
+async def test_generation_prefills_once_only(log_path):
+    """A prefill after the first send would count like any other send."""
+    async with platform_world(log_path) as world:
+        for name in ("e-2", "e-3"):
+            world.named(name).fault = RunnerFault.SHED
+        await generate(world, "g-1")
+        assert len(world.named("e-1").received) == 1
+        decoded = [world.named(name).received for name in ("e-2", "e-3")]
+        assert sum(len(received) for received in decoded) > 1
+
+
+async def test_stream_that_broke_before_its_head_takes_a_retry(log_path):
+    """The host has no retry: the second engine must not be asked."""
+    async with platform_world(log_path, first_start=False) as world:
+        for name in ("e-2", "e-3"):
+            world.named(name).fault = RunnerFault.RESET_AFTER_RUN
+        answer = await generate(world, "g-1", "/resume/x")
+        ran = [world.named(name).ran for name in ("e-2", "e-3")]
+    assert sorted(map(len, ran)) == [0, 1]
+    assert answer.status == 502
+
+
+async def test_decode_that_reached_no_engine_brings_no_second_prefill(
+    log_path, monkeypatch
+):
+    """The host has no retry: only the second engine's decode may count."""
+
+    async def grant(*_) -> str:
+        return "hold"
+
+    monkeypatch.setattr(engine_calls, "take_hold", grant)
+    async with platform_world(log_path, first_start=False) as world:
+        closed = free_addresses(1)[0]
+        context = world.hosts[0].context
+        placement = context.engines(world.named("e-2").service)
+        world.named("e-2").port = int(closed.rpartition(":")[2])
+        world.beat()
+        await until_moved(context, closed)
+        third = next(key for key in context.runners.by_key if key.name == "e-3")
+        placement.failures.note(third)
+        answer = await generate(world, "g-1")
+        assert len(world.named("e-1").received) == 1
+    assert answer.status == 200 and answer.complete
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -116,7 +116,12 @@
 
 
 def host_settings(
-    number: int, ports: list[int], store_port: int, seeds: list[str], **bounds: Any
+    number: int,
+    ports: list[int],
+    store_port: int,
+    seeds: list[str],
+    first_start: bool = True,
+    **bounds: Any,
 ) -> HostSettings:
     """Return the settings of one host, as the platform writes them."""
     listen = {
@@ -128,7 +133,7 @@
     settings = decode_settings(
         {
             "node_name": f"edge-{number}",
-            "bootstrap": True,
+            "bootstrap": first_start,
             "ip": "127.0.0.1",
             "zone": "zone-a",
             "region": "region",
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -105,3 +105,20 @@
             if backup.hold(KEY, answered) and home.complete(KEY, nonce):
                 granted.add(nonce)
     assert len(granted) <= 1
+
+
+def test_keeper_remembers_a_run_that_the_later_attempts_home_did_not_know_of():
+    """Two hosts that misjudge each other register the same request."""
+    table = AttemptTable()
+    assert table.hold(KEY, entry("a", 1))
+    assert table.hold(KEY, entry("b", 2))
+    assert table.by_key[KEY].ran
+
+
+@pytest.mark.parametrize("ran", [True, False])
+def test_keeper_of_an_attempt_that_ended_tells_only_of_what_ran(ran):
+    table = AttemptTable()
+    table.hold(KEY, entry("a", 1))
+    table.abandon(KEY, "a", ran)
+    table.hold(KEY, entry("b", 2))
+    assert table.by_key[KEY].ran is ran
--- /dev/null
+++ b/tests/unit/test_confirmations_of_attempts.py
@@ -0,0 +1,157 @@
+"""A refusal says "not run" only on the word of a keeper that knows of no run."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from expression import Ok
+from fuzz.test_attempts import NotRunMachine
+
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.models.declaration import Service, ServiceRunner
+from siskinlever._internal.models.outcome import Failed, Outcome, Reason, Refused
+from siskinlever._internal.requests.deliveries import Deliveries, ServiceRequest
+from siskinlever._internal.requests.execution import Executor
+from siskinlever._internal.requests.generation import Generator
+from siskinlever._internal.requests.registration import (
+    Confirmation,
+    Registered,
+    Standing,
+)
+from siskinlever._internal.requests.running import Running
+from siskinlever._internal.services.client import ServiceAnswer, ServiceCall
+from siskinlever._internal.timeline.recorder import Recorder
+from siskinlever._internal.utils.clock import Deadline, HybridClock
+from siskinlever._internal.utils.tasks import task_set
+
+REFUSED = Refused(Reason.OVERLOADED, 1.0, "full")
+CURRENT, RAN = Confirmation(Standing.CURRENT), Confirmation(Standing.CURRENT, True)
+NAMED = SimpleNamespace(
+    workspace="atelier",
+    request_id="critique-1",
+    key="atelier/critique-1",
+    body_digest="digest",
+    resume_after=None,
+    generated_id=False,
+)
+
+
+class StubRegistrar:
+    """Confirms as a test wants and keeps the order of what was asked."""
+
+    def __init__(self, confirmation: Confirmation) -> None:
+        self.confirmation = confirmation
+        self.asked: list[str] = []
+
+    async def register(self, request):
+        return Ok(Registered(1, "nonce", False, None, ()))
+
+    async def confirm(self, request, registered, handles):
+        self.asked.append("confirm")
+        return self.confirmation
+
+    async def complete(self, request, registered):
+        return Standing.CURRENT
+
+    async def abandon(self, request, registered, ran):
+        return False
+
+    def home_silent(self, request):
+        return Failed(Reason.OVERLOADED, "silent")
+
+
+def running() -> Running:
+    return Running(NAMED, Registered(1, "nonce", False, None, ()), None)
+
+
+def executor(registrar: StubRegistrar) -> Executor:
+    recorder = Recorder("host-1", HybridClock())
+    return Executor(None, None, None, registrar, None, recorder, Metrics(), None)
+
+
+@pytest.mark.parametrize(
+    ("confirmation", "outcome"),
+    [
+        (CURRENT, Outcome.NOT_RUN),
+        (RAN, Outcome.MAY_HAVE_RUN),
+        (Confirmation(Standing.REPLACED), Outcome.MAY_HAVE_RUN),
+        (Confirmation(Standing.UNKNOWN), Outcome.MAY_HAVE_RUN),
+    ],
+)
+async def test_refusal_of_a_generation_asks_a_keeper(confirmation, outcome):
+    ending = await executor(StubRegistrar(confirmation))._certain(running(), REFUSED)
+    assert ending.outcome is outcome
+
+
+async def test_generation_learns_of_a_run_before_it_begins():
+    attempt = running()
+    recorder = Recorder("host-1", HybridClock())
+    generator = Generator(None, StubRegistrar(RAN), recorder, Metrics())
+    await generator._check_current(attempt)
+    assert attempt.started
+    assert attempt.refusal(REFUSED).outcome is Outcome.MAY_HAVE_RUN
+
+
+class Client:
+    """Answers calls and keeps their order."""
+
+    def __init__(self, registrar: StubRegistrar) -> None:
+        self._registrar = registrar
+
+    async def call(self, address, call, timeout_s):
+        self._registrar.asked.append("call")
+        return ServiceAnswer(200, {}, b"{}")
+
+
+@pytest.mark.parametrize(
+    ("confirmation", "asked"),
+    [
+        (CURRENT, ["confirm", "call"]),
+        (Confirmation(Standing.REPLACED), ["confirm"]),
+        (Confirmation(Standing.UNKNOWN), ["confirm"]),
+    ],
+)
+async def test_named_service_request_runs_only_if_a_keeper_knows_of_it(
+    confirmation, asked
+):
+    registrar = StubRegistrar(confirmation)
+    runner = ServiceRunner(name="stock-1", address="127.0.0.1:9", zone="hall-a")
+    service = Service(name="stock", runners=(runner,), idempotent=True)
+    call = ServiceCall("POST", "", {}, b"{}", "lookup-1")
+    request = ServiceRequest("brosur", "lookup-1", service, call, named=True)
+    recorder = Recorder("host-1", HybridClock())
+    async with task_set() as tasks:
+        deliveries = Deliveries(
+            Client(registrar), None, registrar, recorder, Metrics(), tasks, set()
+        )
+        await deliveries.run(request)
+    assert registrar.asked == asked
+
+
+def test_own_word_alone_lets_no_attempt_begin():
+    """The true home is held for dead and the other keeper has not answered."""
+    machine = NotRunMachine()
+    machine.hold_for_dead("host-a", "host-b")
+    machine.ask("host-a", "critique-1")
+    assert not machine.dispatched
+    machine.serve_all()
+    assert machine.dispatched
+    machine.teardown()
+
+
+def test_fault_of_a_call_does_not_hold_an_attempt_up():
+    machine = NotRunMachine()
+    registrar = machine.registrar_by_host["host-a"]
+
+    async def fail(*_):
+        raise RuntimeError("a fault of the program")
+
+    registrar._peers.call = fail
+    request = SimpleNamespace(first_token_due=Deadline(0.3), **vars(NAMED))
+    registered = Registered(1, "nonce", False, None, ())
+    confirming = machine.loop.create_task(registrar.confirm(request, registered, ()))
+    machine.loop.go_on(3.0)
+    assert confirming.done()
+    assert confirming.result().standing is Standing.UNKNOWN
+    machine.teardown()
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -292,25 +292,23 @@
 def test_first_accepted_prefill_is_free_and_a_rejected_one_is_not():
     taken = []
     sends = CountedSends(lambda: taken.append(1) or True)
-    assert sends.may_send()
+    assert sends.is_prefill_free
     sends.note_prefilled()
-    assert sends.may_send() and not taken
-    sends.note_arrival()
-    assert sends.may_send() and len(taken) == 1
+    assert not sends.is_prefill_free
+    assert sends.take_next() and not taken
     rejected = CountedSends(lambda: False)
     rejected.note_arrival()
-    assert not rejected.may_send()
+    assert not rejected.is_prefill_free
+    assert not rejected.take_next()
 
 
-def test_send_that_was_paid_for_and_not_made_stays_paid():
+def test_send_that_was_taken_and_not_made_stays_taken():
     taken = []
     sends = CountedSends(lambda: taken.append(1) or True)
     sends.note_arrival()
-    assert sends.may_send() and sends.may_send() and len(taken) == 1
-    sends.note_prefilled()
-    assert sends.may_send() and len(taken) == 1
-    sends.note_prefilled()
-    assert sends.may_send() and len(taken) == 2
+    assert sends.take_next() and sends.take_next() and len(taken) == 1
+    sends.note_arrival()
+    assert sends.take_next() and len(taken) == 2
 
 
 def test_engine_that_lost_a_generation_is_left_alone_for_a_while():
@@ -347,4 +345,5 @@
     clock.now += 3.0
     assert failures.of(key) == 1.0
     clock.now += 60.0
-    assert failures.of(key) == 0.0 and not failures._count_by_runner
+    failures.note(engine("e-2", Stage.DECODE).key)
+    assert list(failures._count_by_runner) == [engine("e-2", Stage.DECODE).key]
--- a/tests/unit/test_load_model.py
+++ b/tests/unit/test_load_model.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import replace
 from statistics import mean
 
 import pytest
 
 from siskinlever_testbed.model import run
 from siskinlever_testbed.model.deployments import DEPLOYMENT_BY_NAME
+from siskinlever_testbed.model.engines import Engine
 from siskinlever_testbed.model.experiment import play
 from siskinlever_testbed.model.policies import POLICY_BY_NAME
+from siskinlever_testbed.model.virtual_time import VirtualTimeLoop
 
 SEEDS = (1, 2)
 
@@ -44,3 +48,34 @@
     printed = capsys.readouterr().out
     assert all(name in printed for name in POLICY_BY_NAME)
     assert (tmp_path / "brosur-kl.png").stat().st_size > 0
+
+
+def test_generation_that_has_not_ended_counts_as_owed(monkeypatch):
+    monkeypatch.setattr("siskinlever_testbed.model.experiment.SETTLE_S", 0.0)
+    deployment = DEPLOYMENT_BY_NAME["ramdin-atelier"]
+    whole = replace(deployment.arrivals, length_s=0.5, per_s=40.0)
+    result = play(
+        replace(deployment, arrivals=whole), POLICY_BY_NAME["told-at-once"], 1, 1.0
+    )
+    assert result.refused > 0.5
+    assert result.on_time + result.late + result.refused == pytest.approx(1.0)
+
+
+def test_engine_is_freed_when_a_caller_leaves():
+    loop = VirtualTimeLoop()
+    speed = DEPLOYMENT_BY_NAME["ramdin-atelier"].speed
+
+    async def leave() -> int:
+        engine = Engine("e-1", "zone", speed, True, loop.time)
+        working = asyncio.create_task(engine.work())
+        run = engine.decode(3_000, 500, engine.take_hold(3_200), is_read=True)
+        await asyncio.sleep(0.1)
+        engine.cancel(run)
+        await asyncio.sleep(0.1)
+        working.cancel()
+        return engine.used
+
+    try:
+        assert loop.run_until_complete(leave()) == 0
+    finally:
+        loop.finish()
--- /dev/null
+++ b/tests/unit/test_news_links.py
@@ -0,0 +1,85 @@
+"""Whom a host tells of its work at engines, and how often."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+
+import pytest
+
+from siskinlever._internal.exceptions import PeerError
+from siskinlever._internal.fleet.hosts import HostStatus
+from siskinlever._internal.fleet.in_progress import InProgress
+from siskinlever._internal.fleet.work_news import WorkNews
+from siskinlever._internal.models.upstreams import RunnerKey
+from siskinlever._internal.utils.tasks import task_set
+
+ENGINE = RunnerKey("e-1", 0)
+OWN = HostStatus("host-a", "zone", 1, "10.0.0.1:1", "10.0.0.1:2", True)
+
+
+class Peers:
+    """Keeps what was told, and fails as often as a test wants."""
+
+    def __init__(self, failures: int = 0) -> None:
+        self.told: list[tuple[str, int]] = []
+        self.failures = failures
+
+    async def call_address(self, address, rpc, message, timeout_s, tries):
+        if self.failures:
+            self.failures -= 1
+            raise PeerError(rpc)
+        self.told.append((address, message.engine_changes))
+
+
+async def tell_changes(peers: Peers, hosts: int, changes: int) -> None:
+    """Change the work at an engine some times in a tenth of a second."""
+    in_progress = InProgress()
+    async with task_set() as tasks:
+        news = WorkNews(lambda: OWN, peers, None, in_progress, tasks)
+        with ExitStack() as told:
+            for number in range(hosts):
+                told.enter_context(news.told_to(f"10.0.0.{number}:2"))
+            await asyncio.sleep(0)
+            for _ in range(changes):
+                with in_progress.decode(ENGINE, 3_000):
+                    await asyncio.sleep(0.005)
+            await asyncio.sleep(0.25)
+        with in_progress.decode(ENGINE, 3_000):
+            await asyncio.sleep(0.05)
+        left = [task.get_name() for task in asyncio.all_tasks()]
+        assert not [name for name in left if name.startswith("news-")]
+
+
+async def test_each_host_is_told_and_the_last_word_is_the_latest():
+    peers = Peers()
+    await tell_changes(peers, hosts=7, changes=10)
+    for number in range(7):
+        told = [changes for to, changes in peers.told if to == f"10.0.0.{number}:2"]
+        assert told[-1] == 20, "the last change was not told"
+        assert len(told) <= 5, "changes were not told together"
+
+
+async def test_too_many_hosts_are_told_nothing():
+    peers = Peers()
+    await tell_changes(peers, hosts=36, changes=2)
+    assert peers.told == []
+
+
+async def test_news_go_on_after_a_failed_call():
+    peers = Peers(failures=1)
+    await tell_changes(peers, hosts=1, changes=4)
+    assert peers.told[-1][1] == 8
+
+
+async def test_nobody_is_told_after_the_link_has_ended():
+    peers = Peers()
+    await tell_changes(peers, hosts=1, changes=1)
+    assert max(changes for _, changes in peers.told) == 2
+
+
+@pytest.mark.parametrize("hosts", [0, 1])
+async def test_host_without_work_tells_nothing(hosts):
+    peers = Peers()
+    await tell_changes(peers, hosts, changes=0)
+    assert peers.told == []
--- a/tests/unit/test_work_news.py
+++ b/tests/unit/test_work_news.py
@@ -33,14 +33,14 @@
     return HostStatus("host-b", "zone", incarnation, "10.0.0.2:1", "10.0.0.2:2", True)
 
 
-def work(tokens: int, number: int) -> HostWork:
+def work(tokens: int, engine_changes: int) -> HostWork:
     loads = {PLAIN: PLAIN_LOAD, **generation(tokens)}
-    return HostWork(load_by_runner=loads, number=number)
+    return HostWork(load_by_runner=loads, engine_changes=engine_changes)
 
 
 def test_telling_replaces_the_loads_at_engines_only():
     hosts = table()
-    hosts.hear(status(), work(1_000, number=4))
+    hosts.hear(status(), work(1_000, engine_changes=4))
     hosts.hear_engine_loads("host-b", 1, 5, generation(3_000))
     assert hosts.load_at(ENGINE) == RunnerLoad(1, 3_000)
     assert hosts.load_at(PLAIN) == PLAIN_LOAD
@@ -50,7 +50,7 @@
 
 def test_telling_that_was_overtaken_changes_nothing():
     hosts = table()
-    hosts.hear(status(), work(1_000, number=4))
+    hosts.hear(status(), work(1_000, engine_changes=4))
     hosts.hear_engine_loads("host-b", 1, 6, generation(2_000))
     hosts.hear_engine_loads("host-b", 1, 5, generation(3_000))
     assert hosts.load_at(ENGINE) == RunnerLoad(1, 2_000)
@@ -58,11 +58,11 @@
 
 def test_exchange_that_was_overtaken_keeps_the_loads_told_later():
     hosts = table()
-    hosts.hear(status(), work(1_000, number=4))
+    hosts.hear(status(), work(1_000, engine_changes=4))
     hosts.hear_engine_loads("host-b", 1, 6, generation(2_000))
-    hosts.hear(status(), work(1_000, number=5))
+    hosts.hear(status(), work(1_000, engine_changes=5))
     assert hosts.load_at(ENGINE) == RunnerLoad(1, 2_000)
-    hosts.hear(status(), work(4_000, number=7))
+    hosts.hear(status(), work(4_000, engine_changes=7))
     assert hosts.load_at(ENGINE) == RunnerLoad(1, 4_000)
 
 
@@ -70,10 +70,10 @@
     hosts = table()
     hosts.hear_engine_loads("host-b", 1, 1, generation(500))
     assert hosts.load_at(ENGINE) == RunnerLoad()
-    hosts.hear(status(incarnation=2), work(1_000, number=1))
+    hosts.hear(status(incarnation=2), work(1_000, engine_changes=1))
     hosts.hear_engine_loads("host-b", 1, 9, generation(9_000))
     assert hosts.load_at(ENGINE) == RunnerLoad(1, 1_000)
-    hosts.hear(status(incarnation=3), work(2_000, number=0))
+    hosts.hear(status(incarnation=3), work(2_000, engine_changes=0))
     assert hosts.load_at(ENGINE) == RunnerLoad(1, 2_000)
 
 
