Log the limits that runners state in their answers

A host logs runner.limit with the value before and after, and counts changes and statements that are not valid. The runners' stand-in states a limit and records when requests arrive. Nothing is limited yet.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -12,6 +12,7 @@
 
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import SharedRetryBudget
+from ..dispatch.runner_limits import RunnerLimits
 from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import DemandMeter
@@ -269,6 +270,7 @@
         switching=switching,
         unreachable_runners=unreachable_runners,
         retry_budget=budget,
+        limits=RunnerLimits(log, metrics),
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -9,7 +9,9 @@
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.reachability import Reachability
 from ..dispatch.retry_budget import SharedRetryBudget
+from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.wait_queue import WaitQueue
+from ..exceptions import InvalidRecordError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
 from ..fleet.hosts import HostTable, RunnerLoad, total_load
@@ -21,6 +23,8 @@
 from ..models.host_settings import HostSettings
 from ..models.ids import ServiceName
 from ..models.upstreams import Registration, RunnerKey
+from ..network.http1_client import AnswerHead
+from ..platform import wire
 from ..stages.switching import StageSwitches
 from ..utils.tasks import TaskSet
 
@@ -38,6 +42,7 @@
     switching: StageSwitches
     unreachable_runners: UnreachableRunners
     retry_budget: SharedRetryBudget
+    limits: RunnerLimits
     plain_placement: PlainPlacement
     log: LogLines
     metrics: Metrics
@@ -64,6 +69,18 @@
                 not_switching.append(replace(runner, stage=switch.stage))
         return not_switching
 
+    def note_statements(self, runner: RunnerKey, head: AnswerHead) -> None:
+        """Record what a runner states about itself in an answer."""
+        try:
+            limit = wire.request_limit(head)
+        except InvalidRecordError as error:
+            self.metrics.count("runner_statements_invalid")
+            self.log.write(
+                "runner.statement_invalid", runner=runner.name, reason=error.message
+            )
+            return
+        self.limits.note(runner, limit)
+
     def fleet_demand(self, service: ServiceName) -> Demand:
         """Return the demand for a service's engines, summed over all hosts."""
         own_demand = self.demand.by_service().get(service, Demand())
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -192,6 +192,8 @@
                     call = wire.runner_call(job.request, options)
                     async with exchange(runner.address, call) as answer:
                         body = await answer.read(MAX_PREFILL_ANSWER_BYTES)
+            if wire.is_answer_to(answer.head, job.request):
+                self._context.note_statements(runner.key, answer.head)
             if answer.head.status == 200:
                 self._retries.note_prefilled()
                 if queued == 0:
@@ -276,6 +278,8 @@
     ) -> EndedError | None:
         head = answer.head
         self._retries.note_arrival()
+        if wire.is_answer_to(head, self._job.request):
+            self._context.note_statements(runner.key, head)
         if wire.is_not_run(head):
             self._job.mark_not_run()
             if wire.is_other_runner(head, runner.key.name):
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -120,6 +120,8 @@
         load = wire.parse_load(head)
         if load is not None:
             placement.note_load(runner.key, load)
+        if wire.is_answer_to(head, self._job.request):
+            self._context.note_statements(runner.key, head)
         if wire.is_not_run(head):
             if wire.is_other_runner(head, runner.key.name):
                 self._context.runners.mark_replaced(runner.key)
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -100,6 +100,10 @@
     # unanswered.
     running: int = 0
     received: list[Request] = field(default_factory=list)
+    # Monotonic time of the arrival of each request in `received`.
+    received_at: list[float] = field(default_factory=list)
+    # Value of the Server-Limit header in answers to requests; None to omit it.
+    limit: str | None = None
     cancelled: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     switching_until: float = 0.0
@@ -162,13 +166,14 @@
             await _send(writer, status, [], json.dumps(body).encode())
             return
         self.received.append(request)
+        self.received_at.append(time.monotonic())
         attempt_id = request.get("attempt-id") or ""
         expected = request.get("expected-instance")
         if expected not in (None, self.name):
             await _send(writer, 421, [("Instance-Id", self.name)], b"")
             return
         if fault in (RunnerFault.SHED, RunnerFault.EARLY) or self._is_switching():
-            await _send(writer, 503, [("Not-Executed", "1")], b"")
+            await _send(writer, 503, self._rejection_headers(attempt_id), b"")
             return
         if fault is RunnerFault.MUTE:
             self.ran.append(attempt_id)
@@ -251,7 +256,8 @@
         if self.handles_lapse:
             self.handle_by_id.clear()
         body = {"kv_handle": handle, "tokens": prompt, "version": 1}
-        await _send(writer, 200, [], json.dumps(body).encode())
+        head = [("Attempt-Id", request.get("attempt-id") or ""), *self._statements()]
+        await _send(writer, 200, head, json.dumps(body).encode())
 
     async def _decode(
         self,
@@ -265,7 +271,7 @@
         prompt, max_tokens = _token_usage(request)
         source = request.get("kv-source")
         if source and not _take_handle(source):
-            await _send(writer, 503, [("Not-Executed", "1")], b"")
+            await _send(writer, 503, self._rejection_headers(attempt_id), b"")
             return
         self.ran.append(attempt_id)
         if fault is RunnerFault.ERROR:
@@ -320,8 +326,19 @@
             ("Attempt-Id", attempt_id),
             ("Server-Signature", f"{self.name}.{attempt_id}"),
             ("Instance-Load", f"{self.running},0,{self.slots}"),
+            *self._statements(),
         ]
 
+    def _rejection_headers(self, attempt_id: str) -> list[tuple[str, str]]:
+        return [
+            ("Attempt-Id", attempt_id),
+            ("Not-Executed", "1"),
+            *self._statements(),
+        ]
+
+    def _statements(self) -> list[tuple[str, str]]:
+        return [] if self.limit is None else [("Server-Limit", self.limit)]
+
     def report(self, request: Request) -> tuple[int, dict[str, Any]]:
         """Answer a request for the engine's load report."""
         return 200, {
