--- /dev/null
+++ b/tests/functional/test_runner_limits.py
@@ -0,0 +1,88 @@
+"""Runners that limit the requests that all hosts together send them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from lib.platform_world import platform_world, until
+
+LIMIT_PER_S = 3.2
+WINDOW_S = 4.0
+# Seconds after which a host that has passed on a runner's statement must obey it.
+NOTICE_S = 0.5
+# Requests in a window that a runner with `LIMIT_PER_S` takes.
+ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+HOSTS = 4
+
+
+@pytest.fixture
+def log_path(tmp_path) -> str:
+    return str(tmp_path / "log")
+
+
+async def send_steadily(world, per_s: float, for_s: float) -> list:
+    """Send requests to all hosts in turn; return the answers."""
+    tasks = []
+    for number in range(int(per_s * for_s)):
+        host = number % len(world.hosts)
+        call = world.send("/safe/x", identifier=f"s-{number}", host=host)
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(1 / per_s)
+    return await asyncio.gather(*tasks)
+
+
+def most_in_window(times: list[float], since: float) -> int:
+    """Return the largest number of times after ``since`` in one window."""
+    counted = [at for at in times if at >= since]
+    return max(
+        (sum(start <= at < start + WINDOW_S for at in counted) for start in counted),
+        default=0,
+    )
+
+
+async def test_hosts_together_exceed_the_limit_of_no_runner(log_path):
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        runners = [world.runner_named("p-1"), world.runner_named("p-2")]
+        for runner in runners:
+            runner.limit = str(LIMIT_PER_S)
+        started_at = time.monotonic()
+        await send_steadily(world, 40, 6.0)
+        for runner in runners:
+            since = started_at + NOTICE_S
+            assert most_in_window(runner.received_at, since) <= ALLOWED
+
+
+async def test_request_beyond_the_limits_of_all_runners_is_refused_at_once(log_path):
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        for name in ("p-1", "p-2"):
+            world.runner_named(name).limit = str(LIMIT_PER_S)
+        answers = await send_steadily(world, 40, 3.0)
+        refused = [answer for answer in answers if answer.status != 200]
+        assert refused
+        assert {answer.status for answer in refused} == {503}
+        assert all(float(a.headers["retry-after"]) > 0 for a in refused)
+        ended = world.lines("request.ended")
+        slowest = max(line["taken_s"] for line in ended if line.get("status") == 503)
+        assert slowest < 0.2
+
+
+async def test_limit_that_has_ended_is_not_applied(log_path):
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        runners = [world.runner_named("p-1"), world.runner_named("p-2")]
+        for runner in runners:
+            runner.limit = str(LIMIT_PER_S)
+        await send_steadily(world, 40, 2.0)
+        for runner in runners:
+            runner.limit = None
+
+        def has_ended(host) -> bool:
+            stated = host.context.limits.stated_by_runner.values()
+            return all(limit.per_s is None for limit in stated)
+
+        sending = asyncio.create_task(send_steadily(world, 20, 8.0))
+        await until(lambda: all(has_ended(host) for host in world.hosts), 10.0)
+        await sending
+        answers = await send_steadily(world, 40, 1.0)
+        assert [answer.status for answer in answers] == [200] * len(answers)
