Keep all hosts together within the limits that runners state

Cause: no host read Server-Limit. Each host by itself could not keep it either: it holds for all hosts together, with no peer and without the store. The class is a promise over all hosts that is kept a host at a time.

A few hosts, chosen for each runner by rendezvous hashing over the known hosts and the serving set, divide 0.85 of the limit in equal shares. A host's allowance is empty when it first hears a limit and never exceeds one request, so that no set of hosts exceeds the bound, whatever each last heard. All arrivals count: retries, prefills, decodes, rejected ones. Statements spread with the state that hosts exchange; the newest is in force. What the limits can't serve is refused at once, with the time until the next request.

Ruled out: an equal share for each host (195 hosts with one request in hand exceed a limit of 3.2); one host that grants requests to the others (exact and follows demand, but two hosts that both believe to be it grant twice the limit, and a call comes before each request).

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -32,7 +32,7 @@
 from ..logs.lines import STANDARD_OUTPUT, LogLines, log_lines
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
-from ..models.ids import Incarnation
+from ..models.ids import HostName, Incarnation
 from ..models.routes import CallerLimits
 from ..network.http1_server import (
     BodyBuffers,
@@ -229,6 +229,9 @@
         store_reader_count=hosts.store_reader_count,
         is_reader=lambda: view.is_reader,
     )
+    limits = RunnerLimits(
+        settings.host, lambda: _sending_hosts(view, hosts), log, metrics
+    )
     load_updates = LoadUpdates(
         own_status,
         links,
@@ -250,6 +253,7 @@
         demand,
         switching,
         unreachable_runners,
+        limits,
         follower,
         view,
         log,
@@ -270,7 +274,7 @@
         switching=switching,
         unreachable_runners=unreachable_runners,
         retry_budget=budget,
-        limits=RunnerLimits(log, metrics),
+        limits=limits,
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
@@ -281,6 +285,7 @@
         tasks=tasks,
     )
     unreachable_runners.subscribe(sync.announce)
+    limits.subscribe(sync.announce)
     lease = OrderLease(
         store,
         settings.host,
@@ -316,6 +321,17 @@
     return 2 * len(view.serving) if view.is_serving else math.inf
 
 
+def _sending_hosts(view: ServingView, hosts: HostTable) -> frozenset[HostName]:
+    """Return the hosts among which the limits of runners are divided.
+
+    In a large fleet, these are the hosts of the serving set. In a small one, they
+    include the hosts that were lost recently, which may still be sending requests.
+    """
+    if view.is_large and view.serving:
+        return frozenset(status.host for status in view.serving)
+    return frozenset({view.own_host, *hosts.by_host})
+
+
 async def _listen(host: GatewayHost, metrics: Metrics, stack: AsyncExitStack) -> None:
     context, listeners = host.context, host.settings.listeners
 
--- a/src/siskinlever/_internal/fleet/messages.py
+++ b/src/siskinlever/_internal/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from ..dispatch.runner_limits import StatedLimit
 from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
 from ..models.upstreams import Address, RunnerKey, Stage, StartedAt
 from ..peers import peer_pb2
@@ -118,6 +119,27 @@
     ]
 
 
+def to_limits(
+    stated_by_runner: Mapping[RunnerKey, StatedLimit], now: float
+) -> list[peer_pb2.FleetLimit]:
+    """Convert the limits that runners stated to messages.
+
+    Parameters
+    ----------
+    stated_by_runner : mapping of RunnerKey to StatedLimit
+    now : float
+        Monotonic time.
+    """
+    return [
+        peer_pb2.FleetLimit(
+            runner=to_runner(key),
+            per_s=stated.per_s,
+            age_ms=int((now - stated.stated_at) * MS_PER_S),
+        )
+        for key, stated in stated_by_runner.items()
+    ]
+
+
 def to_leaving(runner: KnownRunner) -> peer_pb2.FleetLeaving:
     """Convert a draining or gone process of a runner to its message."""
     return peer_pb2.FleetLeaving(
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 
+from ..dispatch.runner_limits import RunnerLimits
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
 from ..models.upstreams import Address, RunnerKey
@@ -26,6 +27,7 @@
     to_demands,
     to_host,
     to_leaving,
+    to_limits,
     to_loads,
     to_runner,
     to_switches,
@@ -86,6 +88,7 @@
     switching : StageSwitches
         Stage changes that this host has ordered.
     unreachable_runners : UnreachableRunners
+    limits : RunnerLimits
     follower : StoreFollower
         Provides the latest listing of the runners for hosts that are starting.
     view : ServingView
@@ -106,6 +109,7 @@
         demand: DemandMeter,
         switching: StageSwitches,
         unreachable_runners: UnreachableRunners,
+        limits: RunnerLimits,
         follower: StoreFollower,
         view: ServingView,
         log: LogLines,
@@ -121,6 +125,7 @@
         self._demand = demand
         self._switching = switching
         self._unreachable_runners = unreachable_runners
+        self._limits = limits
         self._follower = follower
         self._view = view
         self._log = log
@@ -171,6 +176,7 @@
                 LOST_AFTER_S, ALIVE_PERIODS * exchange_period_s(peers)
             )
             self._hosts.refresh_liveness()
+            self._limits.keep_only(self._runners.by_key)
             self._refresh_view()
 
     def _refresh_view(self) -> None:
@@ -311,6 +317,15 @@
             if self._view.is_large:
                 # Exchanges spread it quickly; only hosts that read it announce it.
                 self._announced_leaving.add(from_runner(leaving.runner))
+        for limit in state.limits:
+            key = from_runner(limit.runner)
+            if key in self._runners.by_key:
+                self._limits.note_report(
+                    key,
+                    limit.per_s if limit.HasField("per_s") else None,
+                    limit.age_ms / MS_PER_S,
+                    f"host {state.host.host}",
+                )
         same_version = state.configuration_version == self._configuration.version
         if same_version and state.configuration_age_ms != AGE_UNKNOWN_MS:
             age_s = state.configuration_age_ms / MS_PER_S
@@ -357,6 +372,7 @@
             demands=to_demands(work),
             switches=to_switches(work),
             unreachable=[to_runner(key) for key in work.unreachable],
+            limits=to_limits(self._limits.recent(), monotonic()),
             peers=self._known_peers() if includes_peers else (),
             asks_peers=asks_peers,
         )
--- a/src/siskinlever/_internal/fleet/serving_set.py
+++ b/src/siskinlever/_internal/fleet/serving_set.py
@@ -81,7 +81,7 @@
         hosts: HostTable,
         now: Callable[[], float] = monotonic,
     ) -> None:
-        self._own_host = own_host
+        self.own_host = own_host
         self._own_status = own_status
         self._hosts = hosts
         self._now = now
@@ -122,7 +122,7 @@
         """
         if not self.is_large or not self.serving:
             return True
-        own_score = _score(READERS_KEY, self._own_host)
+        own_score = _score(READERS_KEY, self.own_host)
         readers_before = [
             status
             for status in self.serving
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -10,12 +10,12 @@
 from ..dispatch.wait_queue import Waiter
 from ..exceptions import ExchangeError
 from ..models.routes import EngineSpec, Route
-from ..models.upstreams import Registration, RunnerKey
+from ..models.upstreams import Registration, RunnerKey, Stage
 from ..platform import wire
 from ..utils.clock import monotonic
 from . import engine_calls
 from .context import GatewayContext
-from .errors import EndedError, EndReason, refused
+from .errors import EndedError, EndReason, limited, refused
 from .job import Job
 
 # Fraction of the likely output tokens that is reserved in addition to the prompt.
@@ -153,6 +153,7 @@
         job.log_fields["waiting_before"] = len(queue)
         job.log_fields["needed_tokens"] = self.needed_tokens
         with queue.enqueued(waiter):
+            self._check_limits(len(queue), give_up_at)
             while True:
                 queue.reorder()
                 if waiter.at_head.is_set():
@@ -177,19 +178,47 @@
         if not usable:
             message = f"no engine of {job.service}"
             raise refused(EndReason.NO_RUNNER, message, NO_ENGINE_RETRY_S)
+        sendable = [r for r in usable if context.limits.may_send(r.key)]
         is_late = monotonic() > self.on_time_until
         for runner in self._placement.decode_candidates(
-            context.not_switching(usable),
+            context.not_switching(sendable),
             self._spec,
             self.needed_tokens,
             is_late,
             excluded,
         ):
             hold = await self._acquire_hold(runner)
-            if hold is not None:
+            if hold is not None and context.limits.take(runner.key):
                 return ReservedCapacity(runner, hold)
+            if hold is not None:
+                engine_calls.release_hold(context, runner, hold)
         return None
 
+    def _check_limits(self, waiting: int, give_up_at: float) -> None:
+        """Refuse the request if the limits of the engines cannot serve it in time.
+
+        Parameters
+        ----------
+        waiting : int
+            Number of requests in the queue, including this one.
+        give_up_at : float
+            Monotonic time until which the request may wait.
+        """
+        limits, service = self._context.limits, self._job.service
+        engines = [
+            runner.key
+            for runner in self._context.runners.usable(service)
+            if runner.stage is Stage.DECODE
+        ]
+        rate_per_s = sum(limits.rate_of(key) for key in engines)
+        time_left_s = give_up_at - monotonic()
+        if engines and waiting > max(1.0, rate_per_s * time_left_s):
+            raise limited(service, limits.wait_s(engines))
+        if engines and not any(map(limits.may_send, engines)):
+            wait_s = limits.wait_s(engines)
+            if wait_s is None or wait_s > time_left_s:
+                raise limited(service, wait_s)
+
     async def _acquire_hold(self, runner: Registration) -> str | None:
         """Return the id of a new reservation at an engine.
 
--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -9,6 +9,10 @@
 
 # Retry-After varies by up to this fraction in both directions.
 RETRY_JITTER = 0.4
+# Retry-After in seconds of a request that only other hosts may send to the runners,
+# since these have stated limits.
+LIMITED_ELSEWHERE_RETRY_S = 0.3
+MIN_LIMITED_RETRY_S = 0.05
 # Retry-After in seconds of a request that timed out before it was run.
 TIMEOUT_RETRY_S = 1.0
 
@@ -22,6 +26,7 @@
     NO_RUNNER = "no_runner"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
+    LIMITED = "limited_by_runners"
     NO_RETRY_LEFT = "no_retry_left"
     STOPPING = "stopping"
     REJECTED = "rejected_by_runner"
@@ -71,6 +76,23 @@
     return EndedError(503, reason, message, retry_after_s * jitter)
 
 
+def limited(service: str, wait_s: float | None) -> EndedError:
+    """Return the error for a request that exceeds the limits of all runners.
+
+    Parameters
+    ----------
+    service : str
+    wait_s : float or None
+        Seconds until this host may send a request to one of them; None if only other
+        hosts may.
+    """
+    if wait_s is None:
+        wait_s = LIMITED_ELSEWHERE_RETRY_S
+    retry_after_s = max(wait_s, MIN_LIMITED_RETRY_S)
+    message = f"all runners of {service} have reached the limits that they stated"
+    return refused(EndReason.LIMITED, message, retry_after_s)
+
+
 def failed(reason: EndReason, message: str) -> EndedError:
     """Return the error for a request that ran or may have run (status 502)."""
     return EndedError(502, reason, message)
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -126,6 +126,7 @@
             failure is not None
             and failure.reason is EndReason.REJECTED
             and source is not None
+            and self._context.limits.take(capacity.runner.key)
         ):
             # The KV cache of the prompt may have been lost before the decode engine
             # fetched it, so the decode engine repeats the prefill itself.
@@ -143,7 +144,12 @@
         source : str or None
             Location of the KV cache; None if the decode engine must prefill.
         """
-        usable = self._context.runners.usable(self._job.service)
+        limits = self._context.limits
+        usable = [
+            runner
+            for runner in self._context.runners.usable(self._job.service)
+            if limits.may_send(runner.key)
+        ]
         slack_s = self._search.on_time_until - monotonic()
         runner = None
         # A prefill is exempt from the retry budget only while no send has arrived at
@@ -159,6 +165,8 @@
                     self._job.route.target_gap_s,
                 ),
             )
+        if runner is not None:
+            limits.take(runner.key)
         handle = await self._prefill(runner) if runner is not None else None
         if runner is None or handle is None:
             yield None
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -8,7 +8,7 @@
 from ..network.http1_server import CallerConnection
 from ..platform import wire
 from .context import GatewayContext
-from .errors import EndedError, EndReason, failed, refused
+from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
 from .relay import BufferedAnswer, relay_plain
 
@@ -66,8 +66,7 @@
         """
         failure: EndedError | None = None
         while True:
-            usable = self._context.runners.usable(self._job.service)
-            runner = self._context.plain_placement.choose(usable, self._tried)
+            runner = self._choose_runner()
             if runner is None:
                 break
             self._tried.add(runner.key)
@@ -88,8 +87,21 @@
             return self._buffered.runner
         raise failure or self._no_runner()
 
+    def _choose_runner(self) -> Registration | None:
+        context = self._context
+        usable = context.runners.usable(self._job.service)
+        sendable = [r for r in usable if context.limits.may_send(r.key)]
+        runner = context.plain_placement.choose(sendable, self._tried)
+        if runner is not None:
+            context.limits.take(runner.key)
+        return runner
+
     def _no_runner(self) -> EndedError:
         service = self._job.service
+        usable = self._context.runners.usable(service)
+        if usable:
+            wait_s = self._context.limits.wait_s(runner.key for runner in usable)
+            return limited(service, wait_s)
         return refused(
             EndReason.NO_RUNNER, f"no runner of {service}", NO_RUNNER_RETRY_S
         )
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -86,3 +86,25 @@
         await sending
         answers = await send_steadily(world, 40, 1.0)
         assert [answer.status for answer in answers] == [200] * len(answers)
+
+
+async def test_generations_exceed_the_limit_of_no_engine(log_path):
+    """Prefills, decodes and second attempts all count."""
+    headers = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        engines = [world.runner_named(name) for name in ("e-1", "e-2", "e-3")]
+        for engine in engines:
+            engine.limit = str(LIMIT_PER_S)
+        started_at = time.monotonic()
+        tasks = []
+        for number in range(100):
+            call = world.send(
+                "/stream/x", "POST", f"g-{number}", b"p", number % HOSTS, headers
+            )
+            tasks.append(asyncio.create_task(call))
+            await asyncio.sleep(0.05)
+        answers = await asyncio.gather(*tasks)
+        for engine in engines:
+            since = started_at + NOTICE_S
+            assert most_in_window(engine.received_at, since) <= ALLOWED
+        assert {answer.status for answer in answers} == {200, 503}
--- /dev/null
+++ b/tests/unit/test_runner_limits.py
@@ -0,0 +1,157 @@
+"""Limits that runners state, divided among hosts that know each other to a degree."""
+
+from __future__ import annotations
+
+from unittest.mock import Mock
+
+import pytest
+
+from siskinlever._internal.dispatch.runner_limits import RunnerLimits, sender_share
+from siskinlever._internal.models.ids import HostName, RunnerName
+from siskinlever._internal.models.upstreams import RunnerKey, StartedAt
+
+RUNNER = RunnerKey(RunnerName("r-1"), StartedAt(1))
+WINDOW_S = 4.0
+STEP_S = 0.05
+
+
+class Fleet:
+    """Hosts that send a runner all that they may, on a clock of the test.
+
+    `known` maps each host to the hosts that it knows.
+    """
+
+    def __init__(self, names: list[str], limit: float) -> None:
+        self.now = 100.0
+        self.known = {HostName(n): frozenset(map(HostName, names)) for n in names}
+        self.limits = {name: self._limits(name) for name in self.known}
+        self.sent: list[float] = []
+        for limits in self.limits.values():
+            limits.note(RUNNER, limit)
+
+    def _limits(self, name: HostName) -> RunnerLimits:
+        hosts = lambda: self.known[name]
+        return RunnerLimits(name, hosts, Mock(), Mock(), lambda: self.now)
+
+    def run(self, seconds: float, senders: list[HostName] | None = None) -> None:
+        """Let hosts send as often as they may."""
+        for _ in range(int(seconds / STEP_S)):
+            self.now += STEP_S
+            for name in senders or self.limits:
+                if self.limits[name].take(RUNNER):
+                    self.sent.append(self.now)
+
+    def most_in_window(self) -> int:
+        return max(
+            (sum(s <= at < s + WINDOW_S for at in self.sent) for s in self.sent),
+            default=0,
+        )
+
+
+def allowed(limit: float) -> float:
+    return 1.5 * limit * WINDOW_S + 5
+
+
+def names(count: int) -> list[str]:
+    return [f"host-{number}" for number in range(count)]
+
+
+@pytest.mark.parametrize("limit", [0.0, 0.4, 1.0, 3.2, 4.1, 12.5, 300.0])
+@pytest.mark.parametrize("hosts", [1, 2, 7, 8, 15, 84, 195])
+def test_hosts_together_stay_within_a_limit(hosts, limit):
+    fleet = Fleet(names(hosts), limit)
+    fleet.run(20.0)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
+@pytest.mark.parametrize("limit", [0.0, 0.4, 3.2, 12.5])
+@pytest.mark.parametrize("hosts", [7, 15, 84])
+def test_hosts_that_saved_their_shares_stay_within_a_limit(hosts, limit):
+    """No host has sent anything for long, and then all do at once."""
+    fleet = Fleet(names(hosts), limit)
+    fleet.now += 60.0
+    fleet.run(8.0)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
+@pytest.mark.parametrize("limit", [0.4, 3.2, 12.5])
+@pytest.mark.parametrize("hosts", [7, 8])
+def test_host_without_any_peer_does_not_break_a_limit(hosts, limit):
+    fleet = Fleet(names(hosts), limit)
+    alone = HostName("host-0")
+    fleet.known[alone] = frozenset({alone})
+    fleet.run(20.0)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
+@pytest.mark.parametrize("hosts", [7, 15, 84])
+def test_replaced_hosts_do_not_break_a_limit(hosts):
+    """Half of the hosts still know the old host, the others the new one."""
+    fleet = Fleet(names(hosts), 3.2)
+    everyone = frozenset(map(HostName, names(hosts)))
+    for number, name in enumerate(fleet.known):
+        if number % 2:
+            fleet.known[name] = everyone - {HostName("host-0")} | {HostName("new")}
+    fleet.run(20.0)
+    assert fleet.most_in_window() <= allowed(3.2)
+
+
+def test_limit_that_falls_or_ends_applies_at_once():
+    fleet = Fleet(names(7), 20.0)
+    fleet.run(10.0)
+    for limits in fleet.limits.values():
+        limits.note(RUNNER, 1.0)
+    fleet.sent.clear()
+    fleet.run(10.0)
+    assert fleet.most_in_window() <= allowed(1.0)
+    for limits in fleet.limits.values():
+        limits.note(RUNNER, None)
+    assert all(limits.may_send(RUNNER) for limits in fleet.limits.values())
+
+
+@pytest.mark.parametrize(("hosts", "least_share"), [(7, 0.6), (8, 0.6), (84, 0.6)])
+def test_callers_on_all_hosts_use_most_of_a_limit(hosts, least_share):
+    fleet = Fleet(names(hosts), 3.2)
+    fleet.run(60.0)
+    assert len(fleet.sent) >= least_share * 3.2 * 60.0
+
+
+def test_newest_statement_of_all_hosts_is_in_force():
+    limits = Fleet(names(2), 3.2).limits[HostName("host-0")]
+    limits.note_report(RUNNER, None, 1.0, "host-1")
+    assert limits.limit_of(RUNNER) == 3.2
+    limits._now = lambda: 103.0
+    limits.note_report(RUNNER, None, 1.0, "host-1")
+    assert limits.limit_of(RUNNER) is None
+    assert limits.recent()[RUNNER].per_s is None
+
+
+def test_another_process_of_a_runner_has_no_limit():
+    limits = Fleet(names(1), 3.2).limits[HostName("host-0")]
+    assert limits.may_send(RunnerKey(RUNNER.name, StartedAt(2)))
+
+
+def test_limits_of_unknown_runners_are_removed():
+    limits = Fleet(names(1), 3.2).limits[HostName("host-0")]
+    limits.may_send(RUNNER)
+    limits.keep_only([RUNNER])
+    assert limits.limit_of(RUNNER) == 3.2
+    limits.keep_only([])
+    assert not limits.stated_by_runner and not limits._allowance_by_runner
+
+
+def test_wait_is_the_time_until_the_next_request():
+    fleet = Fleet(names(1), 3.2)
+    limits = fleet.limits[HostName("host-0")]
+    wait_s = limits.wait_s([RUNNER])
+    fleet.now += wait_s - 0.01
+    assert not limits.may_send(RUNNER)
+    fleet.now += 0.02
+    assert limits.may_send(RUNNER)
+
+
+def test_runner_is_sent_requests_by_few_hosts_of_a_large_fleet():
+    hosts = frozenset(map(HostName, names(195)))
+    shares = [sender_share(RUNNER, 3.2, host, hosts) for host in hosts]
+    assert sum(share > 0 for share in shares) == 6
+    assert sum(shares) == pytest.approx(1.0)
