Log the software version of runners and the attempt that a stream continues

The runners' stand-in has a version, its events name it, and it records prompts that another version has read. No decision uses the version yet.

--- a/src/siskinlever/_internal/fleet/runners.py
+++ b/src/siskinlever/_internal/fleet/runners.py
@@ -226,6 +226,7 @@
             service=registration.service,
             address=registration.address,
             stage=registration.stage.value if registration.stage else None,
+            version=registration.version,
             sequence=registration.sequence,
             before=before.value if before else None,
             after=after.value,
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -93,6 +93,9 @@
             raise refused(
                 EndReason.TOO_LARGE, "larger than an engine's memory", TOO_LARGE_RETRY_S
             )
+        first_attempt = wire.first_attempt_id(self._job.request)
+        if first_attempt:
+            self._job.log_fields["resumes"] = first_attempt
         with self._context.demand.generation(
             self._job.service, self._requested.prompt_tokens, self._search.needed_tokens
         ):
@@ -249,6 +252,7 @@
         self, capacity: ReservedCapacity, source: str | None
     ) -> EndedError | None:
         job, runner = self._job, capacity.runner
+        job.log_fields["version"] = runner.version
         if not self._retries.charge_next():
             message = "the retry budget is spent"
             return refused(EndReason.NO_RETRY_LEFT, message, FAILED_RETRY_S)
--- a/src/siskinlever/_internal/models/upstreams.py
+++ b/src/siskinlever/_internal/models/upstreams.py
@@ -11,6 +11,8 @@
 Address = NewType("Address", str)
 # Unix time of a runner's start in milliseconds.
 StartedAt = NewType("StartedAt", int)
+# Version of a runner's software, not of the weights that it has loaded.
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 
 class Stage(Enum):
@@ -57,6 +59,8 @@
         Increases with each registration of the same process.
     stage : Stage or None
         None for plain services.
+    version : str
+        Version of its software.
     """
 
     key: RunnerKey
@@ -67,6 +71,7 @@
     draining: bool
     sequence: int
     stage: Stage | None
+    version: SoftwareVersion
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinlever/_internal/platform/records.py
+++ b/src/siskinlever/_internal/platform/records.py
@@ -25,6 +25,7 @@
     EngineReport,
     Registration,
     RunnerKey,
+    SoftwareVersion,
     Stage,
     StartedAt,
 )
@@ -114,6 +115,7 @@
         # of this name counts accepted orders.
         sequence=required_field(record, "sequence", int),
         stage=_decode_stage(record),
+        version=SoftwareVersion(required_field(record, "version", str)),
     )
 
 
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -41,6 +41,8 @@
 KV_SOURCE = b"kv-source"
 HOLD = b"kv-hold"
 RETRY_AFTER = b"retry-after"
+# Id of the attempt that brought the first event of the stream that a caller takes up.
+FIRST_ATTEMPT = b"resumes"
 # Requests a second that the runner takes from all hosts together.
 REQUEST_LIMIT = b"server-limit"
 
@@ -138,6 +140,11 @@
     return request.get(REQUEST_ID) or ""
 
 
+def first_attempt_id(request: ReceivedRequest) -> str:
+    """Return the id of the attempt whose stream the request continues, or ""."""
+    return request.get(FIRST_ATTEMPT) or ""
+
+
 def host_name(request: ReceivedRequest) -> str:
     """Return the value of the Host header, or ""."""
     return request.get(b"host") or ""
--- a/src/siskinlever_testbed/model/serving.py
+++ b/src/siskinlever_testbed/model/serving.py
@@ -28,6 +28,7 @@
     Address,
     Registration,
     RunnerKey,
+    SoftwareVersion,
     Stage,
     StartedAt,
 )
@@ -311,4 +312,5 @@
         False,
         1,
         Stage.DECODE if engine.decodes else Stage.PREFILL,
+        SoftwareVersion("v1"),
     )
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -21,6 +21,7 @@
 # SO_LINGER with a timeout of 0: closing the socket resets the connection.
 LINGER_ZERO = struct.pack("ii", 1, 0)
 BLOCK_TOKENS = 16
+FIRST_VERSION = "v1"
 
 
 class RunnerFault(Enum):
@@ -93,6 +94,8 @@
     switch_s: float = 0.3
     # Start time in the registration, which identifies the process; None to omit it.
     born: int | None = None
+    # Version of its software. Events name it unless it is the first version.
+    version: str = FIRST_VERSION
     sequence: int = 0
     draining: bool = False
     ran: list[str] = field(default_factory=list)
@@ -105,6 +108,8 @@
     # Value of the Server-Limit header in answers to requests; None to omit it.
     limit: str | None = None
     cancelled: list[str] = field(default_factory=list)
+    # Attempts whose prompt an engine of another version has read.
+    foreign_prompts: list[str] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     switching_until: float = 0.0
     refuses_holds: bool = False
@@ -126,7 +131,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": 0,
@@ -270,7 +275,7 @@
         self.held_by_id.pop(request.get("kv-hold") or "", None)
         prompt, max_tokens = _token_usage(request)
         source = request.get("kv-source")
-        if source and not _take_handle(source):
+        if source and not self._take_handle(source, attempt_id):
             await _send(writer, 503, self._rejection_headers(attempt_id), b"")
             return
         self.ran.append(attempt_id)
@@ -306,7 +311,7 @@
                 if disconnected.done():
                     self.cancelled.append(attempt_id)
                     return
-                event = f"id: {number}\ndata: token-{number}\n\n".encode()
+                event = self._event(number)
                 if number - first + 1 == self.break_after_events:
                     writer.write(_chunk(event[: len(event) // 2]))
                     await writer.drain()
@@ -321,6 +326,19 @@
         finally:
             disconnected.cancel()
 
+    def _take_handle(self, source: str, attempt_id: str) -> bool:
+        address, _, handle = source.partition("/")
+        engine = ENGINE_BY_ADDRESS.get(address)
+        if engine is None or engine.handle_by_id.pop(handle, None) is None:
+            return False
+        if engine.version != self.version:
+            self.foreign_prompts.append(attempt_id)
+        return True
+
+    def _event(self, number: int) -> bytes:
+        suffix = "" if self.version == FIRST_VERSION else f" of {self.version}"
+        return f"id: {number}\ndata: token-{number}{suffix}\n\n".encode()
+
     def _answer_headers(self, attempt_id: str) -> list[tuple[str, str]]:
         return [
             ("Attempt-Id", attempt_id),
@@ -400,12 +418,6 @@
 ENGINE_BY_ADDRESS: dict[str, RunnerStandIn] = {}
 
 
-def _take_handle(source: str) -> bool:
-    address, _, handle = source.partition("/")
-    engine = ENGINE_BY_ADDRESS.get(address)
-    return engine is not None and engine.handle_by_id.pop(handle, None) is not None
-
-
 def _token_usage(request: Request) -> tuple[int, int]:
     prompt, max_tokens = (
         int(p) for p in (request.get("token-usage") or "0,0").split(",")
--- a/tests/lib/runners.py
+++ b/tests/lib/runners.py
@@ -13,11 +13,14 @@
     draining: bool = False,
     sequence: int = 1,
     started_at: int = 0,
+    version: str = "v1",
 ) -> Registration:
     """Return the registration of a runner with 6 slots."""
     key = RunnerKey(name, started_at)
     address = f"10.0.0.1:{8000 + sum(name.encode())}"
-    return Registration(key, service, address, zone, 6, draining, sequence, stage)
+    return Registration(
+        key, service, address, zone, 6, draining, sequence, stage, version
+    )
 
 
 def plain(name: str, zone: str) -> Registration:
@@ -25,6 +28,6 @@
     return registration(name, zone)
 
 
-def engine(name: str, stage: Stage) -> Registration:
+def engine(name: str, stage: Stage, version: str = "v1") -> Registration:
     """Return the registration of a model engine."""
-    return registration(name, stage=stage)
+    return registration(name, stage=stage, version=version)
--- a/tests/unit/test_platform_records.py
+++ b/tests/unit/test_platform_records.py
@@ -170,6 +170,8 @@
         ({"born": True}, "born"),
         ({"stage": "odd"}, "stage"),
         ({"sequence": None}, "sequence"),
+        ({"version": None}, "version"),
+        ({"version": 2}, "version"),
     ],
 )
 def test_error_names_invalid_field_of_registration(changes, field):
