Continue a stream only at the software version that began it

Cause: the registration's version was dropped by the decoder, so that each part of a stream chose its engine anew: the second stage, an attempt after a break, a caller's next try at another host. The class is the identity of a stream that is lost between two of its parts.

Prefill engines are those of the decode engine's version; after the first event only engines of its version are used. The host that begins a stream of a resumable route tells two others the version before the first event; the host at which a caller takes it up asks all. Unknown while several versions serve, or a version without a decode engine: refused before the prompt is read. The plan of the stages keeps a decode engine of each version and gives one to a version with prefill engines only.

Ruled out: choosing the version by a hash of the attempt's id, which needs no memory, but the set of versions changes while streams run; a record in the store, which may be down and would be written for each request.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -24,6 +24,7 @@
 from ..fleet.runners import RunnerDirectory
 from ..fleet.serving_set import ServingView
 from ..fleet.store_follower import StoreFollower, StoreHealth
+from ..fleet.stream_versions import StreamVersions
 from ..fleet.unreachable_runners import UnreachableRunners
 from ..gateway.context import GatewayContext
 from ..gateway.endpoints import JSON_HEADERS, TEXT_HEADERS, Answer, connection_handler
@@ -114,6 +115,8 @@
             "Sync": host.sync.serve,
             "FetchFleetDocuments": host.sync.serve_documents,
             "TellWork": host.load_updates.serve,
+            "NoteStream": host.context.stream_versions.serve_note,
+            "FindStream": host.context.stream_versions.serve_find,
         }
         await stack.enter_async_context(
             peer_server(listeners.peers, PEER_KEY, None, handlers)
@@ -275,6 +278,9 @@
         unreachable_runners=unreachable_runners,
         retry_budget=budget,
         limits=limits,
+        stream_versions=StreamVersions(
+            settings.host, lambda: _other_servers(view, hosts), links, log, tasks
+        ),
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
@@ -332,6 +338,13 @@
     return frozenset({view.own_host, *hosts.by_host})
 
 
+def _other_servers(view: ServingView, hosts: HostTable) -> list[HostStatus]:
+    """Return the other live hosts that serve callers."""
+    if view.is_large:
+        return [status for status in view.serving if status.host != view.own_host]
+    return [known.status for known in hosts.alive() if known.status.serving]
+
+
 async def _listen(host: GatewayHost, metrics: Metrics, stack: AsyncExitStack) -> None:
     context, listeners = host.context, host.settings.listeners
 
--- a/src/siskinlever/_internal/dispatch/stage_plan.py
+++ b/src/siskinlever/_internal/dispatch/stage_plan.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -60,7 +61,8 @@
 def next_change(runners: Sequence[Registration], work: StageWork) -> StageChange | None:
     """Return the next change that justifies its cost, or None.
 
-    The plan keeps at least one engine of each stage if there are two or more.
+    The plan keeps at least one engine of each stage if there are two or more, and one
+    decode engine of each software version, so that the streams that it began can go on.
 
     Parameters
     ----------
@@ -72,17 +74,21 @@
     prefill = [runner for runner in runners if runner.stage is Stage.PREFILL]
     decode = [runner for runner in runners if runner.stage is Stage.DECODE]
     total = len(prefill) + len(decode)
-    if prefill and not decode:
-        # A decode engine can also prefill; prefill engines alone serve no requests.
-        return StageChange(_from_largest_zone(prefill), Stage.DECODE)
+    decode_count_by_version = Counter(runner.version for runner in decode)
+    useless = [r for r in prefill if not decode_count_by_version[r.version]]
+    if useless:
+        # A decode engine can also prefill; prefill engines of a version without decode
+        # engines serve no requests.
+        return StageChange(_from_largest_zone(useless), Stage.DECODE)
     if total < 2:
         return None
     desired_prefill = min(max(work.prefill_share * total, 1.0), total - 1.0)
     surplus = len(prefill) - desired_prefill
     if surplus >= HYSTERESIS_ENGINES and len(prefill) > 1:
         return StageChange(_from_largest_zone(prefill), Stage.DECODE)
-    if -surplus >= HYSTERESIS_ENGINES and len(decode) > 1:
-        return StageChange(_from_largest_zone(decode), Stage.PREFILL)
+    spare = [r for r in decode if decode_count_by_version[r.version] > 1]
+    if -surplus >= HYSTERESIS_ENGINES and spare:
+        return StageChange(_from_largest_zone(spare), Stage.PREFILL)
     return None
 
 
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -7,10 +7,11 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from ..dispatch.engine_versions import at_version, can_decode
 from ..dispatch.wait_queue import Waiter
 from ..exceptions import ExchangeError
 from ..models.routes import EngineSpec, Route
-from ..models.upstreams import Registration, RunnerKey, Stage
+from ..models.upstreams import Registration, RunnerKey, SoftwareVersion, Stage
 from ..platform import wire
 from ..utils.clock import monotonic
 from . import engine_calls
@@ -86,6 +87,7 @@
         self._requested = requested
         self._spec = spec
         self._placement = context.placement_for(job.service)
+        self._version: SoftwareVersion | None = None
         route = job.route
         prior_wait_s = context.caller_waits.prior_wait_s(
             route.name, route.timeout_s, job.caller_timeout_s
@@ -106,7 +108,7 @@
 
     @asynccontextmanager
     async def reserve(
-        self, excluded: Collection[RunnerKey]
+        self, excluded: Collection[RunnerKey], version: SoftwareVersion | None = None
     ) -> AsyncIterator[ReservedCapacity]:
         """Hold a reservation at an engine for the duration of the block.
 
@@ -116,6 +118,8 @@
         ----------
         excluded : collection of RunnerKey
             Engines that must not be used.
+        version : str or None, default=None
+            The only software version of engines to use; None for any.
 
         Yields
         ------
@@ -124,9 +128,10 @@
         Raises
         ------
         EndedError
-            Raised when the service has no usable engine, or when no capacity
-            becomes available early enough for the caller.
+            Raised when the service has no usable engine of the version, or when no
+            capacity becomes available early enough for the caller.
         """
+        self._version = version
         capacity = await self._wait(excluded)
         key = capacity.runner.key
         try:
@@ -173,11 +178,8 @@
     async def _try_engines(
         self, excluded: Collection[RunnerKey]
     ) -> ReservedCapacity | None:
-        context, job = self._context, self._job
-        usable = context.runners.usable(job.service)
-        if not usable:
-            message = f"no engine of {job.service}"
-            raise refused(EndReason.NO_RUNNER, message, NO_ENGINE_RETRY_S)
+        context = self._context
+        usable = self._usable_engines()
         sendable = [r for r in usable if context.limits.may_send(r.key)]
         is_late = monotonic() > self.on_time_until
         for runner in self._placement.decode_candidates(
@@ -194,6 +196,18 @@
                 engine_calls.release_hold(context, runner, hold)
         return None
 
+    def _usable_engines(self) -> list[Registration]:
+        """Return the engines that the generation may use; refuse it if none decodes."""
+        service = self._job.service
+        usable = self._context.runners.usable(service)
+        if not usable:
+            message = f"no engine of {service}"
+            raise refused(EndReason.NO_RUNNER, message, NO_ENGINE_RETRY_S)
+        if self._version is not None and not can_decode(usable, self._version):
+            message = f"no decode engine of version {self._version}, which began it"
+            raise refused(EndReason.VERSION_GONE, message, NO_ENGINE_RETRY_S)
+        return at_version(usable, self._version)
+
     def _check_limits(self, waiting: int, give_up_at: float) -> None:
         """Refuse the request if the limits of the engines cannot serve it in time.
 
@@ -207,7 +221,9 @@
         limits, service = self._context.limits, self._job.service
         engines = [
             runner.key
-            for runner in self._context.runners.usable(service)
+            for runner in at_version(
+                self._context.runners.usable(service), self._version
+            )
             if runner.stage is Stage.DECODE
         ]
         rate_per_s = sum(limits.rate_of(key) for key in engines)
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -17,6 +17,7 @@
 from ..fleet.hosts import HostTable, RunnerLoad, total_load
 from ..fleet.in_progress import InProgress
 from ..fleet.runners import RunnerDirectory
+from ..fleet.stream_versions import StreamVersions
 from ..fleet.unreachable_runners import UnreachableRunners
 from ..logs.lines import LogLines
 from ..metrics.registry import Metrics
@@ -43,6 +44,7 @@
     unreachable_runners: UnreachableRunners
     retry_budget: SharedRetryBudget
     limits: RunnerLimits
+    stream_versions: StreamVersions
     plain_placement: PlainPlacement
     log: LogLines
     metrics: Metrics
--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -27,6 +27,8 @@
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     LIMITED = "limited_by_runners"
+    VERSION_GONE = "version_gone"
+    VERSION_UNKNOWN = "version_unknown"
     NO_RETRY_LEFT = "no_retry_left"
     STOPPING = "stopping"
     REJECTED = "rejected_by_runner"
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import ExitStack, asynccontextmanager
 
+from ..dispatch.engine_versions import at_version, only_version
 from ..dispatch.retry_accounting import RetryAccounting
 from ..exceptions import (
     AnswerBrokenError,
@@ -14,7 +15,7 @@
     InvalidRecordError,
 )
 from ..models.routes import EngineSpec
-from ..models.upstreams import Registration, RunnerKey, Stage
+from ..models.upstreams import Registration, RunnerKey, SoftwareVersion, Stage
 from ..network.http1_client import Exchange, exchange
 from ..network.http1_server import CallerConnection
 from ..platform import wire
@@ -72,6 +73,8 @@
         self._close = close
         self._relay = StreamRelay(connection, job.route.resumable)
         self._placement = context.placement_for(job.service)
+        # The version that began the stream; None before its first event.
+        self._version: SoftwareVersion | None = None
         self._failed_engines: set[RunnerKey] = set()
         self._search = CapacitySearch(context, job, requested, spec)
         self._retries = RetryAccounting(lambda: context.retry_budget.spend(job.service))
@@ -93,21 +96,46 @@
             raise refused(
                 EndReason.TOO_LARGE, "larger than an engine's memory", TOO_LARGE_RETRY_S
             )
-        first_attempt = wire.first_attempt_id(self._job.request)
-        if first_attempt:
-            self._job.log_fields["resumes"] = first_attempt
+        if wire.continues_stream(self._job.request):
+            self._version = await self._find_version()
         with self._context.demand.generation(
             self._job.service, self._requested.prompt_tokens, self._search.needed_tokens
         ):
             return await self._serve()
 
+    async def _find_version(self) -> SoftwareVersion | None:
+        """Return the version that began the stream that the caller takes up.
+
+        None if the service has no engine.
+
+        Raises
+        ------
+        EndedError
+            Raised when no host knows it and engines of several versions serve.
+        """
+        context, job = self._context, self._job
+        first_attempt = wire.first_attempt_id(job.request)
+        job.log_fields["resumes"] = first_attempt
+        version = await context.stream_versions.find(first_attempt)
+        usable = context.runners.usable(job.service)
+        if version is None:
+            version = only_version(usable)
+        if version is None and usable:
+            message = "the software version that began the stream is not known"
+            raise refused(EndReason.VERSION_UNKNOWN, message, FAILED_RETRY_S)
+        return version
+
     async def _serve(self) -> str:
         while True:
-            async with self._search.reserve(self._failed_engines) as capacity:
+            async with self._search.reserve(
+                self._failed_engines, self._version
+            ) as capacity:
                 failure = await self._attempt(capacity)
             if failure is None:
                 return capacity.runner.key.name
             self._failed_engines.add(capacity.runner.key)
+            if self._relay.started:
+                self._version = capacity.runner.version
             if not self._may_retry(failure):
                 if self._relay.started:
                     raise AnswerBrokenError(failure.message)
@@ -150,7 +178,9 @@
         limits = self._context.limits
         usable = [
             runner
-            for runner in self._context.runners.usable(self._job.service)
+            for runner in at_version(
+                self._context.runners.usable(self._job.service), decode.version
+            )
             if limits.may_send(runner.key)
         ]
         slack_s = self._search.on_time_until - monotonic()
@@ -310,6 +340,9 @@
             )
         if self._relay.started and head.status != 200:
             return failed(EndReason.BROKEN, f"{runner.key.name} answered {head.status}")
+        if self._job.route.resumable:
+            attempt = wire.first_attempt_id(self._job.request) or self._job.id
+            await self._context.stream_versions.record(attempt, runner.version)
         await self._relay.copy(answer, self._close)
         self._placement.note_output(
             self._requested.likely_output_tokens, self._relay.events_sent
--- a/src/siskinlever/_internal/peers/peer_grpc.py
+++ b/src/siskinlever/_internal/peers/peer_grpc.py
@@ -74,6 +74,14 @@
     async def TellWork(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetWork, siskinlever._internal.peers.peer_pb2.Nothing]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def NoteStream(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetStream, siskinlever._internal.peers.peer_pb2.Nothing]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def FindStream(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetStreamRequest, siskinlever._internal.peers.peer_pb2.FleetStream]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchFleetDocuments(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetDocumentsRequest, siskinlever._internal.peers.peer_pb2.FleetDocuments]') -> None:
         pass
@@ -170,6 +178,18 @@
                 siskinlever._internal.peers.peer_pb2.FleetWork,
                 siskinlever._internal.peers.peer_pb2.Nothing,
             ),
+            '/siskinlever.peers.Peer/NoteStream': grpclib.const.Handler(
+                self.NoteStream,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.FleetStream,
+                siskinlever._internal.peers.peer_pb2.Nothing,
+            ),
+            '/siskinlever.peers.Peer/FindStream': grpclib.const.Handler(
+                self.FindStream,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.FleetStreamRequest,
+                siskinlever._internal.peers.peer_pb2.FleetStream,
+            ),
             '/siskinlever.peers.Peer/FetchFleetDocuments': grpclib.const.Handler(
                 self.FetchFleetDocuments,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -272,6 +292,18 @@
             siskinlever._internal.peers.peer_pb2.FleetWork,
             siskinlever._internal.peers.peer_pb2.Nothing,
         )
+        self.NoteStream = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/NoteStream',
+            siskinlever._internal.peers.peer_pb2.FleetStream,
+            siskinlever._internal.peers.peer_pb2.Nothing,
+        )
+        self.FindStream = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/FindStream',
+            siskinlever._internal.peers.peer_pb2.FleetStreamRequest,
+            siskinlever._internal.peers.peer_pb2.FleetStream,
+        )
         self.FetchFleetDocuments = grpclib.client.UnaryUnaryMethod(
             channel,
             '/siskinlever.peers.Peer/FetchFleetDocuments',
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -145,6 +145,12 @@
     return request.get(FIRST_ATTEMPT) or ""
 
 
+def continues_stream(request: ReceivedRequest) -> bool:
+    """Return whether the caller has received events of the stream before."""
+    has_events = request.get(LAST_EVENT) not in (None, "", "0")
+    return has_events or bool(first_attempt_id(request))
+
+
 def host_name(request: ReceivedRequest) -> str:
     """Return the value of the Host header, or ""."""
     return request.get(b"host") or ""
