Obey runners that state that they leave or want a pause

What an answer states is decoded once (platform/statements.py) and kept by process of a runner: leaving in the directory of runners, where it is final and spreads like any announcement; limit and pause in RunnerLimits. Answers to prefills, reservations and rejections count too, those of another runner at the address don't. A pause is obeyed by the host that was told, also for reservations; afterwards the load comes back gradually. If all runners of a service are paused, the caller is refused at once with the time of the first end. Values that make no sense are logged and ignored.

Placement forgets processes that are gone: stats_by_runner kept every process it ever saw.

Ruled out: to take an engine back that no longer states that it is leaving; a process that announced that it drains stays out, as before.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -290,6 +290,7 @@
         metrics=metrics,
         tasks=tasks,
     )
+    runners.on_removal(context.forget_runner)
     unreachable_runners.subscribe(sync.announce)
     limits.subscribe(sync.announce)
     lease = OrderLease(
--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -217,6 +217,10 @@
         """Skip an engine that refused for lack of capacity for `FULL_SKIP_S`."""
         self.full_until_by_runner[key] = monotonic() + FULL_SKIP_S
 
+    def forget(self, runner: RunnerKey) -> None:
+        """Remove what is known of a process that is gone."""
+        self.full_until_by_runner.pop(runner, None)
+
     def update_prefill_rate(self, tokens: int, duration_s: float) -> None:
         """Update the prefill rate from a prompt that did not have to queue.
 
--- a/src/siskinlever/_internal/dispatch/plain_placement.py
+++ b/src/siskinlever/_internal/dispatch/plain_placement.py
@@ -131,5 +131,9 @@
         stats = self._stats_of(runner)
         stats.report, stats.reported_at = report, monotonic()
 
+    def forget(self, runner: RunnerKey) -> None:
+        """Remove what is known of a process that is gone."""
+        self.stats_by_runner.pop(runner, None)
+
     def _stats_of(self, runner: RunnerKey) -> RunnerStats:
         return self.stats_by_runner.setdefault(runner, RunnerStats())
--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -1,12 +1,16 @@
-"""Keeps the requests of all hosts together within the limits that runners state.
+"""Keeps the requests of hosts within the limits and pauses that runners state.
 
 A runner in need states in its answers how many requests a second it takes from all
 hosts together. A few hosts, chosen for each runner by rendezvous hashing, divide the
 limit among them in equal shares, so that no set of hosts exceeds it, whatever each host
 last heard of the others. The other hosts send such a runner nothing.
 
+A runner that turns a request away may state for how long it wants nothing from this
+host. Each host obeys the pauses that it was told itself. After one, it sends few
+requests at first, since the runner had too many.
+
 The load in mind is a service most or all of whose runners state limits below the rate
-of its requests: what the limits cannot serve is refused at once.
+of its requests, or pauses: what they cannot serve is refused at once.
 """
 
 from __future__ import annotations
@@ -37,6 +41,9 @@
 MAX_RATE_PER_S = 1e6
 # Seconds after which this host's part of a limit is computed anew.
 SHARE_REFRESH_S = 0.3
+# Requests per second to a runner for `RESUME_S` seconds after the end of a pause.
+RESUME_RATE_PER_S = 10.0
+RESUME_S = 1.0
 # Statements are repeated to other hosts for this many seconds, and those on the end of
 # a limit are then removed.
 REPEAT_S = 15.0
@@ -126,6 +133,7 @@
         self._metrics = metrics
         self._now = now
         self._allowance_by_runner: dict[RunnerKey, Allowance] = {}
+        self._paused_until_by_runner: dict[RunnerKey, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self.stated_by_runner: dict[RunnerKey, StatedLimit] = {}
 
@@ -139,6 +147,23 @@
             for listener in self._listeners:
                 listener()
 
+    def note_pause(self, runner: RunnerKey, pause_s: float) -> None:
+        """Record that a runner wants no requests from this host for some seconds.
+
+        An answer with a shorter pause does not end a longer one.
+        """
+        until = max(self._now() + pause_s, self._paused_until(runner))
+        self._paused_until_by_runner[runner] = until
+        self._allowance_by_runner.pop(runner, None)
+        self._metrics.count("runner_pauses")
+        self._log.write(
+            "runner.pause",
+            runner=runner.name,
+            started_at=runner.started_at,
+            pause_s=round(pause_s, 3),
+            ends_in_s=round(until - self._now(), 3),
+        )
+
     def note_report(
         self, runner: RunnerKey, per_s: float | None, age_s: float, source: str
     ) -> None:
@@ -175,10 +200,18 @@
             if has_ended or runner not in runners:
                 del self.stated_by_runner[runner]
                 self._allowance_by_runner.pop(runner, None)
+        now = self._now()
+        self._paused_until_by_runner = {
+            runner: until
+            for runner, until in self._paused_until_by_runner.items()
+            if runner in runners and until + RESUME_S > now
+        }
 
     def may_send(self, runner: RunnerKey) -> bool:
         """Return whether this host may send a request to a runner now."""
-        if self.limit_of(runner) is None:
+        if self._paused_until(runner) > self._now():
+            return False
+        if self._is_unrestricted(runner):
             return True
         return self._allowance(runner).requests >= 1
 
@@ -188,17 +221,17 @@
         Each arrival at the runner counts, including retries, prefills and requests
         that the runner rejects.
         """
-        if self.limit_of(runner) is None:
-            return True
-        allowance = self._allowance(runner)
-        if allowance.requests < 1:
+        if not self.may_send(runner):
             return False
-        allowance.requests -= 1
+        if not self._is_unrestricted(runner):
+            self._allowance(runner).requests -= 1
         return True
 
     def rate_of(self, runner: RunnerKey) -> float:
         """Return the requests per second that this host may send to a runner."""
-        if self.limit_of(runner) is None:
+        if self._paused_until(runner) > self._now():
+            return 0.0
+        if self._is_unrestricted(runner):
             return MAX_RATE_PER_S
         return self._allowance(runner).rate_per_s
 
@@ -207,20 +240,40 @@
 
         None if this host may send requests to none of them.
         """
-        waits = [
-            max(0.0, 1 - self._allowance(runner).requests) / rate
-            for runner in runners
-            if (rate := self.rate_of(runner)) > 0
-        ]
-        return min(waits, default=None)
+        waits = (self._wait_of(runner) for runner in runners)
+        return min((wait for wait in waits if wait is not None), default=None)
+
+    def are_paused(self, runners: Collection[RunnerKey]) -> bool:
+        """Return whether all of some runners want no requests from this host now."""
+        now = self._now()
+        return bool(runners) and all(self._paused_until(r) > now for r in runners)
 
     def limit_of(self, runner: RunnerKey) -> float | None:
         """Return a runner's limit in requests per second, or None if it has none."""
         stated = self.stated_by_runner.get(runner)
         return None if stated is None else stated.per_s
 
+    def _wait_of(self, runner: RunnerKey) -> float | None:
+        pause_s = self._paused_until(runner) - self._now()
+        if pause_s > 0:
+            return pause_s
+        if self.may_send(runner):
+            return 0.0
+        allowance = self._allowance(runner)
+        if not allowance.rate_per_s:
+            return None
+        return (1 - allowance.requests) / allowance.rate_per_s
+
+    def _paused_until(self, runner: RunnerKey) -> float:
+        return self._paused_until_by_runner.get(runner, float("-inf"))
+
+    def _is_unrestricted(self, runner: RunnerKey) -> bool:
+        """Return whether a runner has no limit and has not had a pause recently."""
+        is_resuming = self._now() < self._paused_until(runner) + RESUME_S
+        return self.limit_of(runner) is None and not is_resuming
+
     def _allowance(self, runner: RunnerKey) -> Allowance:
-        """Return what this host may send to a runner with a limit now."""
+        """Return what this host may send to a restricted runner now."""
         now = self._now()
         allowance = self._allowance_by_runner.setdefault(runner, Allowance(0.0, now))
         if now >= allowance.rate_until:
@@ -234,7 +287,7 @@
     def _own_rate(self, runner: RunnerKey) -> float:
         limit = self.limit_of(runner)
         if limit is None:
-            return MAX_RATE_PER_S
+            return RESUME_RATE_PER_S
         share = sender_share(runner, limit, self._own_host, self._hosts())
         return SAFETY_FACTOR * share * min(max(limit, MIN_RATE_PER_S), MAX_RATE_PER_S)
 
@@ -246,7 +299,7 @@
             self.stated_by_runner[runner] = stated
         if before == stated.per_s:
             return False
-        if stated.per_s is None or before is None:
+        if before is None:
             self._allowance_by_runner.pop(runner, None)
         elif runner in self._allowance_by_runner:
             self._allowance_by_runner[runner].rate_until = float("-inf")
--- a/src/siskinlever/_internal/fleet/runners.py
+++ b/src/siskinlever/_internal/fleet/runners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -77,6 +77,11 @@
         self._lapse_recovery_s = lapse_recovery_s
         self._log = log
         self.by_key: dict[RunnerKey, KnownRunner] = {}
+        self._removal_listeners: list[Callable[[RunnerKey], None]] = []
+
+    def on_removal(self, listener: Callable[[RunnerKey], None]) -> None:
+        """Call ``listener`` with each process that has been gone for long."""
+        self._removal_listeners.append(listener)
 
     def usable(self, service: ServiceName) -> list[Registration]:
         """Return the runners of a service that may get requests."""
@@ -210,6 +215,8 @@
                 and now - runner.since > GONE_RETENTION_S
             ):
                 del self.by_key[key]
+                for listener in self._removal_listeners:
+                    listener(key)
 
     def _log_change(
         self,
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -180,6 +180,9 @@
     ) -> ReservedCapacity | None:
         context = self._context
         usable = self._usable_engines()
+        decoding = [r.key for r in usable if r.stage is Stage.DECODE]
+        if context.limits.are_paused(decoding):
+            raise limited(self._job.service, context.limits.wait_s(decoding))
         sendable = [r for r in usable if context.limits.may_send(r.key)]
         is_late = monotonic() > self.on_time_until
         for runner in self._placement.decode_candidates(
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -11,7 +11,6 @@
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.wait_queue import WaitQueue
-from ..exceptions import InvalidRecordError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
 from ..fleet.hosts import HostTable, RunnerLoad, total_load
@@ -26,6 +25,7 @@
 from ..models.upstreams import Registration, RunnerKey
 from ..network.http1_client import AnswerHead
 from ..platform import wire
+from ..platform.statements import runner_statement
 from ..stages.switching import StageSwitches
 from ..utils.tasks import TaskSet
 
@@ -71,17 +71,41 @@
                 not_switching.append(replace(runner, stage=switch.stage))
         return not_switching
 
-    def note_statements(self, runner: RunnerKey, head: AnswerHead) -> None:
-        """Record what a runner states about itself in an answer."""
-        try:
-            limit = wire.request_limit(head)
-        except InvalidRecordError as error:
+    def note_statements(
+        self, runner: RunnerKey, head: AnswerHead, ends_limit: bool = True
+    ) -> None:
+        """Record what a runner states about itself in an answer.
+
+        An answer of another runner, which may have its address, is ignored.
+
+        Parameters
+        ----------
+        runner : RunnerKey
+        head : AnswerHead
+        ends_limit : bool, default=True
+            Whether the absence of a limit ends the one stated before.
+        """
+        if wire.is_other_runner(head, runner.name):
+            return
+        statement = runner_statement(head)
+        for reason in statement.invalid:
             self.metrics.count("runner_statements_invalid")
             self.log.write(
-                "runner.statement_invalid", runner=runner.name, reason=error.message
+                "runner.statement_invalid", runner=runner.name, reason=reason
             )
-            return
-        self.limits.note(runner, limit)
+        states_limit = statement.limit_per_s is not None
+        if statement.is_limit_valid and (states_limit or ends_limit):
+            self.limits.note(runner, statement.limit_per_s)
+        if statement.pause_s is not None:
+            self.limits.note_pause(runner, statement.pause_s)
+        if statement.is_leaving:
+            self.runners.mark_draining(runner.name, runner.started_at, "its answer")
+
+    def forget_runner(self, runner: RunnerKey) -> None:
+        """Remove what is known of a process that is gone."""
+        self.plain_placement.forget(runner)
+        for placement in self.placement_by_service.values():
+            placement.forget(runner)
 
     def fleet_demand(self, service: ServiceName) -> Demand:
         """Return the demand for a service's engines, summed over all hosts."""
--- a/src/siskinlever/_internal/gateway/engine_calls.py
+++ b/src/siskinlever/_internal/gateway/engine_calls.py
@@ -43,6 +43,7 @@
     context.metrics.count("holds", status=str(head.status))
     if wire.is_other_runner(head, runner.key.name):
         context.runners.mark_replaced(runner.key)
+    context.note_statements(runner.key, head, ends_limit=False)
     if head.status != 200:
         return None
     try:
--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -79,7 +79,7 @@
 
 
 def limited(service: str, wait_s: float | None) -> EndedError:
-    """Return the error for a request that exceeds the limits of all runners.
+    """Return the error for a request while all runners want fewer or none.
 
     Parameters
     ----------
@@ -91,7 +91,7 @@
     if wait_s is None:
         wait_s = LIMITED_ELSEWHERE_RETRY_S
     retry_after_s = max(wait_s, MIN_LIMITED_RETRY_S)
-    message = f"all runners of {service} have reached the limits that they stated"
+    message = f"all runners of {service} have stated limits or pauses"
     return refused(EndReason.LIMITED, message, retry_after_s)
 
 
--- a/src/siskinlever/_internal/metrics/names.py
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -19,6 +19,7 @@
     "peer_connections_replaced": "Connections to peers that fell silent.",
     "peer_message_bytes": "Bytes of messages to and from peers, as the caller.",
     "runner_limit_changes": "Limits that runners stated, changed or ended.",
+    "runner_pauses": "Answers with which runners asked this host for a pause.",
     "runner_statements_invalid": "Statements of runners that were not valid.",
     "store_calls": "Calls to the key-value service; a watch counts as one.",
     "store_failures": "Failed calls to the key-value service.",
--- a/src/siskinlever/_internal/models/upstreams.py
+++ b/src/siskinlever/_internal/models/upstreams.py
@@ -104,6 +104,31 @@
     leaves_in_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerStatement:
+    """What a runner states about itself in an answer.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Requests per second that it takes from all hosts together.
+    is_leaving : bool
+    pause_s : float or None
+        Seconds for which it wants no requests from this host.
+    is_limit_valid : bool
+        Whether ``limit_per_s`` is what the runner stated; False if that could not be
+        decoded.
+    invalid : tuple of str
+        The headers that could not be decoded, and their values.
+    """
+
+    limit_per_s: float | None
+    is_leaving: bool
+    pause_s: float | None
+    is_limit_valid: bool
+    invalid: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load that a runner of a plain service reports in its answers."""
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -40,11 +40,8 @@
 # Address of the runner that has the prompt's KV cache, and its handle there.
 KV_SOURCE = b"kv-source"
 HOLD = b"kv-hold"
-RETRY_AFTER = b"retry-after"
 # Id of the attempt that brought the first event of the stream that a caller takes up.
 FIRST_ATTEMPT = b"resumes"
-# Requests a second that the runner takes from all hosts together.
-REQUEST_LIMIT = b"server-limit"
 
 # Only hosts set these headers in requests to runners; those that a caller sent are not
 # forwarded.
@@ -265,26 +262,6 @@
     return LoadReport(running, waiting, slots)
 
 
-def request_limit(head: AnswerHead) -> float | None:
-    """Return the requests per second that a runner takes from all hosts, or None.
-
-    Raises
-    ------
-    InvalidRecordError
-        Raised when the value is negative or not a finite number.
-    """
-    text = head.get(REQUEST_LIMIT)
-    if text is None:
-        return None
-    try:
-        limit = float(text)
-    except ValueError as error:
-        raise InvalidRecordError(f"Server-Limit: found {text!r}") from error
-    if not math.isfinite(limit) or limit < 0:
-        raise InvalidRecordError(f"Server-Limit: found {text!r}")
-    return limit
-
-
 def error_headers(
     request: ReceivedRequest | None, retry_after_s: float | None
 ) -> list[Header]:
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -107,6 +107,10 @@
     received_at: list[float] = field(default_factory=list)
     # Value of the Server-Limit header in answers to requests; None to omit it.
     limit: str | None = None
+    # Whether its answers state that it is leaving.
+    leaving: bool = False
+    # Value of the Retry-After header in its rejections; None to omit it.
+    retry_after: str | None = None
     cancelled: list[str] = field(default_factory=list)
     # Attempts whose prompt an engine of another version has read.
     foreign_prompts: list[str] = field(default_factory=list)
@@ -168,7 +172,8 @@
         handler = ENGINE_CALLS.get((request.method, "/" + path.split("/")[1]))
         if handler is not None and self.stage is not None:
             status, body = handler(self, request)
-            await _send(writer, status, [], json.dumps(body).encode())
+            head = self._statements() + self._pause(status)
+            await _send(writer, status, head, json.dumps(body).encode())
             return
         self.received.append(request)
         self.received_at.append(time.monotonic())
@@ -352,10 +357,17 @@
             ("Attempt-Id", attempt_id),
             ("Not-Executed", "1"),
             *self._statements(),
+            *self._pause(503),
         ]
 
     def _statements(self) -> list[tuple[str, str]]:
-        return [] if self.limit is None else [("Server-Limit", self.limit)]
+        limit = [] if self.limit is None else [("Server-Limit", self.limit)]
+        return limit + ([("Server-Leaving", "1")] if self.leaving else [])
+
+    def _pause(self, status: int) -> list[tuple[str, str]]:
+        if status != 503 or self.retry_after is None:
+            return []
+        return [("Retry-After", self.retry_after)]
 
     def report(self, request: Request) -> tuple[int, dict[str, Any]]:
         """Answer a request for the engine's load report."""
--- a/tests/unit/test_runner_limits.py
+++ b/tests/unit/test_runner_limits.py
@@ -155,3 +155,48 @@
     shares = [sender_share(RUNNER, 3.2, host, hosts) for host in hosts]
     assert sum(share > 0 for share in shares) == 6
     assert sum(shares) == pytest.approx(1.0)
+
+
+def alone() -> tuple[Fleet, RunnerLimits]:
+    """Return a fleet of one host, and its limits; the runner has stated none."""
+    fleet = Fleet(names(1), 3.2)
+    limits = fleet.limits[HostName("host-0")]
+    limits.note(RUNNER, None)
+    return fleet, limits
+
+
+def test_pause_ends_at_its_time_and_the_load_comes_back_gradually():
+    fleet, limits = alone()
+    limits.note_pause(RUNNER, 2.0)
+    assert limits.are_paused([RUNNER])
+    assert limits.wait_s([RUNNER]) == pytest.approx(2.0)
+    fleet.run(1.99)
+    assert not fleet.sent
+    fleet.run(0.5)
+    assert 0 < len(fleet.sent) <= 5
+    fleet.now += 1.0
+    assert all(limits.take(RUNNER) for _ in range(50))
+
+
+def test_shorter_pause_does_not_end_a_longer_one():
+    fleet, limits = alone()
+    limits.note_pause(RUNNER, 5.0)
+    limits.note_pause(RUNNER, 0.0)
+    fleet.now += 4.9
+    assert not limits.may_send(RUNNER)
+
+
+def test_pause_of_a_runner_with_a_limit_does_not_lift_the_limit():
+    fleet = Fleet(names(7), 3.2)
+    for limits in fleet.limits.values():
+        limits.note_pause(RUNNER, 1.0)
+    fleet.run(20.0)
+    assert fleet.most_in_window() <= allowed(3.2)
+
+
+def test_other_runners_are_not_paused():
+    _, limits = alone()
+    other = RunnerKey(RUNNER.name, StartedAt(2))
+    limits.note_pause(RUNNER, 5.0)
+    assert limits.may_send(other) and not limits.are_paused([RUNNER, other])
+    assert limits.wait_s([RUNNER, other]) == 0.0
