Queue streams bound to a version apart, and count versions that leave

A stream that may go on only at one version waited at the head of the host's queue and kept all others from engines that they may use; each version has a queue of its own now.

--- a/src/siskinlever/_internal/dispatch/wait_queue.py
+++ b/src/siskinlever/_internal/dispatch/wait_queue.py
@@ -3,6 +3,9 @@
 When more generations arrive than the engines can hold, those that can still be on
 time go first, by priority and arrival time. Late generations queue behind them
 for as long as their callers can still use the answer.
+
+Streams that may go on only at one software version queue apart, since the engines of
+that version may be full while others are free.
 """
 
 from __future__ import annotations
@@ -12,6 +15,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from ..models.upstreams import SoftwareVersion
 from ..utils.clock import monotonic
 
 
@@ -28,13 +32,16 @@
     on_time_until : float
         Monotonic time after which placing the generation makes its first event
         late.
+    version : str or None, default=None
+        The only software version of engines that it may use; None for any.
     at_head : asyncio.Event
-        Set while the generation is at the head of the queue.
+        Set while the generation is the first of its version.
     """
 
     priority: int
     arrived_at: float
     on_time_until: float
+    version: SoftwareVersion | None = None
     at_head: asyncio.Event = field(default_factory=asyncio.Event)
 
     def sort_key(self, now: float) -> tuple[bool, int, float]:
@@ -63,11 +70,11 @@
             self.reorder()
 
     def reorder(self) -> None:
-        """Recompute the head; waiters that became late move back."""
+        """Recompute the heads; waiters that became late move back."""
         now = monotonic()
-        head = min(self._waiters, key=lambda w: w.sort_key(now), default=None)
-        for waiter in self._waiters:
-            if waiter is head:
+        head_by_version: dict[SoftwareVersion | None, Waiter] = {}
+        for waiter in sorted(self._waiters, key=lambda w: w.sort_key(now)):
+            if head_by_version.setdefault(waiter.version, waiter) is waiter:
                 waiter.at_head.set()
             else:
                 waiter.at_head.clear()
--- a/src/siskinlever/_internal/fleet/runners.py
+++ b/src/siskinlever/_internal/fleet/runners.py
@@ -91,6 +91,14 @@
             if runner.state in USABLE_STATES and runner.registration.service == service
         ]
 
+    def known(self, service: ServiceName) -> list[Registration]:
+        """Return all processes of a service, also those that left recently."""
+        return [
+            runner.registration
+            for runner in self.by_key.values()
+            if runner.registration.service == service
+        ]
+
     def is_usable(self, key: RunnerKey) -> bool:
         """Return whether a process may get requests."""
         runner = self.by_key.get(key)
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -117,10 +117,9 @@
         first_attempt = wire.first_attempt_id(job.request)
         job.log_fields["resumes"] = first_attempt
         version = await context.stream_versions.find(first_attempt)
-        usable = context.runners.usable(job.service)
         if version is None:
-            version = only_version(usable)
-        if version is None and usable:
+            version = only_version(context.runners.known(job.service))
+        if version is None and context.runners.usable(job.service):
             message = "the software version that began the stream is not known"
             raise refused(EndReason.VERSION_UNKNOWN, message, FAILED_RETRY_S)
         return version
--- a/tests/functional/test_software_versions.py
+++ b/tests/functional/test_software_versions.py
@@ -134,3 +134,18 @@
     async with versions_world(log_path, versions, hosts=2) as world:
         answer = await take_up(world, "unknown", "t-1", 1)
         assert answer.status == status
+
+
+async def test_unknown_stream_is_refused_while_engines_of_another_version_leave(
+    log_path,
+):
+    """It may have begun at the version that is leaving."""
+    versions = {"e-1": NEW, "e-2": OLD, "e-3": NEW, "e-4": NEW}
+    async with versions_world(log_path, versions, hosts=1) as world:
+        leaving = world.runner_named("e-2")
+        leaving.draining = True
+        world.register_all()
+        usable = world.hosts[0].context.runners.usable
+        await until(lambda: {r.version for r in usable("engines")} == {NEW})
+        answer = await take_up(world, "unknown", "t-1", 0)
+        assert answer.status == 503
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -418,3 +418,13 @@
     clock.now += 60.0
     failures.note(engine("e-2", Stage.DECODE).key)
     assert list(failures._count_by_runner) == [engine("e-2", Stage.DECODE).key]
+
+
+def test_stream_that_needs_a_version_does_not_block_the_others():
+    """The engines of its version are full; the next generation may use any engine."""
+    queue = WaitQueue()
+    pinned = Waiter(1, 1.0, monotonic() + 5, version="v1")
+    others = [Waiter(1, 2.0 + n, monotonic() + 5) for n in range(2)]
+    with queue.enqueued(pinned), queue.enqueued(others[0]), queue.enqueued(others[1]):
+        assert pinned.at_head.is_set() and others[0].at_head.is_set()
+        assert not others[1].at_head.is_set()
