--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -282,6 +282,9 @@
     ) -> EndedError | None:
         job, runner = self._job, capacity.runner
         job.log_fields["version"] = runner.version
+        if self._context.limits.are_paused([runner.key]):
+            message = f"{runner.key.name} has asked for a pause since its prefill"
+            return refused(EndReason.REJECTED, message, FAILED_RETRY_S)
         if not self._retries.charge_next():
             message = "the retry budget is spent"
             return refused(EndReason.NO_RETRY_LEFT, message, FAILED_RETRY_S)
--- a/tests/functional/test_runner_statements.py
+++ b/tests/functional/test_runner_statements.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from lib.platform_world import platform_world, until
+from lib.platform_world import configuration, platform_world, until
 
 from siskinlever._internal.fleet import runners as runner_directory
 from siskinlever._internal.fleet.runners import RunnerState
@@ -168,3 +168,29 @@
             return {key.name for keys in (engines, stats, stated) for key in keys}
 
         await until(lambda: known() == {"p-2"}, 15.0)
+
+
+async def test_generation_is_not_sent_to_an_engine_that_wants_a_pause_since_its_prefill(
+    log_path,
+):
+    """Several generations have reserved room before the first one is rejected."""
+    async with platform_world(log_path) as world:
+        document = configuration(2)
+        for route in document["routes"]:
+            route["target_latency_ms"] = 3000
+        world.apply(document)
+        in_force = world.hosts[0].context.configuration
+        await until(lambda: in_force.version == 2)
+        world.runner_named("e-1").work_s = 0.8
+        for name in ("e-2", "e-3"):
+            engine = world.runner_named(name)
+            engine.fault, engine.retry_after = RunnerFault.SHED, "4"
+        first = [asyncio.create_task(generate(world, f"a-{n}")) for n in range(2)]
+        await asyncio.sleep(0.7)
+        later = [asyncio.create_task(generate(world, f"b-{n}")) for n in range(6)]
+        answers = await asyncio.gather(*first, *later)
+        assert {answer.status for answer in answers} == {503}
+        for name in ("e-2", "e-3"):
+            times = world.runner_named(name).received_at
+            counted = [at for at in times if at >= times[0] + NOTICE_S]
+            assert len(counted) <= 2
