--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
@@ -49,42 +50,46 @@
 REPEAT_S = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class StatedLimit:
-    """The newest statement of a runner about its limit.
-
-    Parameters
-    ----------
-    per_s : float or None
-        Requests per second from all hosts together; None if the limit has ended.
-    stated_at : float
-        Monotonic time of the statement.
-    """
-
-    per_s: float | None
-    stated_at: float
-
-
 @dataclass(slots=True)
-class Allowance:
-    """What this host may send to one runner now.
+class RunnerRecord:
+    """What one process of a runner has stated, and what this host may send it.
+
+    All times are of the monotonic clock.
 
     Parameters
     ----------
-    requests : float
-        From 0 to 1; a request can be sent at 1. 0 when the limit is first heard.
-    updated_at : float
-        Monotonic time.
+    per_s : float or None, default=None
+        Its limit in requests per second from all hosts together; None if it has none.
+    stated_at : float, default=-inf
+        Time of its newest statement on the limit.
+    paused_until : float, default=-inf
+        End of the pause that it wants from this host.
+    allowance : float, default=0.0
+        From 0 to 1; a request can be sent at 1. Not used without a limit or a recent
+        pause.
+    updated_at : float or None, default=None
+        Time at which ``allowance`` was computed; None if it begins anew.
     rate_per_s : float, default=0.0
-        This host's part of the limit.
+        Requests per second that this host may send.
     rate_until : float, default=-inf
-        Monotonic time until which ``rate_per_s`` is used.
+        Time until which ``rate_per_s`` is used.
     """
 
-    requests: float
-    updated_at: float
+    per_s: float | None = None
+    stated_at: float = -math.inf
+    paused_until: float = -math.inf
+    allowance: float = 0.0
+    updated_at: float | None = None
     rate_per_s: float = 0.0
-    rate_until: float = float("-inf")
+    rate_until: float = -math.inf
+
+    def is_unrestricted(self, now: float) -> bool:
+        """Return whether it has no limit and has not had a pause recently."""
+        return self.per_s is None and now >= self.paused_until + RESUME_S
+
+    def clear_allowance(self) -> None:
+        """Let the allowance begin anew, from 0."""
+        self.allowance, self.updated_at, self.rate_until = 0.0, None, -math.inf
 
 
 def sender_share(
@@ -107,7 +112,7 @@
 
 
 class RunnerLimits:
-    """Limits stated by runners, and this host's part of them.
+    """Limits and pauses stated by runners, and this host's part of them.
 
     Parameters
     ----------
@@ -132,38 +137,19 @@
         self._log = log
         self._metrics = metrics
         self._now = now
-        self._allowance_by_runner: dict[RunnerKey, Allowance] = {}
-        self._paused_until_by_runner: dict[RunnerKey, float] = {}
         self._listeners: list[Callable[[], None]] = []
-        self.stated_by_runner: dict[RunnerKey, StatedLimit] = {}
+        self.by_runner: dict[RunnerKey, RunnerRecord] = {}
 
     def subscribe(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` whenever a runner's answer to this host is news."""
+        """Call ``listener`` whenever a runner's answer changes its limit."""
         self._listeners.append(listener)
 
     def note(self, runner: RunnerKey, per_s: float | None) -> None:
         """Record the limit that a runner stated in an answer, or its absence."""
-        if self._record(runner, StatedLimit(per_s, self._now()), "answer"):
+        if self._record(runner, per_s, self._now(), "answer"):
             for listener in self._listeners:
                 listener()
 
-    def note_pause(self, runner: RunnerKey, pause_s: float) -> None:
-        """Record that a runner wants no requests from this host for some seconds.
-
-        An answer with a shorter pause does not end a longer one.
-        """
-        until = max(self._now() + pause_s, self._paused_until(runner))
-        self._paused_until_by_runner[runner] = until
-        self._allowance_by_runner.pop(runner, None)
-        self._metrics.count("runner_pauses")
-        self._log.write(
-            "runner.pause",
-            runner=runner.name,
-            started_at=runner.started_at,
-            pause_s=round(pause_s, 3),
-            ends_in_s=round(until - self._now(), 3),
-        )
-
     def note_report(
         self, runner: RunnerKey, per_s: float | None, age_s: float, source: str
     ) -> None:
@@ -179,41 +165,56 @@
             The other host, for the log.
         """
         stated_at = self._now() - age_s
-        known = self.stated_by_runner.get(runner)
+        known = self.by_runner.get(runner)
         if age_s <= REPEAT_S and (known is None or known.stated_at < stated_at):
-            self._record(runner, StatedLimit(per_s, stated_at), source)
+            self._record(runner, per_s, stated_at, source)
+
+    def note_pause(self, runner: RunnerKey, pause_s: float) -> None:
+        """Record that a runner wants no requests from this host for some seconds.
+
+        An answer with a shorter pause does not end a longer one.
+        """
+        record = self.by_runner.setdefault(runner, RunnerRecord())
+        record.paused_until = max(record.paused_until, self._now() + pause_s)
+        record.clear_allowance()
+        self._metrics.count("runner_pauses")
+        self._log.write(
+            "runner.pause",
+            runner=runner.name,
+            started_at=runner.started_at,
+            pause_s=round(pause_s, 3),
+            ends_in_s=round(record.paused_until - self._now(), 3),
+        )
 
-    def recent(self) -> dict[RunnerKey, StatedLimit]:
-        """Return the statements that other hosts should be told."""
+    def recent(self) -> dict[RunnerKey, RunnerRecord]:
+        """Return the records whose limits other hosts should be told."""
         since = self._now() - REPEAT_S
         return {
-            runner: stated
-            for runner, stated in self.stated_by_runner.items()
-            if stated.stated_at >= since
+            runner: record
+            for runner, record in self.by_runner.items()
+            if record.stated_at >= since
         }
 
     def keep_only(self, runners: Collection[RunnerKey]) -> None:
-        """Remove the limits that have ended long ago, and those of other runners."""
-        since = self._now() - REPEAT_S
-        for runner, stated in list(self.stated_by_runner.items()):
-            has_ended = stated.per_s is None and stated.stated_at < since
-            if has_ended or runner not in runners:
-                del self.stated_by_runner[runner]
-                self._allowance_by_runner.pop(runner, None)
+        """Remove the records of other runners, and those that are of no more use."""
         now = self._now()
-        self._paused_until_by_runner = {
-            runner: until
-            for runner, until in self._paused_until_by_runner.items()
-            if runner in runners and until + RESUME_S > now
-        }
+        for runner, record in list(self.by_runner.items()):
+            is_told = record.stated_at >= now - REPEAT_S
+            if runner not in runners or (record.is_unrestricted(now) and not is_told):
+                del self.by_runner[runner]
 
     def may_send(self, runner: RunnerKey) -> bool:
         """Return whether this host may send a request to a runner now."""
-        if self._paused_until(runner) > self._now():
+        record = self.by_runner.get(runner)
+        if record is None:
+            return True
+        now = self._now()
+        if record.paused_until > now:
             return False
-        if self._is_unrestricted(runner):
+        if record.is_unrestricted(now):
             return True
-        return self._allowance(runner).requests >= 1
+        self._refill(runner, record, now)
+        return record.allowance >= 1
 
     def take(self, runner: RunnerKey) -> bool:
         """Count a request that is sent to a runner; return False if none is allowed.
@@ -223,17 +224,22 @@
         """
         if not self.may_send(runner):
             return False
-        if not self._is_unrestricted(runner):
-            self._allowance(runner).requests -= 1
+        record = self.by_runner.get(runner)
+        if record is not None and not record.is_unrestricted(self._now()):
+            record.allowance -= 1
         return True
 
     def rate_of(self, runner: RunnerKey) -> float:
         """Return the requests per second that this host may send to a runner."""
-        if self._paused_until(runner) > self._now():
+        record, now = self.by_runner.get(runner), self._now()
+        if record is None:
+            return MAX_RATE_PER_S
+        if record.paused_until > now:
             return 0.0
-        if self._is_unrestricted(runner):
+        if record.is_unrestricted(now):
             return MAX_RATE_PER_S
-        return self._allowance(runner).rate_per_s
+        self._refill(runner, record, now)
+        return record.rate_per_s
 
     def wait_s(self, runners: Iterable[RunnerKey]) -> float | None:
         """Return the seconds until a request may be sent to any of some runners.
@@ -246,71 +252,66 @@
     def are_paused(self, runners: Collection[RunnerKey]) -> bool:
         """Return whether all of some runners want no requests from this host now."""
         now = self._now()
-        return bool(runners) and all(self._paused_until(r) > now for r in runners)
+        records = [self.by_runner.get(runner) for runner in runners]
+        return bool(records) and all(
+            record is not None and record.paused_until > now for record in records
+        )
 
     def limit_of(self, runner: RunnerKey) -> float | None:
         """Return a runner's limit in requests per second, or None if it has none."""
-        stated = self.stated_by_runner.get(runner)
-        return None if stated is None else stated.per_s
+        record = self.by_runner.get(runner)
+        return None if record is None else record.per_s
 
     def _wait_of(self, runner: RunnerKey) -> float | None:
-        pause_s = self._paused_until(runner) - self._now()
+        record = self.by_runner.get(runner)
+        if record is None or self.may_send(runner):
+            return 0.0
+        pause_s = record.paused_until - self._now()
         if pause_s > 0:
             return pause_s
-        if self.may_send(runner):
-            return 0.0
-        allowance = self._allowance(runner)
-        if not allowance.rate_per_s:
+        if not record.rate_per_s:
             return None
-        return (1 - allowance.requests) / allowance.rate_per_s
-
-    def _paused_until(self, runner: RunnerKey) -> float:
-        return self._paused_until_by_runner.get(runner, float("-inf"))
-
-    def _is_unrestricted(self, runner: RunnerKey) -> bool:
-        """Return whether a runner has no limit and has not had a pause recently."""
-        is_resuming = self._now() < self._paused_until(runner) + RESUME_S
-        return self.limit_of(runner) is None and not is_resuming
-
-    def _allowance(self, runner: RunnerKey) -> Allowance:
-        """Return what this host may send to a restricted runner now."""
-        now = self._now()
-        allowance = self._allowance_by_runner.setdefault(runner, Allowance(0.0, now))
-        if now >= allowance.rate_until:
-            allowance.rate_per_s = self._own_rate(runner)
-            allowance.rate_until = now + SHARE_REFRESH_S
-        gained = (now - allowance.updated_at) * allowance.rate_per_s
-        allowance.requests = min(1.0, allowance.requests + gained)
-        allowance.updated_at = now
-        return allowance
-
-    def _own_rate(self, runner: RunnerKey) -> float:
-        limit = self.limit_of(runner)
-        if limit is None:
+        return (1 - record.allowance) / record.rate_per_s
+
+    def _refill(self, runner: RunnerKey, record: RunnerRecord, now: float) -> None:
+        """Bring the allowance of a restricted runner up to date."""
+        if now >= record.rate_until:
+            record.rate_per_s = self._own_rate(runner, record)
+            record.rate_until = now + SHARE_REFRESH_S
+        elapsed_s = 0.0 if record.updated_at is None else now - record.updated_at
+        record.allowance = min(1.0, record.allowance + elapsed_s * record.rate_per_s)
+        record.updated_at = now
+
+    def _own_rate(self, runner: RunnerKey, record: RunnerRecord) -> float:
+        if record.per_s is None:
             return RESUME_RATE_PER_S
-        share = sender_share(runner, limit, self._own_host, self._hosts())
-        return SAFETY_FACTOR * share * min(max(limit, MIN_RATE_PER_S), MAX_RATE_PER_S)
-
-    def _record(self, runner: RunnerKey, stated: StatedLimit, source: str) -> bool:
-        """Store a statement; return whether it differs from the known one."""
-        known = self.stated_by_runner.get(runner)
-        before = None if known is None else known.per_s
-        if known is not None or stated.per_s is not None:
-            self.stated_by_runner[runner] = stated
-        if before == stated.per_s:
+        share = sender_share(runner, record.per_s, self._own_host, self._hosts())
+        limit = min(max(record.per_s, MIN_RATE_PER_S), MAX_RATE_PER_S)
+        return SAFETY_FACTOR * share * limit
+
+    def _record(
+        self, runner: RunnerKey, per_s: float | None, stated_at: float, source: str
+    ) -> bool:
+        """Store a statement on a limit; return whether it changes the limit."""
+        record = self.by_runner.get(runner)
+        if record is None:
+            if per_s is None:
+                return False
+            record = self.by_runner[runner] = RunnerRecord()
+        before, record.per_s, record.stated_at = record.per_s, per_s, stated_at
+        if before == per_s:
             return False
+        record.rate_until = -math.inf
         if before is None:
-            self._allowance_by_runner.pop(runner, None)
-        elif runner in self._allowance_by_runner:
-            self._allowance_by_runner[runner].rate_until = float("-inf")
+            record.clear_allowance()
         self._metrics.count("runner_limit_changes")
         self._log.write(
             "runner.limit",
             runner=runner.name,
             started_at=runner.started_at,
             before=before,
-            after=stated.per_s,
+            after=per_s,
             source=source,
-            age_s=round(self._now() - stated.stated_at, 3),
+            age_s=round(self._now() - stated_at, 3),
         )
         return True
--- a/src/siskinlever/_internal/fleet/messages.py
+++ b/src/siskinlever/_internal/fleet/messages.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from ..dispatch.runner_limits import StatedLimit
+from ..dispatch.runner_limits import RunnerRecord
 from ..models.ids import HostName, Incarnation, RunnerName, ServiceName, ZoneName
 from ..models.upstreams import Address, RunnerKey, Stage, StartedAt
 from ..peers import peer_pb2
@@ -120,23 +120,23 @@
 
 
 def to_limits(
-    stated_by_runner: Mapping[RunnerKey, StatedLimit], now: float
+    record_by_runner: Mapping[RunnerKey, RunnerRecord], now: float
 ) -> list[peer_pb2.FleetLimit]:
     """Convert the limits that runners stated to messages.
 
     Parameters
     ----------
-    stated_by_runner : mapping of RunnerKey to StatedLimit
+    record_by_runner : mapping of RunnerKey to RunnerRecord
     now : float
         Monotonic time.
     """
     return [
         peer_pb2.FleetLimit(
             runner=to_runner(key),
-            per_s=stated.per_s,
-            age_ms=int((now - stated.stated_at) * MS_PER_S),
+            per_s=record.per_s,
+            age_ms=int((now - record.stated_at) * MS_PER_S),
         )
-        for key, stated in stated_by_runner.items()
+        for key, record in record_by_runner.items()
     ]
 
 
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -78,7 +78,7 @@
             runner.limit = None
 
         def has_ended(host) -> bool:
-            stated = host.context.limits.stated_by_runner.values()
+            stated = host.context.limits.by_runner.values()
             return all(limit.per_s is None for limit in stated)
 
         sending = asyncio.create_task(send_steadily(world, 20, 8.0))
--- a/tests/functional/test_runner_statements.py
+++ b/tests/functional/test_runner_statements.py
@@ -164,7 +164,7 @@
         def known() -> set[str]:
             engines = context.placement_for("engines").full_until_by_runner
             stats = context.plain_placement.stats_by_runner
-            stated = context.limits.stated_by_runner
+            stated = context.limits.by_runner
             return {key.name for keys in (engines, stats, stated) for key in keys}
 
         await until(lambda: known() == {"p-2"}, 15.0)
--- a/tests/unit/test_runner_limits.py
+++ b/tests/unit/test_runner_limits.py
@@ -137,7 +137,7 @@
     limits.keep_only([RUNNER])
     assert limits.limit_of(RUNNER) == 3.2
     limits.keep_only([])
-    assert not limits.stated_by_runner and not limits._allowance_by_runner
+    assert not limits.by_runner
 
 
 def test_wait_is_the_time_until_the_next_request():
