--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -99,6 +99,7 @@
         if statement.pause_s is not None:
             self.limits.note_pause(runner, statement.pause_s)
         if statement.is_leaving:
+            self.metrics.count("runner_leaving_answers")
             self.runners.mark_draining(runner.name, runner.started_at, "its answer")
 
     def forget_runner(self, runner: RunnerKey) -> None:
--- a/src/siskinlever/_internal/metrics/names.py
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -18,6 +18,7 @@
     "peer_calls_failed": "Calls to peers that were not answered.",
     "peer_connections_replaced": "Connections to peers that fell silent.",
     "peer_message_bytes": "Bytes of messages to and from peers, as the caller.",
+    "runner_leaving_answers": "Answers in which runners stated that they leave.",
     "runner_limit_changes": "Limits that runners stated, changed or ended.",
     "runner_pauses": "Answers with which runners asked this host for a pause.",
     "runner_statements_invalid": "Statements of runners that were not valid.",
