--- a/tests/functional/test_software_versions.py
+++ b/tests/functional/test_software_versions.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from lib.platform_world import HOST, platform_world, until
+from lib.platform_world import HOST, configuration, platform_world, until
 
 from siskinlever_testbed.processes import free_addresses
 from siskinlever_testbed.standins.platform.runner import RunnerStandIn, running_runner
@@ -149,3 +149,33 @@
         await until(lambda: {r.version for r in usable("engines")} == {NEW})
         answer = await take_up(world, "unknown", "t-1", 0)
         assert answer.status == 503
+
+
+async def test_streams_taken_up_go_on_as_often_as_new_ones_begin_under_load(log_path):
+    """New streams want more than all engines; those taken up need one version."""
+    versions = {"e-1": OLD, "e-2": NEW, "e-3": OLD, "e-4": NEW}
+    async with versions_world(log_path, versions, hosts=2) as world:
+        document = configuration(2)
+        document["services"][1]["engine"]["slots"] = 4
+        world.apply(document)
+        for name in ("e-2", "e-3", "e-4"):
+            world.runner_named(name).step_s = 0.02
+        await asyncio.sleep(1.0)
+        begun = [await begin_stream(world, f"g-{n}", n % 2) for n in range(6)]
+        new, taken_up = [], []
+        for number in range(90):
+            call = (f"n-{number}", b"p", number % 2, GENERATION)
+            new.append(asyncio.create_task(world.send("/resume/x", "POST", *call)))
+            if number % 15 == 14:
+                first = number // 15
+                resumed = take_up(world, f"g-{first}", f"t-{first}", (first + 1) % 2)
+                taken_up.append(asyncio.create_task(resumed))
+            await asyncio.sleep(0.04)
+        answers = await asyncio.gather(*new)
+        continued = await asyncio.gather(*taken_up)
+    begin_share = sum(answer.status == 200 for answer in answers) / len(answers)
+    go_on_share = sum(answer.status == 200 for answer in continued) / len(continued)
+    assert begin_share < 1.0
+    assert go_on_share >= begin_share / 2
+    for events, answer in zip(begun, continued, strict=True):
+        assert answer.status != 200 or versions_in(answer.body) == versions_in(events)
