--- a/src/siskinlever/_internal/fleet/stream_versions.py
+++ b/src/siskinlever/_internal/fleet/stream_versions.py
@@ -137,7 +137,7 @@
         """Return the version that began a stream, or None if no host knows it."""
         version = self.memory.version_of(attempt)
         source = self._own_host if version else "unknown"
-        if version is None and attempt:
+        if version is None:
             calls = [self._ask(status, attempt) for status in self._others()]
             for answer in asyncio.as_completed(calls):
                 host, found = await answer
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -115,8 +115,10 @@
         """
         context, job = self._context, self._job
         first_attempt = wire.first_attempt_id(job.request)
-        job.log_fields["resumes"] = first_attempt
-        version = await context.stream_versions.find(first_attempt)
+        version = None
+        if first_attempt:
+            job.log_fields["resumes"] = first_attempt
+            version = await context.stream_versions.find(first_attempt)
         if version is None:
             version = only_version(context.runners.known(job.service))
         if version is None and context.runners.usable(job.service):
