Tell callers of limited runners no time before they can be served

Retry-After of a refusal varies by 40 percent in both directions, so that some callers came back before the first request was allowed and were refused again. For limits and pauses it varies only upwards. The new test failed before.

--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -90,9 +90,12 @@
     """
     if wait_s is None:
         wait_s = LIMITED_ELSEWHERE_RETRY_S
-    retry_after_s = max(wait_s, MIN_LIMITED_RETRY_S)
+    # Earlier than the wait, the caller would be refused again.
+    retry_after_s = max(wait_s, MIN_LIMITED_RETRY_S) * random.uniform(
+        1, 1 + RETRY_JITTER
+    )
     message = f"all runners of {service} have stated limits or pauses"
-    return refused(EndReason.LIMITED, message, retry_after_s)
+    return EndedError(503, EndReason.LIMITED, message, retry_after_s)
 
 
 def failed(reason: EndReason, message: str) -> EndedError:
--- a/tests/unit/test_runner_limits.py
+++ b/tests/unit/test_runner_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from siskinlever._internal.dispatch.runner_limits import RunnerLimits, sender_share
+from siskinlever._internal.gateway.errors import limited
 from siskinlever._internal.models.ids import HostName, RunnerName
 from siskinlever._internal.models.upstreams import RunnerKey, StartedAt
 
@@ -202,3 +203,8 @@
     limits.note_pause(RUNNER, 5.0)
     assert limits.may_send(other) and not limits.are_paused([RUNNER, other])
     assert limits.wait_s([RUNNER, other]) == 0.0
+
+
+def test_caller_is_not_told_to_come_back_before_it_can_be_served():
+    assert all(limited("s", 2.0).retry_after_s >= 2.0 for _ in range(50))
+    assert len({limited("s", 2.0).retry_after_s for _ in range(50)}) > 40
