Log how an engine's answer was framed and whether it ended inside an event

`request.ended` of a generation now names the framing, the number of events and whether an event is open at the end, from a scanner that knows the three line ends of server-sent events.

--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -347,7 +347,14 @@
         if self._job.route.resumable:
             attempt = wire.first_attempt_id(self._job.request) or self._job.id
             await self._context.stream_versions.record(attempt, runner.version)
-        await self._relay.copy(answer, self._close)
+        try:
+            await self._relay.copy(answer, self._close)
+        finally:
+            self._job.log_fields |= {
+                "framing": answer.framing.value,
+                "events": self._relay.events_sent,
+                "inside_event": self._relay.is_inside_event,
+            }
         self._placement.note_output(
             self._requested.likely_output_tokens, self._relay.events_sent
         )
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..exceptions import AnswerBrokenError
+from ..network.event_stream import EventStreamScanner
 from ..network.http1_client import AnswerHead, Exchange, Header
 from ..network.http1_server import CallerConnection
 from ..platform import wire
@@ -120,6 +121,7 @@
         self._connection = connection
         self._only_complete_events = only_complete_events
         self._partial = b""
+        self._scanner = EventStreamScanner()
         self.last_event: str | None = None
         self.bytes_sent = 0
         self.events_sent = 0
@@ -129,6 +131,11 @@
         """Whether the head of the answer was sent to the caller."""
         return self._connection.answer_started
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes of the current runner end within an event."""
+        return self._scanner.is_inside_event
+
     async def copy(self, answer: Exchange, close: bool) -> None:
         """Forward one runner's answer until the stream ends.
 
@@ -146,7 +153,9 @@
             Raised when the caller closed its connection.
         """
         self._partial = b""
+        self._scanner = EventStreamScanner()
         async for chunk in answer.chunks():
+            self._scanner.feed(chunk)
             if not self.started:
                 headers = wire.answer_headers(answer.head)
                 await self._connection.start_answer(answer.head.status, headers, close)
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from enum import Enum
 
 import h11
 
@@ -61,6 +62,14 @@
         return None
 
 
+class Framing(Enum):
+    """What marks the end of an answer's body; used in logs."""
+
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    CONNECTION = "connection"
+
+
 class Exchange:
     """An answer whose head has arrived and whose body is being read."""
 
@@ -68,6 +77,15 @@
         self.head = head
         self._reader = reader
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body, by the headers."""
+        if self.head.get(b"transfer-encoding") is not None:
+            return Framing.CHUNKS
+        if self.head.get(b"content-length") is not None:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body as it arrives.
 
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -399,6 +399,22 @@
     assert json.dumps(line)
 
 
+@pytest.mark.parametrize("broken", [False, True])
+async def test_log_shows_how_the_answer_of_an_engine_was_framed_and_ended(
+    log_path, broken
+):
+    async with platform_world(log_path) as world:
+        for name in ("e-2", "e-3"):
+            world.runner_named(name).break_after_events = 4 if broken else None
+        await world.send("/stream/x", "POST", "m-2", b"p", headers=GENERATION)
+        (line,) = [x for x in world.lines("request.ended") if x["request"] == "m-2"]
+    assert line["framing"] == "chunks"
+    assert (line["events"], line["inside_event"]) == (
+        (3, True) if broken else (10, False)
+    )
+    assert line["outcome"] == ("broken" if broken else "answered")
+
+
 async def test_rejected_request_is_retried_at_another_runner(log_path):
     async with platform_world(log_path) as world:
         world.runner_named("p-1").fault = RunnerFault.SHED
