--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -54,6 +54,24 @@
     UNSIGNED = "unsigned"
 
 
+class StreamFraming(Enum):
+    """What marks the end of an engine's stream."""
+
+    CHUNKS = "chunks"
+    # Neither a length nor chunks: the end of the connection.
+    CONNECTION = "connection"
+
+
+class StreamEnd(Enum):
+    """How an engine ends a stream that it breaks off."""
+
+    RESET = "reset"
+    # An orderly close of the connection.
+    CLOSE = "close"
+    # As a complete stream: with the last chunk, where the stream has chunks.
+    COMPLETE = "complete"
+
+
 @dataclass(slots=True)
 class Request:
     """A request as received by a runner."""
@@ -120,8 +138,11 @@
     held_by_id: dict[str, int] = field(default_factory=dict)
     handle_by_id: dict[str, str] = field(default_factory=dict)
     used_tokens: int = 0
-    # Event of a stream, counted from 1, in whose middle the connection is reset.
+    stream_framing: StreamFraming = StreamFraming.CHUNKS
+    line_end: str = "\n"
+    # Event of a stream, counted from 1, in whose middle the stream is broken off.
     break_after_events: int | None = None
+    break_end: StreamEnd = StreamEnd.RESET
 
     @property
     def address(self) -> str:
@@ -307,8 +328,13 @@
         attempt_id = request.get("attempt-id") or ""
         first = int(request.get("last-event-id") or "0") + 1
         events = range(first, max_tokens // self.tokens_per_event + 1)
-        head = [*self._answer_headers(attempt_id), ("Transfer-Encoding", "chunked")]
-        writer.write(_encode_head(200, [*head, ("Content-Type", "text/event-stream")]))
+        has_chunks = self.stream_framing is StreamFraming.CHUNKS
+        head = [
+            *self._answer_headers(attempt_id),
+            ("Content-Type", "text/event-stream"),
+            *([("Transfer-Encoding", "chunked")] if has_chunks else []),
+        ]
+        writer.write(_encode_head(200, head))
         disconnected = asyncio.ensure_future(reader.read(1))
         try:
             for number in events:
@@ -317,17 +343,24 @@
                     self.cancelled.append(attempt_id)
                     return
                 event = self._event(number)
-                if number - first + 1 == self.break_after_events:
-                    writer.write(_chunk(event[: len(event) // 2]))
-                    await writer.drain()
-                    _reset(writer)
-                    return
-                writer.write(_chunk(event))
+                breaks_off = number - first + 1 == self.break_after_events
+                if breaks_off:
+                    event = event[: len(event) // 2]
+                writer.write(_chunk(event) if has_chunks else event)
                 await writer.drain()
+                if breaks_off:
+                    break
+            else:
+                breaks_off = False
+            if breaks_off and self.break_end is StreamEnd.RESET:
+                _reset(writer)
+                return
             if fault is RunnerFault.TRUNCATED:
                 return
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
+            is_closed = breaks_off and self.break_end is StreamEnd.CLOSE
+            if has_chunks and not is_closed:
+                writer.write(b"0\r\n\r\n")
+                await writer.drain()
         finally:
             disconnected.cancel()
 
@@ -342,7 +375,8 @@
 
     def _event(self, number: int) -> bytes:
         suffix = "" if self.version == FIRST_VERSION else f" of {self.version}"
-        return f"id: {number}\ndata: token-{number}{suffix}\n\n".encode()
+        lines = [f"id: {number}", f"data: token-{number}{suffix}", "", ""]
+        return self.line_end.join(lines).encode()
 
     def _answer_headers(self, attempt_id: str) -> list[tuple[str, str]]:
         return [
--- /dev/null
+++ b/tests/functional/test_broken_streams.py
@@ -0,0 +1,69 @@
+"""Streams that engines break off must not reach callers as complete ones."""
+
+from __future__ import annotations
+
+import pytest
+from lib.platform_world import event_text, platform_world
+
+from siskinlever_testbed.standins.platform.runner import StreamEnd, StreamFraming
+
+GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
+EVENTS = 10
+BROKEN_EVENT = 4
+# Ends of a stream that are orderly by its framing.
+ORDERLY_ENDS = [
+    (StreamFraming.CONNECTION, StreamEnd.CLOSE),
+    (StreamFraming.CHUNKS, StreamEnd.COMPLETE),
+]
+
+
+@pytest.fixture
+def log_path(tmp_path) -> str:
+    return str(tmp_path / "log")
+
+
+def decode_engines(world):
+    return [world.runner_named("e-2"), world.runner_named("e-3")]
+
+
+def set_framing(world, framing: StreamFraming, line_end: str = "\n") -> None:
+    for engine in decode_engines(world):
+        engine.stream_framing, engine.line_end = framing, line_end
+
+
+def break_off(world, end: StreamEnd) -> None:
+    for engine in decode_engines(world):
+        engine.break_after_events, engine.break_end = BROKEN_EVENT, end
+
+
+async def generate(world, path: str = "/stream/x", identifier: str = "b-1"):
+    return await world.send(path, "POST", identifier, b"p", headers=GENERATION)
+
+
+@pytest.mark.parametrize(
+    ("framing", "end"), ORDERLY_ENDS, ids=lambda value: value.value
+)
+async def test_stream_that_ends_inside_an_event_is_not_framed_as_complete(
+    log_path, framing, end
+):
+    async with platform_world(log_path) as world:
+        set_framing(world, framing)
+        break_off(world, end)
+        answer = await generate(world)
+        (line,) = world.lines("request.ended")
+        assert sum(engine.ran.count("b-1") for engine in decode_engines(world)) == 1
+    assert answer.status == 200 and not answer.complete
+    assert answer.body.decode().startswith(
+        "".join(event_text(number) for number in range(1, BROKEN_EVENT))
+    )
+    assert line["outcome"] == "broken" and line["inside_event"]
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
+@pytest.mark.parametrize("framing", StreamFraming, ids=lambda value: value.value)
+async def test_whole_stream_is_complete_however_it_is_framed(log_path, path, framing):
+    async with platform_world(log_path) as world:
+        set_framing(world, framing)
+        answer = await generate(world, path)
+    events = "".join(event_text(number) for number in range(1, EVENTS + 1))
+    assert answer.complete and answer.body.decode() == events
