Don't append a stream to the error of another engine

Callers of resumable routes whose engine answered 500 got that status with an empty body that broke off, or, where a second engine was tried, the status and signature of the first with the events of the second.

Cause: all answers of engines went through the relay of streams, which takes any status for the head of a stream and a body without the end of an event for a broken one.

Answers that are no stream now go through the relay of plain answers, which moves into a class that both paths use: a first server error is kept while another runner is tried and sent if none answers. A plain answer of which part was sent is never continued.

Ruled out: forwarding the error at once, as on routes that aren't resumable; the route allows a second run, and the caller is served by it.

Two of the three new tests failed before (500 with an empty body that broke off; status 500 with ten events of the other engine), all pass.

--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -25,7 +25,7 @@
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, refused
 from .job import Job
-from .relay import StreamRelay
+from .relay import PlainRelay, StreamRelay
 
 # Retry-After in seconds when an engine rejected the request, the connection failed,
 # or no retry is left: other engines can serve the caller soon.
@@ -71,7 +71,9 @@
         self._requested = requested
         self._spec = spec
         self._close = close
+        self._connection = connection
         self._relay = StreamRelay(connection, job.route.resumable)
+        self._plain_relay = PlainRelay(connection, close)
         self._placement = context.placement_for(job.service)
         # The version that began the stream; None before its first event.
         self._version: SoftwareVersion | None = None
@@ -140,6 +142,9 @@
             if not self._may_retry(failure):
                 if self._relay.started:
                     raise AnswerBrokenError(failure.message)
+                answered_by = await self._plain_relay.send_kept_error()
+                if answered_by is not None:
+                    return answered_by
                 raise failure
             self._context.log.write(
                 "request.resent",
@@ -344,6 +349,14 @@
             )
         if self._relay.started and head.status != 200:
             return failed(EndReason.BROKEN, f"{runner.key.name} answered {head.status}")
+        if not wire.is_event_stream(head, self._job.route.kind):
+            if await self._plain_relay.copy(runner.key.name, answer):
+                return None
+            return failed(EndReason.FAILED_BY_RUNNER, f"status {head.status}")
+        await self._forward_stream(runner, answer)
+        return None
+
+    async def _forward_stream(self, runner: Registration, answer: Exchange) -> None:
         if self._job.route.resumable:
             attempt = wire.first_attempt_id(self._job.request) or self._job.id
             await self._context.stream_versions.record(attempt, runner.version)
@@ -358,12 +371,14 @@
         self._placement.note_output(
             self._requested.likely_output_tokens, self._relay.events_sent
         )
-        return None
 
     def _may_retry(self, failure: EndedError) -> bool:
         job, route = self._job, self._job.route
         if job.time_left_s <= 0:
             return False
+        if self._connection.answer_started and not self._relay.started:
+            # Part of an answer that is no stream was sent.
+            return False
         if failure.reason is EndReason.UNREACHABLE:
             return True
         if job.may_have_run and not route.repeatable:
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -10,7 +10,7 @@
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
-from .relay import BufferedAnswer, relay_plain
+from .relay import PlainRelay
 
 # Retry-After in seconds when a runner rejected the request or was unreachable:
 # other runners can serve the caller soon.
@@ -45,16 +45,15 @@
         self._context = context
         self._connection = connection
         self._job = job
-        self._close = close
+        self._relay = PlainRelay(connection, close)
         self._tried: set[RunnerKey] = set()
         self._connect_failures = 0
-        self._buffered: BufferedAnswer | None = None
 
     async def serve(self) -> str:
         """Answer the request; return the name of the runner that answered.
 
-        The first answer with a server error (5xx) is buffered; it is sent to the
-        caller if no other runner answers.
+        The first answer with a server error (5xx) is kept; it is sent to the caller
+        if no other runner answers.
 
         Raises
         ------
@@ -82,9 +81,9 @@
                 reason=failure.reason.value,
                 runners=len(self._job.sent_to),
             )
-        if self._buffered is not None and not self._connection.answer_started:
-            await self._buffered.write_to(self._connection, self._close)
-            return self._buffered.runner
+        answered_by = await self._relay.send_kept_error()
+        if answered_by is not None:
+            return answered_by
         raise failure or self._no_runner()
 
     def _choose_runner(self) -> Registration | None:
@@ -149,11 +148,9 @@
                 EndReason.FOREIGN, f"not this request's answer: {head.status}"
             )
         placement.note_outcome(runner.key, failed=head.status >= 500)
-        if head.status >= 500 and self._buffered is None:
-            self._buffered = await BufferedAnswer.read(runner.key.name, answer)
-            return failed(EndReason.FAILED_BY_RUNNER, f"status {head.status}")
-        await relay_plain(answer, self._connection, self._close)
-        return None
+        if await self._relay.copy(runner.key.name, answer):
+            return None
+        return failed(EndReason.FAILED_BY_RUNNER, f"status {head.status}")
 
     def _may_retry(self, failure: EndedError) -> bool:
         job, route = self._job, self._job.route
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from ..exceptions import AnswerBrokenError
@@ -17,91 +18,101 @@
 ID_FIELD = b"id:"
 
 
-async def relay_plain(
-    answer: Exchange, connection: CallerConnection, close: bool
-) -> int:
-    """Forward an answer to the caller; return the size of its body in bytes.
+class PlainRelay:
+    """Forwards an answer that is no stream.
 
-    Raises
-    ------
-    AnswerBrokenError
-        Raised when the runner's answer is incomplete. If
-        `connection.answer_started` is not set, nothing was sent to the caller.
-    CallerGoneError
-        Raised when the caller closed its connection.
-    """
-    body = bytearray()
-    chunks = answer.chunks()
-    async for chunk in chunks:
-        body += chunk
-        if len(body) > MAX_BUFFERED_BYTES:
-            return await _relay_large(
-                answer.head, bytes(body), chunks, connection, close
-            )
-    headers = wire.answer_headers(answer.head)
-    await connection.answer(answer.head.status, headers, bytes(body), close)
-    return len(body)
-
-
-@dataclass(frozen=True, slots=True)
-class BufferedAnswer:
-    """A complete answer that is kept while another runner is tried.
+    The first server error is kept while other runners are tried.
 
     Parameters
     ----------
-    runner : str
-        Name of the runner that answered.
-    head : AnswerHead
-    body : bytes
+    connection : CallerConnection
+    close : bool
+        Whether to close the connection after the answer.
     """
 
-    runner: str
-    head: AnswerHead
-    body: bytes
+    def __init__(self, connection: CallerConnection, close: bool) -> None:
+        self._connection = connection
+        self._close = close
+        self._kept: _KeptError | None = None
 
-    @classmethod
-    async def read(cls, runner: str, answer: Exchange) -> BufferedAnswer:
-        """Read an answer completely.
+    async def copy(self, runner: str, answer: Exchange) -> bool:
+        """Forward a runner's answer; return False if it is an error that was kept.
 
         Raises
         ------
         AnswerBrokenError
-            Raised when the runner's answer is incomplete or larger than
-            `MAX_BUFFERED_BYTES`.
+            Raised when the runner's answer is incomplete, or a server error larger
+            than `MAX_BUFFERED_BYTES`. If `connection.answer_started` is not set,
+            nothing was sent to the caller.
+        CallerGoneError
+            Raised when the caller closed its connection.
         """
-        return cls(runner, answer.head, await answer.read(MAX_BUFFERED_BYTES))
+        if answer.head.status >= 500 and self._kept is None:
+            body = await answer.read(MAX_BUFFERED_BYTES)
+            self._kept = _KeptError(runner, answer.head, body)
+            return False
+        await self._forward(answer)
+        return True
+
+    async def send_kept_error(self) -> str | None:
+        """Send the error that was kept, unless an answer has started.
 
-    async def write_to(self, connection: CallerConnection, close: bool) -> None:
-        """Send the answer to the caller.
+        Returns
+        -------
+        runner : str or None
+            Name of the runner that gave it; None if nothing was sent.
 
         Raises
         ------
         CallerGoneError
             Raised when the caller closed its connection.
         """
-        headers = wire.answer_headers(self.head)
-        await connection.answer(self.head.status, headers, self.body, close)
+        kept = self._kept
+        if kept is None or self._connection.answer_started:
+            return None
+        await self._send(kept.head, kept.body)
+        return kept.runner
+
+    async def _forward(self, answer: Exchange) -> None:
+        body = bytearray()
+        chunks = answer.chunks()
+        async for chunk in chunks:
+            body += chunk
+            if len(body) > MAX_BUFFERED_BYTES:
+                await _relay_large(
+                    answer.head, bytes(body), chunks, self._connection, self._close
+                )
+                return
+        await self._send(answer.head, bytes(body))
+
+    async def _send(self, head: AnswerHead, body: bytes) -> None:
+        headers = wire.answer_headers(head)
+        await self._connection.answer(head.status, headers, body, self._close)
+
+
+@dataclass(frozen=True, slots=True)
+class _KeptError:
+    runner: str
+    head: AnswerHead
+    body: bytes
 
 
 async def _relay_large(
     head: AnswerHead,
     initial_bytes: bytes,
-    remaining_chunks: object,
+    remaining_chunks: AsyncIterator[bytes],
     connection: CallerConnection,
     close: bool,
-) -> int:
+) -> None:
     length = wire.content_length(head)
     headers: list[Header] = wire.answer_headers(head)
     if length is not None:
         headers.append((b"Content-Length", str(length).encode()))
     await connection.start_answer(head.status, headers, close)
     await connection.write(initial_bytes)
-    size = len(initial_bytes)
-    async for chunk in remaining_chunks:  # type: ignore[attr-defined]
+    async for chunk in remaining_chunks:
         await connection.write(chunk)
-        size += len(chunk)
     await connection.end_answer()
-    return size
 
 
 class StreamRelay:
@@ -113,6 +124,11 @@
     only_complete_events : bool
         Whether to buffer an event until it is complete, so that another runner can
         continue after the last complete event.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the head of the answer was sent to the caller.
     """
 
     def __init__(
@@ -122,15 +138,11 @@
         self._only_complete_events = only_complete_events
         self._partial = b""
         self._scanner = EventStreamScanner()
+        self.started = False
         self.last_event: str | None = None
         self.bytes_sent = 0
         self.events_sent = 0
 
-    @property
-    def started(self) -> bool:
-        """Whether the head of the answer was sent to the caller."""
-        return self._connection.answer_started
-
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes of the current runner end within an event."""
@@ -156,16 +168,18 @@
         self._scanner = EventStreamScanner()
         async for chunk in answer.chunks():
             self._scanner.feed(chunk)
-            if not self.started:
-                headers = wire.answer_headers(answer.head)
-                await self._connection.start_answer(answer.head.status, headers, close)
+            await self._start(answer, close)
             await self._forward(chunk)
         if self._partial:
             raise AnswerBrokenError("the stream ended within an event")
+        await self._start(answer, close)
+        await self._connection.end_answer()
+
+    async def _start(self, answer: Exchange, close: bool) -> None:
         if not self.started:
+            self.started = True
             headers = wire.answer_headers(answer.head)
             await self._connection.start_answer(answer.head.status, headers, close)
-        await self._connection.end_answer()
 
     async def _forward(self, chunk: bytes) -> None:
         if self._only_complete_events:
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -14,6 +14,7 @@
 
 from ..exceptions import InvalidRecordError
 from ..models.ids import HostName, RunnerName, ZoneName
+from ..models.routes import RequestKind
 from ..models.upstreams import Address, LoadReport, RunnerKey, Stage
 from ..network.http1_client import AnswerHead, Call, Header
 from ..network.http1_server import ReceivedRequest
@@ -78,6 +79,7 @@
 PRESERVED_HEADERS = frozenset(
     {b"host", REQUEST_ID, b"model", TOKENS, b"prompt-prefix", LAST_EVENT, OUTPUT_HINT}
 )
+EVENT_STREAM = "text/event-stream"
 READINESS_PATH = "/readyz"
 LOOKUP_PATH = "/resolve"
 
@@ -233,6 +235,13 @@
     return int(value) if value is not None and not chunked else None
 
 
+def is_event_stream(head: AnswerHead, kind: RequestKind) -> bool:
+    """Return whether the body of an answer to a request of a kind is a stream."""
+    media_type = (head.get(b"content-type") or "").partition(";")[0].strip().lower()
+    is_stream = kind is RequestKind.STREAM or media_type == EVENT_STREAM
+    return head.status == 200 and is_stream
+
+
 def is_answer_to(head: AnswerHead, request: ReceivedRequest) -> bool:
     """Return whether an answer carries the id of the request."""
     return head.get(REQUEST_ID) == request.get(REQUEST_ID)
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -5,7 +5,11 @@
 import pytest
 from lib.platform_world import event_text, platform_world
 
-from siskinlever_testbed.standins.platform.runner import StreamEnd, StreamFraming
+from siskinlever_testbed.standins.platform.runner import (
+    RunnerFault,
+    StreamEnd,
+    StreamFraming,
+)
 
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
 EVENTS = 10
@@ -67,3 +71,26 @@
         answer = await generate(world, path)
     events = "".join(event_text(number) for number in range(1, EVENTS + 1))
     assert answer.complete and answer.body.decode() == events
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
+async def test_error_of_all_engines_is_forwarded_unchanged(log_path, path):
+    async with platform_world(log_path) as world:
+        for engine in decode_engines(world):
+            engine.fault = RunnerFault.ERROR
+        answer = await generate(world, path)
+    assert (answer.status, answer.body, answer.complete) == (500, b"failed", True)
+
+
+async def test_stream_is_not_appended_to_the_error_of_another_engine(log_path):
+    async with platform_world(log_path) as world:
+        failing = world.runner_named("e-2")
+        failing.fault = RunnerFault.ERROR
+        answers = [
+            await generate(world, "/resume/x", f"b-{number}") for number in range(6)
+        ]
+        assert failing.ran
+    events = "".join(event_text(number) for number in range(1, EVENTS + 1))
+    assert {(a.status, a.body.decode(), a.complete) for a in answers} == {
+        (200, events, True)
+    }
