Break a stream off for its caller if it ends inside an event

Cause: an answer with neither a length nor chunks ends with its connection, so an orderly close counts as the end of the body, and the relay looked for an open event only on resumable routes.

Change: the end of each stream is judged by its content, on every route. Inside an event it has been broken off and the caller's connection is reset.

--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -160,7 +160,8 @@
         Raises
         ------
         AnswerBrokenError
-            Raised when the runner's answer breaks off or ends within an event.
+            Raised when the runner's answer breaks off or ends within an event,
+            whatever its framing says.
         CallerGoneError
             Raised when the caller closed its connection.
         """
@@ -170,7 +171,7 @@
             self._scanner.feed(chunk)
             await self._start(answer, close)
             await self._forward(chunk)
-        if self._partial:
+        if self._partial or self.is_inside_event:
             raise AnswerBrokenError("the stream ended within an event")
         await self._start(answer, close)
         await self._connection.end_answer()
