Recognize the events of streams whose lines end with CRLF or CR

Callers of resumable routes got no event of such a stream: all were held back until its end, which then counted as an end inside an event, so that the answer broke off empty (or went to the next engine and broke off there).

Cause: the relay took only two line feeds for the end of an event. The scanner that judges the end of a stream now also splits it into events.

--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -14,8 +14,6 @@
 # Answers up to this size are read completely before anything is sent to the caller,
 # so that another runner can still be tried if the answer breaks off.
 MAX_BUFFERED_BYTES = 65_536
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
 
 
 class PlainRelay:
@@ -136,11 +134,9 @@
     ) -> None:
         self._connection = connection
         self._only_complete_events = only_complete_events
-        self._partial = b""
         self._scanner = EventStreamScanner()
         self.started = False
         self.last_event: str | None = None
-        self.bytes_sent = 0
         self.events_sent = 0
 
     @property
@@ -165,15 +161,15 @@
         CallerGoneError
             Raised when the caller closed its connection.
         """
-        self._partial = b""
         self._scanner = EventStreamScanner()
         async for chunk in answer.chunks():
-            self._scanner.feed(chunk)
             await self._start(answer, close)
             await self._forward(chunk)
-        if self._partial or self.is_inside_event:
+        if self.is_inside_event:
             raise AnswerBrokenError("the stream ended within an event")
         await self._start(answer, close)
+        if self._only_complete_events:
+            await self._connection.write(self._scanner.remainder)
         await self._connection.end_answer()
 
     async def _start(self, answer: Exchange, close: bool) -> None:
@@ -183,18 +179,8 @@
             await self._connection.start_answer(answer.head.status, headers, close)
 
     async def _forward(self, chunk: bytes) -> None:
-        if self._only_complete_events:
-            complete, separator, self._partial = (self._partial + chunk).rpartition(
-                EVENT_END
-            )
-            chunk = complete + separator
-            self._note_last_event(chunk)
-        self.bytes_sent += len(chunk)
-        self.events_sent += chunk.count(EVENT_END)
-        await self._connection.write(chunk)
-
-    def _note_last_event(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
-            if line.startswith(ID_FIELD):
-                self.last_event = line[len(ID_FIELD) :].strip().decode("latin-1")
-                return
+        events_before = self._scanner.events
+        complete = self._scanner.feed(chunk)
+        self.events_sent += self._scanner.events - events_before
+        self.last_event = self._scanner.last_event or self.last_event
+        await self._connection.write(complete if self._only_complete_events else chunk)
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -40,6 +40,11 @@
         engine.break_after_events, engine.break_end = BROKEN_EVENT, end
 
 
+def stream_text(events: int, line_end: str = "\n") -> str:
+    text = "".join(event_text(number) for number in range(1, events + 1))
+    return text.replace("\n", line_end)
+
+
 async def generate(world, path: str = "/stream/x", identifier: str = "b-1"):
     return await world.send(path, "POST", identifier, b"p", headers=GENERATION)
 
@@ -57,9 +62,7 @@
         (line,) = world.lines("request.ended")
         assert sum(engine.ran.count("b-1") for engine in decode_engines(world)) == 1
     assert answer.status == 200 and not answer.complete
-    assert answer.body.decode().startswith(
-        "".join(event_text(number) for number in range(1, BROKEN_EVENT))
-    )
+    assert answer.body.decode().startswith(stream_text(BROKEN_EVENT - 1))
     assert line["outcome"] == "broken" and line["inside_event"]
 
 
@@ -69,8 +72,7 @@
     async with platform_world(log_path) as world:
         set_framing(world, framing)
         answer = await generate(world, path)
-    events = "".join(event_text(number) for number in range(1, EVENTS + 1))
-    assert answer.complete and answer.body.decode() == events
+    assert answer.complete and answer.body.decode() == stream_text(EVENTS)
 
 
 @pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
@@ -90,7 +92,31 @@
             await generate(world, "/resume/x", f"b-{number}") for number in range(6)
         ]
         assert failing.ran
-    events = "".join(event_text(number) for number in range(1, EVENTS + 1))
     assert {(a.status, a.body.decode(), a.complete) for a in answers} == {
-        (200, events, True)
+        (200, stream_text(EVENTS), True)
     }
+
+
+@pytest.mark.parametrize("line_end", ["\r\n", "\r"], ids=["CRLF", "CR"])
+@pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
+async def test_events_are_recognized_whatever_ends_their_lines(
+    log_path, path, line_end
+):
+    async with platform_world(log_path) as world:
+        set_framing(world, StreamFraming.CHUNKS, line_end)
+        answer = await generate(world, path)
+        (line,) = world.lines("request.ended")
+    assert answer.complete and answer.body.decode() == stream_text(EVENTS, line_end)
+    assert line["events"] == EVENTS
+
+
+@pytest.mark.parametrize("line_end", ["\n", "\r\n", "\r"], ids=["LF", "CRLF", "CR"])
+async def test_broken_stream_goes_on_after_its_last_whole_event(log_path, line_end):
+    async with platform_world(log_path) as world:
+        set_framing(world, StreamFraming.CONNECTION, line_end)
+        broken = world.runner_named("e-2")
+        broken.break_after_events, broken.break_end = BROKEN_EVENT, StreamEnd.CLOSE
+        answers = [await generate(world, "/resume/x", f"b-{n}") for n in range(6)]
+        assert broken.ran
+    texts = {(answer.body.decode(), answer.complete) for answer in answers}
+    assert texts == {(stream_text(EVENTS, line_end), True)}
