Reset the connection of an HTTP/1.0 caller whose answer was broken off

Callers of HTTP/1.0 took each broken stream, and each broken large answer, for a complete one.

Cause: their answers have no chunks and end with the connection, and the abort of a transport closes it in an orderly way (FIN), whatever its docstring said.

Change: an answer of which a part was sent is broken off in one place, which first lets what was written reach the caller (at most 0.1 s, then 0.1 s more before a reset, which drops what the kernel has not sent). HTTP/1.1 callers see the missing last chunk as before.

Ruled out: a reset for all callers, which would drop whole events in flight.

--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -109,7 +109,7 @@
             await self._answer_failure(job, request, failure)
         except AnswerBrokenError as error:
             self._log_end(job, request, 0, "broken", error.message)
-            self._connection.abort()
+            await self._connection.break_off()
         except CallerGoneError as error:
             self._log_end(job, request, 0, "caller_gone", error.message)
             raise
@@ -177,7 +177,7 @@
     ) -> None:
         if self._connection.answer_started:
             self._log_end(job, request, 0, "broken", failure.message)
-            self._connection.abort()
+            await self._connection.break_off()
             return
         # Status 503 would state that the request was not run, but an earlier send may
         # have run it.
--- a/src/siskinlever/_internal/network/http1_server.py
+++ b/src/siskinlever/_internal/network/http1_server.py
@@ -12,7 +12,7 @@
 from ..exceptions import CallerGoneError, InvalidRequestError
 from ..models.routes import CallerLimits
 from .http1_client import Header
-from .sockets import enable_transport_keepalive, split_address
+from .sockets import enable_transport_keepalive, reset, split_address
 
 READ_BYTES = 65_536
 # Bytes of further requests that are buffered while one is being served.
@@ -20,6 +20,8 @@
 # Seconds that a connection stays open after the answer to a request that was not read
 # completely, so that the caller can read the answer.
 CLOSE_DELAY_S = 0.1
+# Seconds between two looks at what of a broken answer has not been sent.
+FLUSH_POLL_S = 0.005
 # Connections that the kernel queues until they are accepted.
 BACKLOG = 512
 
@@ -294,8 +296,24 @@
         except (OSError, RuntimeError) as error:
             raise CallerGoneError(f"connection lost: {error!r}") from error
 
+    async def break_off(self) -> None:
+        """End an answer of which a part was sent, so that it doesn't seem complete.
+
+        What was written before is sent first, if the caller reads it.
+        """
+        transport = self._writer.transport
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_DELAY_S):
+                while transport.get_write_buffer_size():
+                    await asyncio.sleep(FLUSH_POLL_S)
+        if self._parser.their_http_version == b"1.0":
+            # The answer has no chunks, so the end of the connection would complete it.
+            await asyncio.sleep(CLOSE_DELAY_S)
+            reset(transport)
+        transport.abort()
+
     def abort(self) -> None:
-        """Reset the connection, so that a partial answer does not seem complete."""
+        """Close the connection at once; drop what was not sent."""
         self._writer.transport.abort()
 
     def close(self) -> None:
--- a/src/siskinlever/_internal/network/sockets.py
+++ b/src/siskinlever/_internal/network/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from contextlib import suppress
 from typing import Any
 
@@ -13,6 +14,8 @@
 KEEPALIVE_PROBES = 3
 # Linux's TCP_CLOSE: the connection is closed in both directions.
 TCP_STATE_CLOSED = 7
+# SO_LINGER with a timeout of 0 s: closing the socket resets the connection.
+LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 def enable_keepalive(sock: socket.socket) -> None:
@@ -55,6 +58,18 @@
     return bool(error) or state == TCP_STATE_CLOSED
 
 
+def reset(transport: asyncio.BaseTransport) -> None:
+    """Reset a connection, so that its peer doesn't see an orderly end.
+
+    Data that has not been sent is dropped.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    transport.abort()  # type: ignore[attr-defined]
+
+
 def keep_reading(transport: Any) -> None:
     """Resume reading, so that a disconnect is detected while a request is served.
 
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
-from lib.platform_world import event_text, platform_world
+from lib.platform_world import HOST, event_text, platform_world
 
 from siskinlever_testbed.standins.platform.runner import (
     RunnerFault,
@@ -120,3 +122,37 @@
         assert broken.ran
     texts = {(answer.body.decode(), answer.complete) for answer in answers}
     assert texts == {(stream_text(EVENTS, line_end), True)}
+
+
+async def read_to_the_end(world, path: str) -> tuple[bytes, bool]:
+    """Send a request of HTTP/1.0; return the body and whether it ended by a reset."""
+    host, _, port = world.hosts[0].settings.listeners.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    fields = {"Host": HOST, "Attempt-Id": "b-1", "Content-Length": "0"} | GENERATION
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    writer.write(f"POST {path} HTTP/1.0\r\n{head}\r\n".encode())
+    received = bytearray()
+    try:
+        while part := await reader.read(65_536):
+            received += part
+        was_reset = False
+    except ConnectionResetError:
+        was_reset = True
+    finally:
+        writer.close()
+    return bytes(received).partition(b"\r\n\r\n")[2], was_reset
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+async def test_end_of_the_connection_does_not_complete_a_broken_answer(
+    log_path, is_broken
+):
+    """Callers of HTTP/1.0 have no other frame than the end of the connection."""
+    async with platform_world(log_path) as world:
+        if is_broken:
+            break_off(world, StreamEnd.RESET)
+        body, was_reset = await read_to_the_end(world, "/stream/x")
+    assert was_reset is is_broken
+    assert body.decode().startswith(
+        stream_text(BROKEN_EVENT - 1 if is_broken else EVENTS)
+    )
