Judge and forward the event streams of plain services as streams

Callers got a stream of a plain service as one body at its end, and one that ended inside an event as a complete answer.

A 200 on a streaming route, or with the media type of event streams, now goes through the relay of streams there too.

--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -10,7 +10,7 @@
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
-from .relay import PlainRelay
+from .relay import PlainRelay, StreamRelay
 
 # Retry-After in seconds when a runner rejected the request or was unreachable:
 # other runners can serve the caller soon.
@@ -45,6 +45,7 @@
         self._context = context
         self._connection = connection
         self._job = job
+        self._close = close
         self._relay = PlainRelay(connection, close)
         self._tried: set[RunnerKey] = set()
         self._connect_failures = 0
@@ -148,6 +149,10 @@
                 EndReason.FOREIGN, f"not this request's answer: {head.status}"
             )
         placement.note_outcome(runner.key, failed=head.status >= 500)
+        if wire.is_event_stream(head, self._job.route.kind):
+            stream = StreamRelay(self._connection, only_complete_events=False)
+            await stream.copy(answer, self._close)
+            return None
         if await self._relay.copy(runner.key.name, answer):
             return None
         return failed(EndReason.FAILED_BY_RUNNER, f"status {head.status}")
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -143,6 +143,8 @@
     # Event of a stream, counted from 1, in whose middle the stream is broken off.
     break_after_events: int | None = None
     break_end: StreamEnd = StreamEnd.RESET
+    # Events of the streams with which a plain service answers; None for whole bodies.
+    events: int | None = None
 
     @property
     def address(self) -> str:
@@ -230,6 +232,11 @@
         if self.stage == "decode":
             await self._decode(request, fault, reader, writer)
             return
+        if self.events is not None:
+            self.ran.append(request.get("attempt-id") or "")
+            tokens = self.events * self.tokens_per_event
+            await self._stream(request, fault, reader, writer, tokens)
+            return
         await self._run_plain(request, fault, writer)
 
     def _is_switching(self) -> bool:
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -156,3 +156,35 @@
     assert body.decode().startswith(
         stream_text(BROKEN_EVENT - 1 if is_broken else EVENTS)
     )
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+@pytest.mark.parametrize("framing", StreamFraming, ids=lambda value: value.value)
+async def test_stream_of_a_plain_service_is_judged_as_those_of_engines(
+    log_path, framing, is_broken
+):
+    async with platform_world(log_path) as world:
+        for name in ("p-1", "p-2"):
+            runner = world.runner_named(name)
+            runner.events, runner.stream_framing = EVENTS, framing
+            runner.break_after_events = BROKEN_EVENT if is_broken else None
+            runner.break_end = StreamEnd.COMPLETE
+        answer = await world.send("/once/x", "POST", "b-1", b"p")
+    assert answer.complete is not is_broken
+    assert answer.body.decode().startswith(
+        stream_text(BROKEN_EVENT - 1 if is_broken else EVENTS)
+    )
+
+
+async def test_events_of_a_plain_service_are_forwarded_as_they_arrive(log_path):
+    async with platform_world(log_path) as world:
+        for name in ("p-1", "p-2"):
+            runner = world.runner_named(name)
+            runner.events, runner.step_s = EVENTS, 0.05
+        host, _, port = world.hosts[0].settings.listeners.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        fields = f"Host: {HOST}\r\nAttempt-Id: b-1\r\n"
+        writer.write(f"GET /safe/x HTTP/1.1\r\n{fields}\r\n".encode())
+        await asyncio.wait_for(reader.readuntil(b"token-1\n"), 1.5)
+        assert any(world.runner_named(name).running for name in ("p-1", "p-2"))
+        writer.close()
