Let every call to a runner obey and hear its pauses

A decode engine that had asked for a pause got a call for each request that had reserved room there before and was refused after it (DELETE of the reservation): 4 in the pause where 2 are allowed. Reports, orders and releases obeyed no pause, and one stated in their answers, or in an answer whose body broke off, was not heard.

All calls to runners now go through gateway/runner_calls.py. What is reserved at a paused engine lapses by itself.

Ruled out: sending releases all the same, as they free memory: the runner wants nothing, and a reservation lasts 2 s at most.

Before: test_reservations_at_an_engine_that_wants_a_pause_are_left_to_lapse (4 arrivals) and test_pause_stated_on_any_call_is_obeyed_by_requests failed: the cases of the two releases by no pause being noted, those of report and order because their functions had no context to note one in. After: all pass.

--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -158,8 +158,16 @@
     """Raised when an HTTP/1.1 call did not receive a complete answer."""
 
 
-class ConnectFailedError(ExchangeError):
-    """Raised when no connection could be established; nothing was sent."""
+class NotSentError(ExchangeError):
+    """Raised when nothing of a call was sent."""
+
+
+class ConnectFailedError(NotSentError):
+    """Raised when no connection could be established."""
+
+
+class RunnerPausedError(NotSentError):
+    """Raised when a runner has asked this host for a pause."""
 
 
 class AnswerBrokenError(ExchangeError):
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -9,7 +9,7 @@
 
 from ..dispatch.engine_versions import at_version, can_decode
 from ..dispatch.wait_queue import Waiter
-from ..exceptions import ExchangeError
+from ..exceptions import ExchangeError, RunnerPausedError
 from ..models.routes import EngineSpec, Route
 from ..models.upstreams import Registration, RunnerKey, SoftwareVersion, Stage
 from ..platform import wire
@@ -254,6 +254,8 @@
             hold = await engine_calls.acquire_hold(
                 context, runner, tokens, self._spec.max_hold_s
             )
+        except RunnerPausedError:
+            return None
         except ExchangeError as error:
             context.unreachable_runners.mark_unreachable(runner.key)
             context.log.write(
--- a/src/siskinlever/_internal/gateway/engine_calls.py
+++ b/src/siskinlever/_internal/gateway/engine_calls.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from ..exceptions import ExchangeError, InvalidRecordError
-from ..models.upstreams import Address, EngineReport, Registration
-from ..network.http1_client import Call, fetch
+from ..models.upstreams import EngineReport, Registration, Stage
+from ..network.http1_client import Call
 from ..platform import records, wire
 from .context import GatewayContext
+from .runner_calls import fetch_from_runner
 
 # Engines answer these calls within milliseconds.
 CALL_TIMEOUT_S = 0.7
+ORDER_TIMEOUT_S = 1.0
 
 
 async def acquire_hold(
@@ -35,15 +37,14 @@
     Raises
     ------
     ExchangeError
-        Raised when the engine was not reached or did not answer completely within
-        `CALL_TIMEOUT_S`.
+        Raised when the engine wants a pause, was not reached or did not answer
+        completely within `CALL_TIMEOUT_S`.
     """
     call = wire.hold_call(runner.address, runner.key.name, tokens, ttl_s)
-    head, body = await fetch(runner.address, call, CALL_TIMEOUT_S)
+    head, body = await fetch_from_runner(context, runner, call, CALL_TIMEOUT_S)
     context.metrics.count("holds", status=str(head.status))
     if wire.is_other_runner(head, runner.key.name):
         context.runners.mark_replaced(runner.key)
-    context.note_statements(runner.key, head, ends_limit=False)
     if head.status != 200:
         return None
     try:
@@ -55,21 +56,54 @@
         return None
 
 
-async def read_report(address: Address) -> EngineReport:
+async def read_report(context: GatewayContext, runner: Registration) -> EngineReport:
     """Fetch the load report of an engine.
 
     Raises
     ------
     ExchangeError
-        Raised when the engine was not reached or did not answer completely within
-        `CALL_TIMEOUT_S`.
+        Raised when the engine wants a pause, was not reached or did not answer
+        completely within `CALL_TIMEOUT_S`.
     InvalidRecordError
         Raised when the report cannot be decoded.
     """
-    _, body = await fetch(address, wire.report_call(address), CALL_TIMEOUT_S)
+    call = wire.report_call(runner.address)
+    _, body = await fetch_from_runner(context, runner, call, CALL_TIMEOUT_S)
     return records.decode_report(body)
 
 
+async def order_stage(
+    context: GatewayContext,
+    runner: Registration,
+    stage: Stage,
+    fencing_token: int,
+    orders_accepted: int,
+) -> int:
+    """Order an engine to change its stage; return the status of its answer.
+
+    Parameters
+    ----------
+    context : GatewayContext
+    runner : Registration
+    stage : Stage
+    fencing_token : int
+    orders_accepted : int
+        The engine accepts the order only if it has accepted exactly this many before.
+
+    Raises
+    ------
+    ExchangeError
+        Raised when the engine wants a pause, was not reached or did not answer
+        completely within `ORDER_TIMEOUT_S`.
+    """
+    host = context.settings.host
+    call = wire.stage_order_call(
+        runner.address, runner.key.name, stage, host, fencing_token, orders_accepted
+    )
+    head, _ = await fetch_from_runner(context, runner, call, ORDER_TIMEOUT_S)
+    return head.status
+
+
 def release_hold(context: GatewayContext, runner: Registration, hold: str) -> None:
     """Release a reservation in a background task.
 
@@ -92,7 +126,7 @@
     context: GatewayContext, runner: Registration, call: Call, what: str
 ) -> None:
     try:
-        await fetch(runner.address, call, CALL_TIMEOUT_S)
+        await fetch_from_runner(context, runner, call, CALL_TIMEOUT_S)
     except ExchangeError as error:
         # No retry is needed: the reservation or KV cache expires at the engine within
         # seconds.
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -13,10 +13,11 @@
     ConnectFailedError,
     ExchangeError,
     InvalidRecordError,
+    RunnerPausedError,
 )
 from ..models.routes import EngineSpec
 from ..models.upstreams import Registration, RunnerKey, SoftwareVersion, Stage
-from ..network.http1_client import Exchange, exchange
+from ..network.http1_client import Exchange
 from ..network.http1_server import CallerConnection
 from ..platform import wire
 from ..utils.clock import monotonic
@@ -26,6 +27,7 @@
 from .errors import EndedError, EndReason, failed, refused
 from .job import Job
 from .relay import PlainRelay, StreamRelay
+from .runner_calls import request_exchange
 
 # Retry-After in seconds when an engine rejected the request, the connection failed,
 # or no retry is left: other engines can serve the caller soon.
@@ -237,10 +239,9 @@
             with self._context.in_progress.prefill(runner.key, tokens):
                 async with asyncio.timeout(timeout_s):
                     call = wire.runner_call(job.request, options)
-                    async with exchange(runner.address, call) as answer:
+                    sending = request_exchange(self._context, runner, call, job.request)
+                    async with sending as answer:
                         body = await answer.read(MAX_PREFILL_ANSWER_BYTES)
-            if wire.is_answer_to(answer.head, job.request):
-                self._context.note_statements(runner.key, answer.head)
             if answer.head.status == 200:
                 self._retries.note_prefilled()
                 if queued == 0:
@@ -250,6 +251,9 @@
                 return wire.prefill_handle(body)
             self._placement.failures.note(runner.key)
             reason = f"status {answer.head.status}"
+        except RunnerPausedError as error:
+            has_arrived = False
+            reason = error.message
         except ConnectFailedError as error:
             has_arrived = False
             reason = error.message
@@ -290,6 +294,7 @@
         job, runner = self._job, capacity.runner
         job.log_fields["version"] = runner.version
         if self._context.limits.are_paused([runner.key]):
+            # Checked here so that no retry is charged for what isn't sent.
             message = f"{runner.key.name} has asked for a pause since its prefill"
             return refused(EndReason.REJECTED, message, FAILED_RETRY_S)
         if not self._retries.charge_next():
@@ -311,10 +316,13 @@
                     tokens = self._requested.prompt_tokens
                     prefill = self._context.in_progress.prefill(runner.key, tokens)
                     prefilling.enter_context(prefill)
-                async with exchange(runner.address, call) as answer:
+                sending = request_exchange(self._context, runner, call, job.request)
+                async with sending as answer:
                     # The engine answers when it has prefilled the prompt.
                     prefilling.close()
                     return await self._process_answer(runner, answer)
+        except RunnerPausedError as error:
+            return refused(EndReason.REJECTED, error.message, FAILED_RETRY_S)
         except ConnectFailedError as error:
             self._context.unreachable_runners.mark_unreachable(runner.key)
             return refused(EndReason.UNREACHABLE, error.message, FAILED_RETRY_S)
@@ -329,8 +337,6 @@
     ) -> EndedError | None:
         head = answer.head
         self._retries.note_arrival()
-        if wire.is_answer_to(head, self._job.request):
-            self._context.note_statements(runner.key, head)
         if wire.is_not_run(head):
             self._job.mark_not_run()
             if wire.is_other_runner(head, runner.key.name):
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from ..exceptions import ConnectFailedError
+from ..exceptions import NotSentError
 from ..models.ids import ServiceName
 from ..models.routes import Route
 from ..models.upstreams import RunnerKey
@@ -83,7 +83,7 @@
         """Track a send to a runner, which must happen within the block.
 
         The outcome is unknown until `mark_not_run` or `mark_started` is called, or
-        the connection fails. It stays unknown if the block is left by a timeout.
+        nothing is sent. It stays unknown if the block is left by a timeout.
         """
         self.outcome_unknown = True
         already_sent = runner in self.sent_to
@@ -91,7 +91,7 @@
         self.last_sent_to = None if already_sent else runner
         try:
             yield
-        except ConnectFailedError:
+        except NotSentError:
             self.outcome_unknown = False
             if not already_sent:
                 self.sent_to.discard(runner)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from ..exceptions import AnswerBrokenError, ConnectFailedError
+from ..exceptions import AnswerBrokenError, ConnectFailedError, RunnerPausedError
 from ..models.upstreams import Registration, RunnerKey
-from ..network.http1_client import Exchange, exchange
+from ..network.http1_client import Exchange
 from ..network.http1_server import CallerConnection
 from ..platform import wire
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
 from .relay import PlainRelay, StreamRelay
+from .runner_calls import request_exchange
 
 # Retry-After in seconds when a runner rejected the request or was unreachable:
 # other runners can serve the caller soon.
@@ -114,8 +115,11 @@
         )
         try:
             with self._context.in_progress.request(runner.key), job.sending(runner.key):
-                async with exchange(runner.address, call) as answer:
+                sending = request_exchange(self._context, runner, call, job.request)
+                async with sending as answer:
                     return await self._process_answer(runner, answer)
+        except RunnerPausedError as error:
+            return refused(EndReason.REJECTED, error.message, RETRY_AFTER_S)
         except ConnectFailedError as error:
             self._connect_failures += 1
             self._context.unreachable_runners.mark_unreachable(runner.key)
@@ -132,8 +136,6 @@
         load = wire.parse_load(head)
         if load is not None:
             placement.note_load(runner.key, load)
-        if wire.is_answer_to(head, self._job.request):
-            self._context.note_statements(runner.key, head)
         if wire.is_not_run(head):
             if wire.is_other_runner(head, runner.key.name):
                 self._context.runners.mark_replaced(runner.key)
--- /dev/null
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -0,0 +1,77 @@
+"""The only way of this host's calls to runners.
+
+Each call obeys the pauses that runners want, and each answer is searched for what the
+runner states about itself, whatever the call is for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from ..exceptions import AnswerBrokenError, RunnerPausedError
+from ..models.upstreams import Registration
+from ..network.http1_client import AnswerHead, Call, Exchange, exchange
+from ..network.http1_server import ReceivedRequest
+from ..platform import wire
+from .context import GatewayContext
+
+# Answers to calls of this host's own carry a few fields.
+MAX_ANSWER_BYTES = 1_048_576
+
+
+@asynccontextmanager
+async def request_exchange(
+    context: GatewayContext, runner: Registration, call: Call, request: ReceivedRequest
+) -> AsyncIterator[Exchange]:
+    """Send a caller's request to a runner, as `http1_client.exchange`.
+
+    Raises
+    ------
+    RunnerPausedError
+        Raised when the runner wants no requests now; nothing was sent.
+    ConnectFailedError, AnswerBrokenError
+    """
+    _check_pause(context, runner)
+    async with exchange(runner.address, call) as answer:
+        if wire.is_answer_to(answer.head, request):
+            context.note_statements(runner.key, answer.head)
+        yield answer
+
+
+async def fetch_from_runner(
+    context: GatewayContext, runner: Registration, call: Call, timeout_s: float
+) -> tuple[AnswerHead, bytes]:
+    """Make a call of this host's own to a runner; return the whole answer.
+
+    The absence of a limit in the answer doesn't end an earlier one, since limits are
+    stated in answers to requests.
+
+    Parameters
+    ----------
+    context : GatewayContext
+    runner : Registration
+    call : Call
+    timeout_s : float
+        Seconds until the whole answer must have arrived.
+
+    Raises
+    ------
+    RunnerPausedError
+        Raised when the runner wants no requests now; nothing was sent.
+    ConnectFailedError, AnswerBrokenError
+    """
+    _check_pause(context, runner)
+    try:
+        async with asyncio.timeout(timeout_s):
+            async with exchange(runner.address, call) as answer:
+                context.note_statements(runner.key, answer.head, ends_limit=False)
+                return answer.head, await answer.read(MAX_ANSWER_BYTES)
+    except TimeoutError as error:
+        raise AnswerBrokenError(f"no answer within {timeout_s:g} s") from error
+
+
+def _check_pause(context: GatewayContext, runner: Registration) -> None:
+    if context.limits.are_paused([runner.key]):
+        raise RunnerPausedError(f"{runner.key.name} wants no requests for now")
--- a/src/siskinlever/_internal/stages/orders.py
+++ b/src/siskinlever/_internal/stages/orders.py
@@ -8,14 +8,12 @@
 from dataclasses import replace
 
 from ..dispatch.stage_plan import StageChange, StageWork, next_change
-from ..exceptions import ExchangeError, InvalidRecordError
+from ..exceptions import ExchangeError, InvalidRecordError, NotSentError
 from ..gateway import engine_calls
 from ..gateway.context import GatewayContext
 from ..models.ids import ServiceName
 from ..models.routes import EngineSpec
 from ..models.upstreams import EngineReport, Registration, RunnerKey, Stage
-from ..network.http1_client import fetch
-from ..platform import wire
 from ..utils.clock import monotonic
 from .lease import OrderLease
 
@@ -33,7 +31,6 @@
 # Maximum seconds that a switch takes in addition to `stage_switch_s`: the engine
 # first finishes its running generations, which takes seconds.
 MAX_DRAIN_S = 6.0
-ORDER_TIMEOUT_S = 1.0
 ACCEPTED_STATUSES = frozenset({200, 202})
 STALE_TOKEN_STATUS = 412
 
@@ -134,7 +131,7 @@
     ) -> None:
         runner = change.runner
         try:
-            report = await engine_calls.read_report(runner.address)
+            report = await engine_calls.read_report(self._context, runner)
         except (ExchangeError, InvalidRecordError) as error:
             self._log(change, "unknown", error.message)
             return
@@ -171,7 +168,7 @@
         deadline = monotonic() + MAX_DRAIN_S
         while monotonic() < deadline:
             try:
-                report = await engine_calls.read_report(change.runner.address)
+                report = await engine_calls.read_report(self._context, change.runner)
             except (ExchangeError, InvalidRecordError) as error:
                 self._log(change, "unknown", error.message)
                 return False
@@ -186,25 +183,23 @@
 
     async def _send_order(self, change: StageChange, report: EngineReport) -> str:
         runner, lease = change.runner, self._lease
-        call = wire.stage_order_call(
-            runner.address,
-            runner.key.name,
-            change.stage,
-            self._context.settings.host,
-            lease.fencing_token,
-            report.orders_accepted,
-        )
         if not lease.may_order:
             return "not sent"
         try:
-            head, _ = await fetch(runner.address, call, ORDER_TIMEOUT_S)
+            status = await engine_calls.order_stage(
+                self._context,
+                runner,
+                change.stage,
+                lease.fencing_token,
+                report.orders_accepted,
+            )
+        except NotSentError as error:
+            return f"not sent: {error.message}"
         except ExchangeError as error:
             return f"unanswered: {error.message}"
-        if head.status == STALE_TOKEN_STATUS:
+        if status == STALE_TOKEN_STATUS:
             lease.mark_lost("the engine has accepted a higher fencing token")
-        return (
-            "accepted" if head.status in ACCEPTED_STATUSES else f"status {head.status}"
-        )
+        return "accepted" if status in ACCEPTED_STATUSES else f"status {status}"
 
     def _log(self, change: StageChange, outcome: str, detail: str) -> None:
         self._context.log.write(
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -123,6 +123,12 @@
     received: list[Request] = field(default_factory=list)
     # Monotonic time of the arrival of each request in `received`.
     received_at: list[float] = field(default_factory=list)
+    # Monotonic time, method and path of each arrival, also of management calls.
+    arrivals: list[tuple[float, str, str]] = field(default_factory=list)
+    # Paths of management calls that it turns away.
+    refused_calls: frozenset[str] = frozenset()
+    # Whether its rejections carry the id of the request.
+    rejects_with_id: bool = True
     # Value of the Server-Limit header in answers to requests; None to omit it.
     limit: str | None = None
     # Whether its answers state that it is leaving.
@@ -191,10 +197,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        path = request.target.partition("?")[0]
-        handler = ENGINE_CALLS.get((request.method, "/" + path.split("/")[1]))
+        path = "/" + request.target.partition("?")[0].split("/")[1]
+        self.arrivals.append((time.monotonic(), request.method, path))
+        handler = ENGINE_CALLS.get((request.method, path))
         if handler is not None and self.stage is not None:
-            status, body = handler(self, request)
+            is_refused = path in self.refused_calls
+            status, body = (503, {}) if is_refused else handler(self, request)
             head = self._statements() + self._pause(status)
             await _send(writer, status, head, json.dumps(body).encode())
             return
@@ -395,7 +403,7 @@
 
     def _rejection_headers(self, attempt_id: str) -> list[tuple[str, str]]:
         return [
-            ("Attempt-Id", attempt_id),
+            *([("Attempt-Id", attempt_id)] if self.rejects_with_id else []),
             ("Not-Executed", "1"),
             *self._statements(),
             *self._pause(503),
--- a/tests/functional/test_runner_statements.py
+++ b/tests/functional/test_runner_statements.py
@@ -8,8 +8,11 @@
 import pytest
 from lib.platform_world import configuration, platform_world, until
 
+from siskinlever._internal.exceptions import InvalidRecordError
 from siskinlever._internal.fleet import runners as runner_directory
 from siskinlever._internal.fleet.runners import RunnerState
+from siskinlever._internal.gateway import engine_calls
+from siskinlever._internal.models.upstreams import Stage
 from siskinlever_testbed.standins.platform.runner import RunnerFault
 from siskinlever_testbed.standins.platform.store import StoreFault
 
@@ -37,6 +40,10 @@
     )
 
 
+async def send_generations(world, count: int) -> list:
+    return [await generate(world, f"g-{number}") for number in range(count)]
+
+
 def state_of(host, name: str) -> RunnerState:
     runners = host.context.runners.by_key.items()
     return next(known.state for key, known in runners if key.name == name)
@@ -194,3 +201,61 @@
             times = world.runner_named(name).received_at
             counted = [at for at in times if at >= times[0] + NOTICE_S]
             assert len(counted) <= 2
+
+
+async def test_reservations_at_an_engine_that_wants_a_pause_are_left_to_lapse(log_path):
+    """Several generations have reserved room before the first one is rejected."""
+    async with platform_world(log_path) as world:
+        world.runner_named("e-1").work_s = 0.4
+        engines = [world.runner_named(name) for name in ("e-2", "e-3")]
+        for engine in engines:
+            engine.fault, engine.retry_after = RunnerFault.SHED, "4"
+        tasks = []
+        for number in range(10):
+            tasks.append(asyncio.create_task(generate(world, f"g-{number}")))
+            await asyncio.sleep(0.04)
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(0.2)
+        for engine in engines:
+            rejected_at = engine.received_at[0]
+            later = [a for a in engine.arrivals if a[0] >= rejected_at + 0.02]
+            assert len(later) <= 2
+
+
+async def report(context, runner) -> None:
+    with pytest.raises(InvalidRecordError):
+        await engine_calls.read_report(context, runner)
+
+
+async def order(context, runner) -> None:
+    assert await engine_calls.order_stage(context, runner, Stage.PREFILL, 1, 0) == 503
+
+
+async def release_hold(context, runner) -> None:
+    engine_calls.release_hold(context, runner, "h-1")
+
+
+async def free_handle(context, runner) -> None:
+    engine_calls.free_handle(context, runner, "k-1")
+
+
+CALLS = {
+    "/report": report,
+    "/order": order,
+    "/hold-drop": release_hold,
+    "/kv-handle": free_handle,
+}
+
+
+@pytest.mark.parametrize("call", CALLS)
+async def test_pause_stated_on_any_call_is_obeyed_by_requests(log_path, call):
+    async with platform_world(log_path) as world:
+        context = world.hosts[0].context
+        paused = world.runner_named("e-2")
+        paused.refused_calls, paused.retry_after = frozenset({call}), "60"
+        known = {r.key.name: r for r in context.runners.usable("engines")}
+        await CALLS[call](context, known["e-2"])
+        await until(lambda: context.limits.are_paused([known["e-2"].key]), 1.0)
+        before = len(paused.arrivals)
+        await send_generations(world, 4)
+        assert len(paused.arrivals) == before
