Hear the pause in a rejection that names no request

Cause: what an answer states was noted only if the answer names the request. A connection carries one call, so that an answer without an id can only be the one to it; one that names another request still states nothing.

Before: test_pause_in_a_rejection_that_names_no_request_is_obeyed failed for a plain service, a prefill and a decode engine; after: all three pass.

--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -35,7 +35,7 @@
     """
     _check_pause(context, runner)
     async with exchange(runner.address, call) as answer:
-        if wire.is_answer_to(answer.head, request):
+        if not wire.is_answer_to_other(answer.head, request):
             context.note_statements(runner.key, answer.head)
         yield answer
 
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -247,6 +247,11 @@
     return head.get(REQUEST_ID) == request.get(REQUEST_ID)
 
 
+def is_answer_to_other(head: AnswerHead, request: ReceivedRequest) -> bool:
+    """Return whether an answer carries the id of another request."""
+    return head.get(REQUEST_ID) not in (None, request.get(REQUEST_ID))
+
+
 def is_signed(head: AnswerHead) -> bool:
     """Return whether an answer carries a runner's signature."""
     return head.get(SIGNATURE) is not None
--- a/tests/functional/test_runner_statements.py
+++ b/tests/functional/test_runner_statements.py
@@ -203,6 +203,19 @@
             assert len(counted) <= 2
 
 
+@pytest.mark.parametrize("name", ["p-1", "e-1", "e-2"])
+async def test_pause_in_a_rejection_that_names_no_request_is_obeyed(log_path, name):
+    async with platform_world(log_path) as world:
+        paused = world.runner_named(name)
+        paused.fault, paused.retry_after = RunnerFault.SHED, "60"
+        paused.rejects_with_id = False
+        send = send_plain if name == "p-1" else send_generations
+        while not paused.received:
+            await send(world, 1)
+        (key,) = (k for k in world.hosts[0].context.runners.by_key if k.name == name)
+        assert world.hosts[0].context.limits.are_paused([key])
+
+
 async def test_reservations_at_an_engine_that_wants_a_pause_are_left_to_lapse(log_path):
     """Several generations have reserved room before the first one is rejected."""
     async with platform_world(log_path) as world:
