Judge answers in one place, and end those that have no end

Informational answers without end held a request until its deadline, a head that dribbles too; one event without end was kept in memory whole on resumable routes; a body without end left no trace at its runner.

Heads are limited to 2 s from their first byte, informational answers to 16, an event to 1 MiB; a body is limited by time alone. Each broken answer is logged with its request and runner, and all are counted by verdict and end.

Ruled out: a limit in bytes on bodies, which would cut a large answer.

--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from .network.answer_end import AnswerEnd, Verdict
+
 
 class SiskinleverError(Exception):
     """Base class of all errors; ``hint`` describes how the user can resolve it.
@@ -173,10 +175,27 @@
 class AnswerBrokenError(ExchangeError):
     """Raised when a call was sent, at least in part, without a usable answer.
 
-    The answer is missing, incomplete or invalid, exceeds the size limit, or did not
-    arrive in time.
+    The answer is missing, incomplete or invalid, exceeds a limit, or did not arrive in
+    time.
+
+    Parameters
+    ----------
+    message : str
+    verdict : Verdict, default=Verdict.BROKEN
+    end : AnswerEnd or None, default=None
+        How its bytes ended; None if that isn't known, or if they ended as framed.
     """
 
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict = Verdict.BROKEN,
+        end: AnswerEnd | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+        self.end = end
+
 
 class CallerGoneError(SiskinleverError):
     """Raised when the connection to the caller is lost."""
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from ..exceptions import AnswerBrokenError, ConnectFailedError, RunnerPausedError
 from ..models.upstreams import Registration, RunnerKey
 from ..network.http1_client import Exchange
@@ -124,6 +126,11 @@
             self._connect_failures += 1
             self._context.unreachable_runners.mark_unreachable(runner.key)
             return refused(EndReason.UNREACHABLE, error.message, RETRY_AFTER_S)
+        except asyncio.CancelledError:
+            if job.time_left_s <= 0 and not job.outcome_unknown:
+                # The answer began and had no end by the deadline.
+                placement.note_broken_answer(runner.key)
+            raise
         except AnswerBrokenError as error:
             job.ran = True
             placement.note_broken_answer(runner.key)
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..exceptions import AnswerBrokenError
+from ..network.answer_end import AnswerEnd, Verdict, judge
 from ..network.event_stream import EventStreamScanner
 from ..network.http1_client import AnswerHead, Exchange, Header
 from ..network.http1_server import CallerConnection
@@ -165,8 +166,9 @@
         async for chunk in answer.chunks():
             await self._start(answer, close)
             await self._forward(chunk)
-        if self.is_inside_event:
-            raise AnswerBrokenError("the stream ended within an event")
+        end = answer.end or AnswerEnd.FRAMED
+        if judge(answer.framing, end, self.is_inside_event) is not Verdict.WHOLE:
+            raise AnswerBrokenError("the stream ended within an event", end=end)
         await self._start(answer, close)
         if self._only_complete_events:
             await self._connection.write(self._scanner.remainder)
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -1,7 +1,7 @@
 """The only way of this host's calls to runners.
 
-Each call obeys the pauses that runners want, and each answer is searched for what the
-runner states about itself, whatever the call is for.
+Each call obeys the pauses that runners want. Of each answer, whatever the call is for,
+what the runner states about itself is noted, and whether it is whole is counted.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 from ..exceptions import AnswerBrokenError, RunnerPausedError
 from ..models.upstreams import Registration
+from ..network.answer_end import AnswerEnd, Verdict
 from ..network.http1_client import AnswerHead, Call, Exchange, exchange
 from ..network.http1_server import ReceivedRequest
 from ..platform import wire
@@ -33,8 +34,9 @@
         Raised when the runner wants no requests now; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
-    _check_pause(context, runner)
-    async with exchange(runner.address, call) as answer:
+    async with _judged_exchange(
+        context, runner, call, wire.request_id(request)
+    ) as answer:
         if not wire.is_answer_to_other(answer.head, request):
             context.note_statements(runner.key, answer.head)
         yield answer
@@ -62,14 +64,43 @@
         Raised when the runner wants no requests now; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
-    _check_pause(context, runner)
     try:
         async with asyncio.timeout(timeout_s):
-            async with exchange(runner.address, call) as answer:
+            async with _judged_exchange(context, runner, call) as answer:
                 context.note_statements(runner.key, answer.head, ends_limit=False)
                 return answer.head, await answer.read(MAX_ANSWER_BYTES)
     except TimeoutError as error:
-        raise AnswerBrokenError(f"no answer within {timeout_s:g} s") from error
+        message = f"no answer within {timeout_s:g} s"
+        raise AnswerBrokenError(message, end=AnswerEnd.SILENT) from error
+
+
+@asynccontextmanager
+async def _judged_exchange(
+    context: GatewayContext, runner: Registration, call: Call, request: str = ""
+) -> AsyncIterator[Exchange]:
+    _check_pause(context, runner)
+    try:
+        async with exchange(runner.address, call) as answer:
+            yield answer
+            if answer.end is not None:
+                _count(context, Verdict.WHOLE, answer.end)
+    except AnswerBrokenError as error:
+        _count(context, error.verdict, error.end)
+        context.log.write(
+            "answer.broken",
+            request,
+            runner=runner.key.name,
+            verdict=error.verdict.value,
+            end=error.end.value if error.end else None,
+            reason=error.message,
+        )
+        raise
+
+
+def _count(context: GatewayContext, verdict: Verdict, end: AnswerEnd | None) -> None:
+    context.metrics.count(
+        "answers", verdict=verdict.value, end=end.value if end else "unknown"
+    )
 
 
 def _check_pause(context: GatewayContext, runner: Registration) -> None:
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -7,6 +7,7 @@
 
 from ..exceptions import AnswerBrokenError, CallerGoneError, InvalidRequestError
 from ..models.routes import Route
+from ..network.answer_end import AnswerEnd
 from ..network.http1_server import CallerConnection, ReceivedRequest
 from ..platform import wire
 from ..utils.clock import monotonic
@@ -157,7 +158,7 @@
         except TimeoutError as error:
             if self._connection.answer_started:
                 raise AnswerBrokenError(
-                    "the answer was incomplete at the deadline"
+                    "the answer was incomplete at the deadline", end=AnswerEnd.SILENT
                 ) from error
             raise timed_out(job.may_have_run) from error
 
--- a/src/siskinlever/_internal/metrics/names.py
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -4,6 +4,7 @@
 """
 
 HELP_BY_NAME = {
+    "answers": "Answers of runners by verdict and by how their bytes ended.",
     "configuration_age_seconds": "Seconds since this host knew it was current.",
     "configuration_generation": "Generation of the configuration in force.",
     "configuration_fetch_failures": "Failed reads of a newer generation at a peer.",
--- a/src/siskinlever/_internal/network/event_stream.py
+++ b/src/siskinlever/_internal/network/event_stream.py
@@ -8,6 +8,11 @@
 
 import re
 
+from ..exceptions import AnswerBrokenError
+from .answer_end import AnswerEnd
+
+# Bytes of one event that are kept until it is complete.
+MAX_EVENT_BYTES = 1_048_576
 # A line end followed by a blank line. The groups are atomic so that the two bytes of
 # one CRLF never count as two line ends.
 EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
@@ -38,11 +43,20 @@
         """Add bytes; return those up to the end of the last complete event.
 
         Bytes that were returned before are not returned again.
+
+        Raises
+        ------
+        AnswerBrokenError
+            Raised when an event exceeds `MAX_EVENT_BYTES`.
         """
         tail = self._tail
         search_from = max(0, len(tail) - EVENT_END_BYTES + 1)
         tail += data
         end, count = _last_event_end(tail, search_from)
+        if len(tail) - end > MAX_EVENT_BYTES:
+            raise AnswerBrokenError(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes", end=AnswerEnd.OVERSIZED
+            )
         if not end:
             return b""
         complete = bytes(tail[:end])
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -11,11 +11,11 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
-from enum import Enum
 
 import h11
 
 from ..exceptions import AnswerBrokenError, ConnectFailedError
+from .answer_end import AnswerEnd, Framing, judge
 from .sockets import enable_transport_keepalive, split_address, was_reset
 
 Header = tuple[bytes, bytes]
@@ -26,6 +26,12 @@
 CONNECT_TIMEOUT_S = 0.2
 # Larger than the limit for callers' headers, since runners add a few headers.
 MAX_ANSWER_HEAD_BYTES = 65_536
+# Seconds from the first byte of a head to its end.
+HEAD_TIMEOUT_S = 2.0
+MAX_INFORMATIONAL_ANSWERS = 16
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Status that the parser suggests for input beyond its limit.
+HEADERS_TOO_LARGE = 431
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,14 +68,6 @@
         return None
 
 
-class Framing(Enum):
-    """What marks the end of an answer's body; used in logs."""
-
-    CHUNKS = "chunks"
-    LENGTH = "length"
-    CONNECTION = "connection"
-
-
 class Exchange:
     """An answer whose head has arrived and whose body is being read."""
 
@@ -79,12 +77,13 @@
 
     @property
     def framing(self) -> Framing:
-        """What marks the end of the body, by the headers."""
-        if self.head.get(b"transfer-encoding") is not None:
-            return Framing.CHUNKS
-        if self.head.get(b"content-length") is not None:
-            return Framing.LENGTH
-        return Framing.CONNECTION
+        """What marks the end of the body."""
+        return self._reader.framing or Framing.CONNECTION
+
+    @property
+    def end(self) -> AnswerEnd | None:
+        """How the body ended; None while it is being read."""
+        return self._reader.end
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body as it arrives.
@@ -107,47 +106,106 @@
         async for chunk in self.chunks():
             parts += chunk
             if len(parts) > limit_bytes:
-                raise AnswerBrokenError(f"the body exceeds {limit_bytes} bytes")
+                raise AnswerBrokenError(
+                    f"the body exceeds {limit_bytes} bytes", end=AnswerEnd.OVERSIZED
+                )
         return bytes(parts)
 
 
 class _AnswerReader:
+    """Reads one answer and notes how its bytes ended."""
+
     def __init__(
         self,
         parser: h11.Connection,
         reader: asyncio.StreamReader,
         transport: asyncio.BaseTransport,
+        method: bytes,
     ) -> None:
         self._parser = parser
         self._reader = reader
         self._transport = transport
-
-    async def next_event(self) -> object:
-        while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise AnswerBrokenError(f"not a valid answer: {error}") from error
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await self._reader.read(READ_BYTES)
-                if not data and was_reset(self._transport):
-                    raise AnswerBrokenError("connection reset")
-                self._parser.receive_data(data)
-            except OSError as error:
-                raise AnswerBrokenError(f"connection lost: {error!r}") from error
-            except RuntimeError as error:
-                raise AnswerBrokenError(f"read after the end: {error}") from error
+        self._method = method
+        self._head_ends_at: float | None = None
+        self.framing: Framing | None = None
+        self.end: AnswerEnd | None = None
 
     async def head(self) -> AnswerHead:
-        while True:
+        """Read the head; informational answers before it are dropped."""
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
+                self.framing = _framing(event, self._method)
                 headers = tuple(event.headers.raw_items())
                 return AnswerHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
-                raise AnswerBrokenError("the connection ended before an answer")
+                message = "the connection ended before an answer"
+                raise self._broken(AnswerEnd.CLOSED, message)
+        raise self._broken(
+            AnswerEnd.OVERSIZED,
+            f"more than {MAX_INFORMATIONAL_ANSWERS} informational answers",
+        )
+
+    async def next_event(self) -> object:
+        """Return the parser's next event; raises `AnswerBrokenError`."""
+        while True:
+            event = self._parsed_event()
+            if isinstance(event, h11.EndOfMessage):
+                is_closed = self.framing is Framing.CONNECTION
+                self.end = AnswerEnd.CLOSED if is_closed else AnswerEnd.FRAMED
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._read()
+            if not data and was_reset(self._transport):
+                raise self._broken(AnswerEnd.RESET, "connection reset")
+            self._parser.receive_data(data)
+
+    def _parsed_event(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            message = f"not a valid answer: {error}"
+            raise self._broken(self._end_of(error), message) from error
+
+    def _end_of(self, error: h11.RemoteProtocolError) -> AnswerEnd:
+        if error.error_status_hint == HEADERS_TOO_LARGE:
+            return AnswerEnd.OVERSIZED
+        return AnswerEnd.CLOSED if self._reader.at_eof() else AnswerEnd.MALFORMED
+
+    async def _read(self) -> bytes:
+        try:
+            async with asyncio.timeout_at(self._head_deadline()):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError as error:
+            message = f"the head took longer than {HEAD_TIMEOUT_S:g} s"
+            raise self._broken(AnswerEnd.SILENT, message) from error
+        except OSError as error:
+            message = f"connection lost: {error!r}"
+            raise self._broken(AnswerEnd.RESET, message) from error
+
+    def _head_deadline(self) -> float | None:
+        """Return the loop's time until which a head that has begun must end.
+
+        Before a head, and within a body, only the request's own deadline holds.
+        """
+        if self.framing is not None or not self._parser.trailing_data[0]:
+            self._head_ends_at = None
+        elif self._head_ends_at is None:
+            self._head_ends_at = asyncio.get_running_loop().time() + HEAD_TIMEOUT_S
+        return self._head_ends_at
+
+    def _broken(self, end: AnswerEnd, message: str) -> AnswerBrokenError:
+        self.end = end
+        return AnswerBrokenError(message, judge(self.framing, end), end)
+
+
+def _framing(head: h11.Response, method: bytes) -> Framing:
+    names = {name for name, _ in head.headers}
+    if method == b"HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+        return Framing.EMPTY
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
 
 
 @asynccontextmanager
@@ -173,7 +231,7 @@
         writer.write(_serialize(parser, call))
         # The server may answer before it has read the whole body.
         drain_task = asyncio.ensure_future(_drain(writer))
-        answer = _AnswerReader(parser, reader, writer.transport)
+        answer = _AnswerReader(parser, reader, writer.transport, call.method)
         yield Exchange(await answer.head(), answer)
     finally:
         if drain_task is not None:
@@ -208,7 +266,8 @@
             async with exchange(address, call) as answer:
                 return answer.head, await answer.read(limit_bytes)
     except TimeoutError as error:
-        raise AnswerBrokenError(f"no answer within {timeout_s:g} s") from error
+        message = f"no answer within {timeout_s:g} s"
+        raise AnswerBrokenError(message, end=AnswerEnd.SILENT) from error
 
 
 async def _connect(
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -72,6 +72,35 @@
     COMPLETE = "complete"
 
 
+class RawEnd(Enum):
+    """What follows the bytes of a raw answer."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    # Nothing, on an open connection.
+    SILENCE = "silence"
+    # The last part again and again.
+    ENDLESS = "endless"
+
+
+@dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """Bytes that a runner sends in place of an answer.
+
+    Parameters
+    ----------
+    parts : tuple of bytes
+        Written one after the other.
+    end : RawEnd
+    pause_s : float, default=0.0
+        Seconds between two parts.
+    """
+
+    parts: tuple[bytes, ...]
+    end: RawEnd
+    pause_s: float = 0.0
+
+
 @dataclass(slots=True)
 class Request:
     """A request as received by a runner."""
@@ -125,6 +154,9 @@
     received_at: list[float] = field(default_factory=list)
     # Monotonic time, method and path of each arrival, also of management calls.
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
+    # Raw answers, one for each arrival, by attempt id (plain requests and decodes), by
+    # "prefill " and attempt id, or by the path of a management call.
+    raw_by_call: dict[str, list[RawAnswer]] = field(default_factory=dict)
     # Paths of management calls that it turns away.
     refused_calls: frozenset[str] = frozenset()
     # Whether its rejections carry the id of the request.
@@ -201,6 +233,9 @@
         self.arrivals.append((time.monotonic(), request.method, path))
         handler = ENGINE_CALLS.get((request.method, path))
         if handler is not None and self.stage is not None:
+            if raw := self._raw_answer(path):
+                await self._send_raw(raw, reader, writer)
+                return
             is_refused = path in self.refused_calls
             status, body = (503, {}) if is_refused else handler(self, request)
             head = self._statements() + self._pause(status)
@@ -216,6 +251,12 @@
         if fault in (RunnerFault.SHED, RunnerFault.EARLY) or self._is_switching():
             await _send(writer, 503, self._rejection_headers(attempt_id), b"")
             return
+        is_prefill = request.get("serving-stage") == "prefill"
+        if raw := self._raw_answer(("prefill " if is_prefill else "") + attempt_id):
+            if not is_prefill:
+                self.ran.append(attempt_id)
+            await self._send_raw(raw, reader, writer)
+            return
         if fault is RunnerFault.MUTE:
             self.ran.append(attempt_id)
             await reader.read(1)
@@ -247,6 +288,33 @@
             return
         await self._run_plain(request, fault, writer)
 
+    def _raw_answer(self, call: str) -> RawAnswer | None:
+        answers = self.raw_by_call.get(call)
+        return answers.pop(0) if answers else None
+
+    async def _send_raw(
+        self,
+        raw: RawAnswer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.running += 1
+        try:
+            for part in raw.parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(raw.pause_s)
+            if raw.end is RawEnd.RESET:
+                _reset(writer)
+            elif raw.end is RawEnd.SILENCE:
+                await reader.read(1)
+            while raw.end is RawEnd.ENDLESS:
+                writer.write(raw.parts[-1])
+                await writer.drain()
+                await asyncio.sleep(raw.pause_s)
+        finally:
+            self.running -= 1
+
     def _is_switching(self) -> bool:
         return time.monotonic() < self.switching_until
 
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -68,7 +68,7 @@
     parser = h11.Connection(h11.CLIENT)
     parser.send(h11.Request(method="GET", target="/", headers=[("Host", "h")]))
     parser.send(h11.EndOfMessage())
-    answer = _AnswerReader(parser, stream, Transport(near))
+    answer = _AnswerReader(parser, stream, Transport(near), b"GET")
     assert (await answer.head()).status == 200
     assert bytes((await answer.next_event()).data) == b"part of a body"
     if reset:
