--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -8,6 +8,7 @@
 import pytest
 from lib.platform_world import HOST, platform_world, until
 
+from siskinlever._internal.network import http1_client
 from siskinlever_testbed.standins.platform.runner import RawAnswer, RawEnd
 
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
@@ -63,6 +64,14 @@
     assert line["request"] == "n-1" and line["runner"]
 
 
+async def test_limit_of_a_head_that_is_switched_off_is_found(log_path, monkeypatch):
+    monkeypatch.setattr(http1_client, "MAX_ANSWER_HEAD_BYTES", 1 << 30)
+    async with platform_world(log_path) as world:
+        play(world, RawAnswer(ENDLESS["header lines"], RawEnd.ENDLESS), "n-1")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(world.send("/once/x", "POST", "n-1", b"b"), 1.0)
+
+
 async def test_head_that_dribbles_ends_in_time(log_path):
     async with platform_world(log_path) as world:
         play(world, SLOW_HEAD, "n-1")
