--- a/src/siskinlever/_internal/network/event_stream.py
+++ b/src/siskinlever/_internal/network/event_stream.py
@@ -20,7 +20,7 @@
 LINE_END = re.compile(rb"\r\n|\n|\r")
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 COMMENT = b":"
-ID_FIELD = b"id"
+ID_FIELD = b"id:"
 
 
 class EventStreamScanner:
@@ -50,6 +50,10 @@
             Raised when an event exceeds `MAX_EVENT_BYTES`.
         """
         tail = self._tail
+        if not tail and data.endswith(b"\n\n") and b"\r" not in data:
+            # Engines usually send whole events.
+            self._note_events(data, data.count(b"\n\n"))
+            return data
         search_from = max(0, len(tail) - EVENT_END_BYTES + 1)
         tail += data
         end, count = _last_event_end(tail, search_from)
@@ -61,8 +65,7 @@
             return b""
         complete = bytes(tail[:end])
         del tail[:end]
-        self._note_last_event(complete)
-        self.events += count
+        self._note_events(complete, count)
         return complete
 
     @property
@@ -81,14 +84,16 @@
             line.startswith(COMMENT) for line in lines if line
         )
 
-    def _note_last_event(self, complete: bytes) -> None:
+    def _note_events(self, complete: bytes, count: int) -> None:
         if not self.events:
             complete = complete.removeprefix(BYTE_ORDER_MARK)
-        for line in reversed(LINE_END.split(complete)):
-            name, separator, value = line.partition(b":")
-            if name == ID_FIELD and separator:
-                self.last_event = value.strip().decode("latin-1")
-                return
+        self.events += count
+        if b"\r" in complete:
+            complete = LINE_END.sub(b"\n", complete)
+        start = complete.rfind(b"\n" + ID_FIELD) + 1
+        if start or complete.startswith(ID_FIELD):
+            value = complete[start + len(ID_FIELD) :].partition(b"\n")[0]
+            self.last_event = value.strip().decode("latin-1")
 
 
 def _last_event_end(stream: bytearray, search_from: int) -> tuple[int, int]:
