--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -255,6 +255,8 @@
         if raw := self._raw_answer(("prefill " if is_prefill else "") + attempt_id):
             if not is_prefill:
                 self.ran.append(attempt_id)
+                self.held_by_id.pop(request.get("kv-hold") or "", None)
+                self._take_handle(request.get("kv-source") or "", attempt_id)
             await self._send_raw(raw, reader, writer)
             return
         if fault is RunnerFault.MUTE:
