--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
 
 from ..dispatch.runner_limits import RunnerLimits
@@ -63,6 +64,19 @@
 # Largest value of the uint32 field of the message; sent for an age that is unknown or
 # does not fit.
 AGE_UNKNOWN_MS = 0xFFFFFFFF
+# The fastest level makes a configuration of many routes a tenth of its size.
+ZLIB_LEVEL = 1
+# Larger than the largest value of the store.
+MAX_DOCUMENT_BYTES = 16_777_216
+
+
+def _decompressed(data: bytes) -> bytes:
+    """Return the document in zlib data; raises `zlib.error`."""
+    decompressor = zlib.decompressobj()
+    document = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+    if not decompressor.eof:
+        raise zlib.error(f"incomplete, or over {MAX_DOCUMENT_BYTES} bytes")
+    return document
 
 
 def exchange_period_s(peers: int) -> float:
@@ -137,6 +151,7 @@
         self._view_refresh_at = float("-inf")
         self._announced_version = 0
         self._announced_leaving: set[RunnerKey] = set()
+        self._compressed_document = (b"", b"")
 
     def add_peer(self, address: Address) -> None:
         """Start exchanging state with the host at an address.
@@ -274,15 +289,28 @@
         self, request: peer_pb2.FleetDocumentsRequest
     ) -> peer_pb2.FleetDocuments:
         """Return the configuration, if newer, and the registrations of runners."""
-        newer = self._configuration.version > request.above_version
+        is_newer = self._configuration.version > request.above_version
+        document = self._configuration.document if is_newer else b""
+        if request.accepts_zlib:
+            configuration = {"configuration_zlib": self._compressed(document)}
+        else:
+            configuration = {"configuration": document}
         return peer_pb2.FleetDocuments(
-            configuration=self._configuration.document if newer else b"",
+            **configuration,
             registrations=[
                 peer_pb2.FleetRegistration(key=item.key, value=item.value)
                 for item in self._follower.runner_items
             ],
         )
 
+    def _compressed(self, document: bytes) -> bytes:
+        """Return a document as zlib data; the newest one is compressed once."""
+        if not document:
+            return b""
+        if self._compressed_document[0] != document:
+            self._compressed_document = document, zlib.compress(document, ZLIB_LEVEL)
+        return self._compressed_document[1]
+
     async def _handle_reply(self, address: Address, state: peer_pb2.FleetState) -> None:
         self._merge_state(state)
         if state.serving:
@@ -295,7 +323,7 @@
 
     async def _fetch_documents(self, address: Address) -> None:
         request = peer_pb2.FleetDocumentsRequest(
-            above_version=self._configuration.version
+            above_version=self._configuration.version, accepts_zlib=True
         )
         try:
             documents = await self._peers.call_address(
@@ -304,8 +332,16 @@
         except PeerError:
             # The next exchange detects the difference again.
             return
-        if documents.configuration:
-            self._configuration.advance(documents.configuration, f"peer {address}")
+        document = documents.configuration
+        if documents.configuration_zlib:
+            try:
+                document = _decompressed(documents.configuration_zlib)
+            except zlib.error as error:
+                self._log.write(
+                    "peer.document_invalid", peer=address, reason=repr(error)
+                )
+        if document:
+            self._configuration.advance(document, f"peer {address}")
             if self._view.is_large:
                 self._announced_version = self._configuration.version
         self._follower.add_known([(i.key, i.value) for i in documents.registrations])
--- a/tests/functional/test_gateway_large_fleet.py
+++ b/tests/functional/test_gateway_large_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from secrets import token_hex
 
 import pytest
 from lib.platform_world import HOST, configuration, platform_world, send_raw, until
@@ -86,3 +88,29 @@
     assert len({frozenset(answer) for answer in answers}) == 1
     assert len(answers[0]) == MIN_SERVING_HOSTS
     assert stopping.settings.listeners.callers not in answers[0]
+
+
+async def test_storm_of_large_configurations_takes_few_bytes_between_hosts(log_path):
+    """Links of small hosts carry 10 Mbit/s."""
+    document = configuration(7)
+    route = document["routes"][0]
+    document["routes"] += [
+        route | {"name": f"r-{n}", "prefix": f"/{n:05d}{token_hex(4)}/"}
+        for n in range(400)
+    ]
+    versions = range(8, 16)
+    document_bytes = len(json.dumps(document).encode())
+    async with platform_world(log_path, hosts=HOSTS, wait_ready=False) as world:
+        await until(lambda: is_settled(world), START_S)
+        before = sum(map(fetched_bytes, world.hosts))
+        for version in versions:
+            world.apply(document | {"version": version})
+            await asyncio.sleep(0.3)
+        found = lambda: {h.context.configuration.version for h in world.hosts}
+        await until(lambda: found() == {versions[-1]}, CHANGE_KNOWN_S)
+        moved = sum(map(fetched_bytes, world.hosts)) - before
+    assert moved < HOSTS * len(versions) * document_bytes / 4
+
+
+def fetched_bytes(host) -> float:
+    return host.context.metrics.value("peer_message_bytes", rpc="FetchFleetDocuments")
