--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -152,6 +152,10 @@
         self._announced_version = 0
         self._announced_leaving: set[RunnerKey] = set()
         self._compressed_document = (b"", b"")
+        # A fetch of documents is in progress until then, at the latest.
+        self._fetching_until = float("-inf")
+        # The newest version that was announced during it, and by whom.
+        self._announced_by = (0, Address(""))
 
     def add_peer(self, address: Address) -> None:
         """Start exchanging state with the host at an address.
@@ -278,7 +282,10 @@
         self._called_at_by_address[address] = monotonic()
         self._merge_state(state)
         if state.configuration_version > self._configuration.version:
-            self._tasks.start(self._fetch_documents(address), "fetch-configuration")
+            self._tasks.start(
+                self._fetch_documents(address, state.configuration_version),
+                "fetch-configuration",
+            )
         self.add_peer(address)
         reply = self._build_state(includes_peers=state.asks_peers)
         if self._view.is_large and address not in self._view.addresses:
@@ -319,9 +326,26 @@
             self.add_peer(Address(peer))
         is_behind = state.configuration_version > self._configuration.version
         if is_behind or not self._runners.by_key:
-            await self._fetch_documents(address)
+            await self._fetch_documents(address, state.configuration_version)
+
+    async def _fetch_documents(self, address: Address, version: int) -> None:
+        """Fetch a host's documents, unless a fetch from another one is in progress.
 
-    async def _fetch_documents(self, address: Address) -> None:
+        A newer version that is announced meanwhile is fetched afterwards.
+        """
+        if monotonic() < self._fetching_until:
+            self._announced_by = max(self._announced_by, (version, address))
+            return
+        self._fetching_until = monotonic() + CALL_TIMEOUT_S
+        try:
+            await self._fetch_from(address)
+        finally:
+            self._fetching_until = float("-inf")
+        (version, address), self._announced_by = self._announced_by, (0, Address(""))
+        if version > self._configuration.version:
+            await self._fetch_documents(address, version)
+
+    async def _fetch_from(self, address: Address) -> None:
         request = peer_pb2.FleetDocumentsRequest(
             above_version=self._configuration.version, accepts_zlib=True
         )
--- a/tests/functional/test_gateway_large_fleet.py
+++ b/tests/functional/test_gateway_large_fleet.py
@@ -103,14 +103,21 @@
     async with platform_world(log_path, hosts=HOSTS, wait_ready=False) as world:
         await until(lambda: is_settled(world), START_S)
         before = sum(map(fetched_bytes, world.hosts))
+        calls_before = sum(map(fetches, world.hosts))
         for version in versions:
             world.apply(document | {"version": version})
             await asyncio.sleep(0.3)
         found = lambda: {h.context.configuration.version for h in world.hosts}
         await until(lambda: found() == {versions[-1]}, CHANGE_KNOWN_S)
         moved = sum(map(fetched_bytes, world.hosts)) - before
+        calls = sum(map(fetches, world.hosts)) - calls_before
+    assert calls <= HOSTS * len(versions)
     assert moved < HOSTS * len(versions) * document_bytes / 4
 
 
+def fetches(host) -> float:
+    return host.context.metrics.value("peer_calls", rpc="FetchFleetDocuments")
+
+
 def fetched_bytes(host) -> float:
     return host.context.metrics.value("peer_message_bytes", rpc="FetchFleetDocuments")
