Divide the limits of runners among all hosts that the store lists

A host knows the others from the store's list though, without having met them; only who may send was decided by those that it has met.

Now the senders of a runner are chosen among the hosts met and the hosts listed. A host without any list has no configuration either, or has met the peer that gave it. Before: test_host_that_has_met_no_peer_divides_limits_among_all_registered_hosts failed (a share for each runner, where most must be 0); after: it passes. Not mended: callers on few hosts still use only their hosts' shares.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -233,7 +233,10 @@
         is_reader=lambda: view.is_reader,
     )
     limits = RunnerLimits(
-        settings.host, lambda: _sending_hosts(view, hosts), log, metrics
+        settings.host,
+        lambda: _sending_hosts(view, hosts, follower.registered_hosts),
+        log,
+        metrics,
     )
     load_updates = LoadUpdates(
         own_status,
@@ -329,15 +332,18 @@
     return 2 * len(view.serving) if view.is_serving else math.inf
 
 
-def _sending_hosts(view: ServingView, hosts: HostTable) -> frozenset[HostName]:
+def _sending_hosts(
+    view: ServingView, hosts: HostTable, registered: frozenset[HostName]
+) -> frozenset[HostName]:
     """Return the hosts among which the limits of runners are divided.
 
     In a large fleet, these are the hosts of the serving set. In a small one, they
-    include the hosts that were lost recently, which may still be sending requests.
+    include the hosts that were lost recently, which may still be sending requests, and
+    those that this host has never met, which may be cut off from it.
     """
     if view.is_large and view.serving:
         return frozenset(status.host for status in view.serving)
-    return frozenset({view.own_host, *hosts.by_host})
+    return frozenset({view.own_host, *hosts.by_host}) | registered
 
 
 def _other_servers(view: ServingView, hosts: HostTable) -> list[HostStatus]:
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -17,6 +17,7 @@
 from ..logs.lines import LogLines
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
+from ..models.ids import HostName
 from ..models.upstreams import Address, Registration
 from ..platform import records
 from ..platform.store import Item, MetadataStore, Write
@@ -147,6 +148,8 @@
         store.on_restoration(self._handle_restoration)
         self._undecodable: set[tuple[str, bytes]] = set()
         self.runner_items: tuple[Item, ...] = ()
+        # By the newest listing of the store; empty before the first one.
+        self.registered_hosts: frozenset[HostName] = frozenset()
 
     def _handle_restoration(self) -> None:
         self.link.record_restoration(self._store.era)
@@ -291,7 +294,11 @@
         while True:
             requested_at = monotonic()
             try:
-                for item in (await self._store.list_prefix(HOSTS_PREFIX)).items:
+                items = (await self._store.list_prefix(HOSTS_PREFIX)).items
+                self.registered_hosts = frozenset(
+                    HostName(item.key.removeprefix(HOSTS_PREFIX)) for item in items
+                )
+                for item in items:
                     self._add_registered_peer(item)
                 self.link.record_success()
             except PlatformError as error:
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -8,6 +8,9 @@
 import pytest
 from lib.platform_world import platform_world, until
 
+from siskinlever._internal.dispatch.runner_limits import SAFETY_FACTOR, sender_share
+from siskinlever._internal.fleet import store_follower
+
 LIMIT_PER_S = 3.2
 WINDOW_S = 4.0
 # Seconds after which a host that has passed on a runner's statement must obey it.
@@ -108,3 +111,25 @@
             since = started_at + NOTICE_S
             assert most_in_window(engine.received_at, since) <= ALLOWED
         assert {answer.status for answer in answers} == {200, 503}
+
+
+async def test_host_that_has_met_no_peer_divides_limits_among_all_registered_hosts(
+    log_path, monkeypatch
+):
+    monkeypatch.setattr(store_follower, "HOSTS_PERIOD_S", 0.3)
+    async with platform_world(log_path) as world:
+        host = world.hosts[0]
+        others = [f"other-{number}" for number in range(23)]
+        for name in others:
+            # No host listens at this address.
+            world.store.put(f"siskinlever/hosts/{name}", b'{"peers": "127.0.0.1:9"}')
+        own = host.settings.host
+        keys = list(host.context.runners.by_key)
+        for key in keys:
+            host.context.limits.note(key, LIMIT_PER_S)
+        shares = [sender_share(k, LIMIT_PER_S, own, [own, *others]) for k in keys]
+        rates = [SAFETY_FACTOR * LIMIT_PER_S * share for share in shares]
+        assert 0.0 in rates
+        await until(
+            lambda: [host.context.limits.rate_of(key) for key in keys] == rates, 3.0
+        )
