--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -5,8 +5,9 @@
 import asyncio
 
 import pytest
-from lib.platform_world import HOST, event_text, platform_world
+from lib.platform_world import HOST, event_text, platform_world, until
 
+from siskinlever._internal.models.upstreams import Stage
 from siskinlever_testbed.standins.platform.runner import (
     RunnerFault,
     StreamEnd,
@@ -188,3 +189,21 @@
         await asyncio.wait_for(reader.readuntil(b"token-1\n"), 1.5)
         assert any(world.runner_named(name).running for name in ("p-1", "p-2"))
         writer.close()
+
+
+async def test_stream_that_no_other_engine_can_continue_holds_up_no_request(log_path):
+    """The only decode engine has just broken it off."""
+    async with platform_world(log_path) as world:
+        world.runner_named("e-3").stage = "prefill"
+        world.register_all()
+        engines = world.hosts[0].context.runners
+        stages = lambda: {r.key.name: r.stage for r in engines.usable("engines")}
+        await until(lambda: stages()["e-3"] is Stage.PREFILL)
+        broken = world.runner_named("e-2")
+        broken.break_after_events, broken.break_end = BROKEN_EVENT, StreamEnd.RESET
+        stream = asyncio.create_task(generate(world, "/resume/x", "b-1"))
+        await until(lambda: world.lines("request.resent"))
+        broken.break_after_events = None
+        other = await asyncio.wait_for(generate(world, "/stream/x", "b-2"), 1.0)
+        assert other.status == 200 and other.complete
+        assert not (await stream).complete
