--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -9,6 +9,8 @@
 
 from siskinlever._internal.models.upstreams import Stage
 from siskinlever_testbed.standins.platform.runner import (
+    RawAnswer,
+    RawEnd,
     RunnerFault,
     StreamEnd,
     StreamFraming,
@@ -192,18 +194,17 @@
 
 
 async def test_stream_that_no_other_engine_can_continue_holds_up_no_request(log_path):
-    """The only decode engine has just broken it off."""
+    """The only decode engine has just broken it off, before its first event."""
     async with platform_world(log_path) as world:
         world.runner_named("e-3").stage = "prefill"
         world.register_all()
         engines = world.hosts[0].context.runners
         stages = lambda: {r.key.name: r.stage for r in engines.usable("engines")}
         await until(lambda: stages()["e-3"] is Stage.PREFILL)
-        broken = world.runner_named("e-2")
-        broken.break_after_events, broken.break_end = BROKEN_EVENT, StreamEnd.RESET
-        stream = asyncio.create_task(generate(world, "/resume/x", "b-1"))
-        await until(lambda: world.lines("request.resent"))
-        broken.break_after_events = None
-        other = await asyncio.wait_for(generate(world, "/stream/x", "b-2"), 1.0)
-        assert other.status == 200 and other.complete
-        assert not (await stream).complete
+        broken = RawAnswer((), RawEnd.RESET)
+        world.runner_named("e-2").raw_by_call = {"b-0": [broken]}
+        first = asyncio.create_task(generate(world, "/resume/x", "b-0"))
+        others = [generate(world, "/resume/x", f"b-{n}") for n in range(1, 40)]
+        answers = await asyncio.gather(*others)
+        assert (await first).status == 502
+    assert {(answer.status, answer.complete) for answer in answers} == {(200, True)}
