--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -9,112 +9,26 @@
 import asyncio
 import json
 import secrets
-import socket
-import struct
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Any
 
-# SO_LINGER with a timeout of 0: closing the socket resets the connection.
-LINGER_ZERO = struct.pack("ii", 1, 0)
+from . import raw_http
+from .runner_answers import (
+    RawAnswer,
+    RawEnd,
+    Request,
+    RunnerFault,
+    StreamEnd,
+    StreamFraming,
+)
+
 BLOCK_TOKENS = 16
 FIRST_VERSION = "v1"
 
 
-class RunnerFault(Enum):
-    """How a runner answers a request, or fails to."""
-
-    NONE = "none"
-    # Status 503 with Not-Executed; the request does not run.
-    SHED = "shed"
-    # Status 500 after the request ran.
-    ERROR = "error"
-    # The request runs, then the connection is reset without an answer.
-    RESET_AFTER_RUN = "reset-after-run"
-    # Half of the answer without a Content-Length, then a reset.
-    UNFRAMED_RESET = "unframed-reset"
-    # The whole answer without a Content-Length, ended by an orderly close.
-    UNFRAMED = "unframed"
-    # Half of the body, or a stream without its last chunk, then an orderly close.
-    TRUNCATED = "truncated"
-    # A second answer after the first.
-    EXTRA = "extra"
-    # The attempt id and the signature of another request.
-    FOREIGN = "foreign"
-    # Bytes that are not HTTP.
-    GARBAGE = "garbage"
-    # As SHED, but before the body is read.
-    EARLY = "early"
-    # The request counts as run and is never answered.
-    MUTE = "mute"
-    # No Server-Signature and no Instance-Load header.
-    UNSIGNED = "unsigned"
-
-
-class StreamFraming(Enum):
-    """What marks the end of an engine's stream."""
-
-    CHUNKS = "chunks"
-    # Neither a length nor chunks: the end of the connection.
-    CONNECTION = "connection"
-
-
-class StreamEnd(Enum):
-    """How an engine ends a stream that it breaks off."""
-
-    RESET = "reset"
-    # An orderly close of the connection.
-    CLOSE = "close"
-    # As a complete stream: with the last chunk, where the stream has chunks.
-    COMPLETE = "complete"
-
-
-class RawEnd(Enum):
-    """What follows the bytes of a raw answer."""
-
-    CLOSE = "close"
-    RESET = "reset"
-    # Nothing, on an open connection.
-    SILENCE = "silence"
-    # The last part again and again.
-    ENDLESS = "endless"
-
-
-@dataclass(frozen=True, slots=True)
-class RawAnswer:
-    """Bytes that a runner sends in place of an answer.
-
-    Parameters
-    ----------
-    parts : tuple of bytes
-        Written one after the other.
-    end : RawEnd
-    pause_s : float, default=0.0
-        Seconds between two parts.
-    """
-
-    parts: tuple[bytes, ...]
-    end: RawEnd
-    pause_s: float = 0.0
-
-
-@dataclass(slots=True)
-class Request:
-    """A request as received by a runner."""
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes
-
-    def get(self, name: str) -> str | None:
-        """Return the value of the first header called `name`, a lower-case name."""
-        return next((v for n, v in self.headers if n.lower() == name), None)
-
-
 @dataclass(slots=True)
 class RunnerStandIn:
     """One runner.
@@ -214,7 +128,9 @@
         """Serve one connection."""
         try:
             fault = self.next_faults.pop(0) if self.next_faults else self.fault
-            request = await _read_request(reader, skip_body=fault is RunnerFault.EARLY)
+            request = await raw_http.read_request(
+                reader, skip_body=fault is RunnerFault.EARLY
+            )
             if request is not None:
                 await self._answer(request, fault, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -239,17 +155,17 @@
             is_refused = path in self.refused_calls
             status, body = (503, {}) if is_refused else handler(self, request)
             head = self._statements() + self._pause(status)
-            await _send(writer, status, head, json.dumps(body).encode())
+            await raw_http.send(writer, status, head, json.dumps(body).encode())
             return
         self.received.append(request)
         self.received_at.append(time.monotonic())
         attempt_id = request.get("attempt-id") or ""
         expected = request.get("expected-instance")
         if expected not in (None, self.name):
-            await _send(writer, 421, [("Instance-Id", self.name)], b"")
+            await raw_http.send(writer, 421, [("Instance-Id", self.name)], b"")
             return
         if fault in (RunnerFault.SHED, RunnerFault.EARLY) or self._is_switching():
-            await _send(writer, 503, self._rejection_headers(attempt_id), b"")
+            await raw_http.send(writer, 503, self._rejection_headers(attempt_id), b"")
             return
         is_prefill = request.get("serving-stage") == "prefill"
         if raw := self._raw_answer(("prefill " if is_prefill else "") + attempt_id):
@@ -307,7 +223,7 @@
                 await writer.drain()
                 await asyncio.sleep(raw.pause_s)
             if raw.end is RawEnd.RESET:
-                _reset(writer)
+                raw_http.reset(writer)
             elif raw.end is RawEnd.SILENCE:
                 await reader.read(1)
             while raw.end is RawEnd.ENDLESS:
@@ -336,33 +252,39 @@
         ).encode()
         head = self._answer_headers(attempt_id)
         if fault is RunnerFault.ERROR:
-            await _send(writer, 500, head, b"failed")
+            await raw_http.send(writer, 500, head, b"failed")
         elif fault is RunnerFault.RESET_AFTER_RUN:
-            _reset(writer)
+            raw_http.reset(writer)
         elif fault is RunnerFault.UNFRAMED_RESET:
-            writer.write(_encode_head(200, head) + body[: len(body) // 2])
+            writer.write(raw_http.encode_head(200, head) + body[: len(body) // 2])
             await writer.drain()
             await asyncio.sleep(0.02)
-            _reset(writer)
+            raw_http.reset(writer)
         elif fault is RunnerFault.UNFRAMED:
-            writer.write(_encode_head(200, head) + body)
+            writer.write(raw_http.encode_head(200, head) + body)
             await writer.drain()
         elif fault is RunnerFault.TRUNCATED:
             length = [("Content-Length", str(len(body)))]
-            writer.write(_encode_head(200, head + length) + body[: len(body) // 2])
+            writer.write(
+                raw_http.encode_head(200, head + length) + body[: len(body) // 2]
+            )
             await writer.drain()
         elif fault is RunnerFault.GARBAGE:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             await writer.drain()
         elif fault is RunnerFault.FOREIGN:
-            await _send(writer, 200, self._answer_headers("another-request"), body)
+            await raw_http.send(
+                writer, 200, self._answer_headers("another-request"), body
+            )
         elif fault is RunnerFault.UNSIGNED:
-            await _send(writer, 200, [("Attempt-Id", attempt_id)], body)
+            await raw_http.send(writer, 200, [("Attempt-Id", attempt_id)], body)
         elif fault is RunnerFault.EXTRA:
-            await _send(writer, 200, head, body)
-            await _send(writer, 200, self._answer_headers("extra"), b"a second answer")
+            await raw_http.send(writer, 200, head, body)
+            await raw_http.send(
+                writer, 200, self._answer_headers("extra"), b"a second answer"
+            )
         else:
-            await _send(writer, 200, head, body)
+            await raw_http.send(writer, 200, head, body)
 
     async def _prefill(self, request: Request, writer: asyncio.StreamWriter) -> None:
         prompt, _ = _token_usage(request)
@@ -373,7 +295,7 @@
             self.handle_by_id.clear()
         body = {"kv_handle": handle, "tokens": prompt, "version": 1}
         head = [("Attempt-Id", request.get("attempt-id") or ""), *self._statements()]
-        await _send(writer, 200, head, json.dumps(body).encode())
+        await raw_http.send(writer, 200, head, json.dumps(body).encode())
 
     async def _decode(
         self,
@@ -387,14 +309,16 @@
         prompt, max_tokens = _token_usage(request)
         source = request.get("kv-source")
         if source and not self._take_handle(source, attempt_id):
-            await _send(writer, 503, self._rejection_headers(attempt_id), b"")
+            await raw_http.send(writer, 503, self._rejection_headers(attempt_id), b"")
             return
         self.ran.append(attempt_id)
         if fault is RunnerFault.ERROR:
-            await _send(writer, 500, self._answer_headers(attempt_id), b"failed")
+            await raw_http.send(
+                writer, 500, self._answer_headers(attempt_id), b"failed"
+            )
             return
         if fault is RunnerFault.RESET_AFTER_RUN:
-            _reset(writer)
+            raw_http.reset(writer)
             return
         self.used_tokens += prompt + max_tokens
         try:
@@ -419,7 +343,7 @@
             ("Content-Type", "text/event-stream"),
             *([("Transfer-Encoding", "chunked")] if has_chunks else []),
         ]
-        writer.write(_encode_head(200, head))
+        writer.write(raw_http.encode_head(200, head))
         disconnected = asyncio.ensure_future(reader.read(1))
         try:
             for number in events:
@@ -431,14 +355,14 @@
                 breaks_off = number - first + 1 == self.break_after_events
                 if breaks_off:
                     event = event[: len(event) // 2]
-                writer.write(_chunk(event) if has_chunks else event)
+                writer.write(raw_http.chunk(event) if has_chunks else event)
                 await writer.drain()
                 if breaks_off:
                     break
             else:
                 breaks_off = False
             if breaks_off and self.break_end is StreamEnd.RESET:
-                _reset(writer)
+                raw_http.reset(writer)
                 return
             if fault is RunnerFault.TRUNCATED:
                 return
@@ -556,49 +480,6 @@
     return prompt, max_tokens
 
 
-async def _read_request(
-    reader: asyncio.StreamReader, skip_body: bool
-) -> Request | None:
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return None
-    first, *lines = head.decode("latin-1").split("\r\n")[:-2]
-    method, target, _ = first.split(" ")
-    headers = [(n, v.strip()) for n, _, v in (line.partition(":") for line in lines)]
-    request = Request(method, target, headers, b"")
-    length = int(request.get("content-length") or "0")
-    if not skip_body:
-        request.body = await reader.readexactly(length)
-    return request
-
-
-def _encode_head(status: int, headers: list[tuple[str, str]]) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers)]
-    return ("\r\n".join([*lines, "Connection: close"]) + "\r\n\r\n").encode("latin-1")
-
-
-async def _send(
-    writer: asyncio.StreamWriter,
-    status: int,
-    headers: list[tuple[str, str]],
-    body: bytes,
-) -> None:
-    length = [("Content-Length", str(len(body)))]
-    writer.write(_encode_head(status, headers + length) + body)
-    await writer.drain()
-
-
-def _chunk(data: bytes) -> bytes:
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
-    writer.transport.abort()
-
-
 @asynccontextmanager
 async def running_runner(runner: RunnerStandIn) -> AsyncIterator[RunnerStandIn]:
     """Serve a runner for the duration of a `with` block."""
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -8,7 +8,7 @@
 from lib.platform_world import HOST, event_text, platform_world, until
 
 from siskinlever._internal.models.upstreams import Stage
-from siskinlever_testbed.standins.platform.runner import (
+from siskinlever_testbed.standins.platform.runner_answers import (
     RawAnswer,
     RawEnd,
     RunnerFault,
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -9,7 +9,7 @@
 from lib.platform_world import HOST, platform_world, until
 
 from siskinlever._internal.network import http1_client
-from siskinlever_testbed.standins.platform.runner import RawAnswer, RawEnd
+from siskinlever_testbed.standins.platform.runner_answers import RawAnswer, RawEnd
 
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
 STATUS = b"HTTP/1.1 200 OK\r\n"
--- a/tests/functional/test_gateway_failing_runners.py
+++ b/tests/functional/test_gateway_failing_runners.py
@@ -7,7 +7,7 @@
 
 from siskinlever._internal.gateway import engine_calls
 from siskinlever_testbed.processes import free_addresses
-from siskinlever_testbed.standins.platform.runner import RunnerFault
+from siskinlever_testbed.standins.platform.runner_answers import RunnerFault
 
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
 
--- a/tests/functional/test_runner_statements.py
+++ b/tests/functional/test_runner_statements.py
@@ -13,7 +13,7 @@
 from siskinlever._internal.fleet.runners import RunnerState
 from siskinlever._internal.gateway import engine_calls
 from siskinlever._internal.models.upstreams import Stage
-from siskinlever_testbed.standins.platform.runner import RunnerFault
+from siskinlever_testbed.standins.platform.runner_answers import RunnerFault
 from siskinlever_testbed.standins.platform.store import StoreFault
 
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -26,7 +26,7 @@
 from siskinlever._internal.gateway.relay import MAX_BUFFERED_BYTES
 from siskinlever._internal.network import event_stream, http1_client, http1_server
 from siskinlever._internal.network.answer_end import AnswerEnd, judge
-from siskinlever_testbed.standins.platform.runner import RawAnswer, RawEnd
+from siskinlever_testbed.standins.platform.runner_answers import RawAnswer, RawEnd
 
 EVENTS = 10
 TOKENS = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -207,6 +207,11 @@
     )
 
 
+def run_count(world: World, identifier: str) -> int:
+    """Return how many times the runners started to run a request."""
+    return sum(runner.ran.count(identifier) for runner in world.runners)
+
+
 def event_text(number: int) -> str:
     """Return an event as the stand-ins of engines write it."""
     return f"id: {number}\ndata: token-{number}\n\n"
