--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -239,7 +239,7 @@
             with self._context.in_progress.prefill(runner.key, tokens):
                 async with asyncio.timeout(timeout_s):
                     call = wire.runner_call(job.request, options)
-                    sending = request_exchange(self._context, runner, call, job.request)
+                    sending = request_exchange(self._context, runner, call, job)
                     async with sending as answer:
                         body = await answer.read(MAX_PREFILL_ANSWER_BYTES)
             if answer.head.status == 200:
@@ -316,7 +316,7 @@
                     tokens = self._requested.prompt_tokens
                     prefill = self._context.in_progress.prefill(runner.key, tokens)
                     prefilling.enter_context(prefill)
-                sending = request_exchange(self._context, runner, call, job.request)
+                sending = request_exchange(self._context, runner, call, job)
                 async with sending as answer:
                     # The engine answers when it has prefilled the prompt.
                     prefilling.close()
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -10,6 +10,7 @@
 from ..exceptions import NotSentError
 from ..models.ids import ServiceName
 from ..models.routes import Route
+from ..models.traits import Trait, part_traits
 from ..models.upstreams import RunnerKey
 from ..network.http1_server import ReceivedRequest
 from ..platform import wire
@@ -69,6 +70,11 @@
         """Id that the caller assigned to the request."""
         return wire.request_id(self.request)
 
+    @property
+    def traits(self) -> tuple[Trait, ...]:
+        """What the request may have in common with others that crash runners."""
+        return part_traits(self.service, wire.shared_prompt_parts(self.request))
+
     def note_time(self, name: str) -> None:
         """Set a log field to the seconds since the arrival."""
         self.log_fields[name] = round(monotonic() - self.arrived_at, 3)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -117,7 +117,7 @@
         )
         try:
             with self._context.in_progress.request(runner.key), job.sending(runner.key):
-                sending = request_exchange(self._context, runner, call, job.request)
+                sending = request_exchange(self._context, runner, call, job)
                 async with sending as answer:
                     return await self._process_answer(runner, answer)
         except RunnerPausedError as error:
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -14,9 +14,10 @@
 from ..models.upstreams import Registration
 from ..network.answer_end import AnswerEnd, Verdict
 from ..network.http1_client import AnswerHead, Call, Exchange, exchange
-from ..network.http1_server import ReceivedRequest
 from ..platform import wire
+from ..utils.clock import monotonic
 from .context import GatewayContext
+from .job import Job
 
 # Answers to calls of this host's own carry a few fields.
 MAX_ANSWER_BYTES = 1_048_576
@@ -24,7 +25,7 @@
 
 @asynccontextmanager
 async def request_exchange(
-    context: GatewayContext, runner: Registration, call: Call, request: ReceivedRequest
+    context: GatewayContext, runner: Registration, call: Call, job: Job
 ) -> AsyncIterator[Exchange]:
     """Send a caller's request to a runner, as `http1_client.exchange`.
 
@@ -34,10 +35,8 @@
         Raised when the runner wants no requests now; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
-    async with _judged_exchange(
-        context, runner, call, wire.request_id(request)
-    ) as answer:
-        if not wire.is_answer_to_other(answer.head, request):
+    async with _judged_exchange(context, runner, call, job) as answer:
+        if not wire.is_answer_to_other(answer.head, job.request):
             context.note_statements(runner.key, answer.head)
         yield answer
 
@@ -76,23 +75,32 @@
 
 @asynccontextmanager
 async def _judged_exchange(
-    context: GatewayContext, runner: Registration, call: Call, request: str = ""
+    context: GatewayContext, runner: Registration, call: Call, job: Job | None = None
 ) -> AsyncIterator[Exchange]:
     _check_pause(context, runner)
+    fields: dict[str, str | int | float] = {}
     try:
         async with exchange(runner.address, call) as answer:
-            yield answer
+            began_at = monotonic()
+            try:
+                yield answer
+            finally:
+                fields["after_head_s"] = round(monotonic() - began_at, 3)
+                fields["body_bytes"] = answer.body_bytes
             if answer.end is not None:
                 _count(context, Verdict.WHOLE, answer.end)
     except AnswerBrokenError as error:
         _count(context, error.verdict, error.end)
+        if job is not None and job.traits:
+            fields["traits"] = ",".join(job.traits)
         context.log.write(
             "answer.broken",
-            request,
+            job.id if job else "",
             runner=runner.key.name,
             verdict=error.verdict.value,
             end=error.end.value if error.end else None,
             reason=error.message,
+            **fields,
         )
         raise
 
--- /dev/null
+++ b/src/siskinlever/_internal/models/traits.py
@@ -0,0 +1,29 @@
+"""What requests may have in common that makes runners crash.
+
+Traits are digests, so that no prompt is written to a log or sent to another host.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import NewType
+
+from .ids import ServiceName
+
+# Kind and digest, separated by a colon.
+Trait = NewType("Trait", str)
+
+DIGEST_BYTES = 8
+
+
+def part_traits(service: ServiceName, parts: Iterable[str]) -> tuple[Trait, ...]:
+    """Return the traits of parts of a prompt for a service, in their order."""
+    return tuple(_trait("part", service, part.encode()) for part in parts)
+
+
+def _trait(kind: str, service: ServiceName, *values: bytes) -> Trait:
+    digest = blake2b(service.encode(), digest_size=DIGEST_BYTES)
+    for value in values:
+        digest.update(len(value).to_bytes(8) + value)
+    return Trait(f"{kind}:{digest.hexdigest()}")
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -69,10 +69,18 @@
 
 
 class Exchange:
-    """An answer whose head has arrived and whose body is being read."""
+    """An answer whose head has arrived and whose body is being read.
+
+    Attributes
+    ----------
+    head : AnswerHead
+    body_bytes : int
+        Bytes of the body that have been read.
+    """
 
     def __init__(self, head: AnswerHead, reader: _AnswerReader) -> None:
         self.head = head
+        self.body_bytes = 0
         self._reader = reader
 
     @property
@@ -96,6 +104,7 @@
         while True:
             event = await self._reader.next_event()
             if isinstance(event, h11.Data):
+                self.body_bytes += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -34,6 +34,8 @@
 NOT_RUN = b"not-executed"
 # Prompt tokens and maximum output tokens of a request.
 TOKENS = b"token-usage"
+# Parts of the prompt in order, as id and number of tokens.
+PROMPT_PARTS = b"prompt-prefix"
 # The caller's estimate of the output tokens.
 OUTPUT_HINT = b"length-hint"
 PRIORITY = b"request-priority"
@@ -77,7 +79,7 @@
 )
 # Never removed, even if a caller lists them in its Connection header.
 PRESERVED_HEADERS = frozenset(
-    {b"host", REQUEST_ID, b"model", TOKENS, b"prompt-prefix", LAST_EVENT, OUTPUT_HINT}
+    {b"host", REQUEST_ID, b"model", TOKENS, PROMPT_PARTS, LAST_EVENT, OUTPUT_HINT}
 )
 EVENT_STREAM = "text/event-stream"
 READINESS_PATH = "/readyz"
@@ -181,6 +183,15 @@
     return GenerationSize(prompt, max_output, min(max(likely_output, 1), max_output))
 
 
+def shared_prompt_parts(request: ReceivedRequest) -> list[str]:
+    """Return the ids of the prompt's parts that other requests may share.
+
+    The last part belongs to the request alone.
+    """
+    entries = (request.get(PROMPT_PARTS) or "").split(",")
+    return [entry.partition(":")[0].strip() for entry in entries[:-1]]
+
+
 def runner_call(request: ReceivedRequest, options: SendOptions) -> Call:
     """Return the call that sends a caller's request to a runner."""
     headers = [
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -208,3 +208,20 @@
         answers = await asyncio.gather(*others)
         assert (await first).status == 502
     assert {(answer.status, answer.complete) for answer in answers} == {(200, True)}
+
+
+async def test_line_of_a_broken_answer_tells_what_requests_share_and_how_far_it_was(
+    log_path,
+):
+    parts = {"Prompt-Prefix": "aa:100,bb:20,cc:30"}
+    async with platform_world(log_path) as world:
+        for engine in decode_engines(world):
+            engine.break_after_events = 1
+        for identifier in ("b-1", "b-2"):
+            await world.send(
+                "/stream/x", "POST", identifier, b"p", headers=GENERATION | parts
+            )
+        first, second = world.lines("answer.broken")
+    assert first["traits"] == second["traits"]
+    assert len(first["traits"].split(",")) == 2 and "aa" not in first["traits"]
+    assert 0 <= first["after_head_s"] < 1 and first["body_bytes"] > 0
