--- a/src/siskinlever_testbed/standins/platform/raw_http.py
+++ b/src/siskinlever_testbed/standins/platform/raw_http.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 
-from .runner_answers import Request
+from .runner_answers import RawAnswer, RawEnd, Request
 
 # SO_LINGER with a timeout of 0: closing the socket resets the connection.
 LINGER_ZERO = struct.pack("ii", 1, 0)
@@ -46,6 +46,24 @@
     await writer.drain()
 
 
+async def play(
+    raw: RawAnswer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Write the parts of a raw answer and end it as it says."""
+    for part in raw.parts:
+        writer.write(part)
+        await writer.drain()
+        await asyncio.sleep(raw.pause_s)
+    if raw.end is RawEnd.RESET:
+        reset(writer)
+    elif raw.end is RawEnd.SILENCE:
+        await reader.read(1)
+    while raw.end is RawEnd.ENDLESS:
+        writer.write(raw.parts[-1])
+        await writer.drain()
+        await asyncio.sleep(raw.pause_s)
+
+
 def chunk(data: bytes) -> bytes:
     """Return data as one chunk."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -10,7 +10,7 @@
 import json
 import secrets
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,12 +18,12 @@
 from . import raw_http
 from .runner_answers import (
     RawAnswer,
-    RawEnd,
     Request,
     RunnerFault,
     StreamEnd,
     StreamFraming,
 )
+from .runner_process import RunnerProcess
 
 BLOCK_TOKENS = 16
 FIRST_VERSION = "v1"
@@ -95,9 +95,16 @@
     # Event of a stream, counted from 1, in whose middle the stream is broken off.
     break_after_events: int | None = None
     break_end: StreamEnd = StreamEnd.RESET
+    # Whether a request crashes the process that begins to run it, and after how long.
+    crashes_on: Callable[[Request], bool] | None = None
+    crash_delay_s: float = 0.05
+    process: RunnerProcess = field(init=False)
     # Events of the streams with which a plain service answers; None for whole bodies.
     events: int | None = None
 
+    def __post_init__(self) -> None:
+        self.process = RunnerProcess(self.serve, self.port)
+
     @property
     def address(self) -> str:
         """Address at which the runner listens."""
@@ -118,8 +125,9 @@
         }
         if self.stage:
             entry["stage"] = self.stage
-        if self.born is not None:
-            entry["born"] = self.born
+        born = self.process.born or self.born
+        if born is not None:
+            entry["born"] = born
         return json.dumps(entry).encode()
 
     async def serve(
@@ -218,18 +226,7 @@
     ) -> None:
         self.running += 1
         try:
-            for part in raw.parts:
-                writer.write(part)
-                await writer.drain()
-                await asyncio.sleep(raw.pause_s)
-            if raw.end is RawEnd.RESET:
-                raw_http.reset(writer)
-            elif raw.end is RawEnd.SILENCE:
-                await reader.read(1)
-            while raw.end is RawEnd.ENDLESS:
-                writer.write(raw.parts[-1])
-                await writer.drain()
-                await asyncio.sleep(raw.pause_s)
+            await raw_http.play(raw, reader, writer)
         finally:
             self.running -= 1
 
@@ -241,6 +238,8 @@
     ) -> None:
         attempt_id = request.get("attempt-id") or ""
         self.ran.append(attempt_id)
+        if await self._crash(request):
+            return
         await asyncio.sleep(self.work_s)
         body = json.dumps(
             {
@@ -344,6 +343,8 @@
             *([("Transfer-Encoding", "chunked")] if has_chunks else []),
         ]
         writer.write(raw_http.encode_head(200, head))
+        if await self._crash(request):
+            return
         disconnected = asyncio.ensure_future(reader.read(1))
         try:
             for number in events:
@@ -373,6 +374,16 @@
         finally:
             disconnected.cancel()
 
+    async def _crash(self, request: Request) -> bool:
+        """Crash if the request makes the process crash; return whether it did."""
+        if self.crashes_on is None or not self.crashes_on(request):
+            return False
+        await asyncio.sleep(self.crash_delay_s)
+        self.process.crash()
+        self.handle_by_id.clear()
+        self.held_by_id.clear()
+        return True
+
     def _take_handle(self, source: str, attempt_id: str) -> bool:
         address, _, handle = source.partition("/")
         engine = ENGINE_BY_ADDRESS.get(address)
@@ -483,10 +494,10 @@
 @asynccontextmanager
 async def running_runner(runner: RunnerStandIn) -> AsyncIterator[RunnerStandIn]:
     """Serve a runner for the duration of a `with` block."""
-    server = await asyncio.start_server(runner.serve, "127.0.0.1", runner.port)
+    await runner.process.start()
     ENGINE_BY_ADDRESS[runner.address] = runner
     try:
         yield runner
     finally:
         ENGINE_BY_ADDRESS.pop(runner.address, None)
-        server.close()
+        runner.process.close()
--- /dev/null
+++ b/tests/functional/test_crashing_requests.py
@@ -0,0 +1,107 @@
+"""Requests that crash the runners which run them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+from lib.platform_world import Answer, World, platform_world
+
+from siskinlever_testbed.standins.platform.runner_answers import Request
+
+# Bounds of the users' rules: contact_ms, and requests after a number of crashes.
+CONTACT_S = 3.0
+MAX_LATE_REQUESTS = 3
+REGISTRATION_PERIOD_S = 0.1
+SEND_PERIOD_S = 0.1
+HOSTS = 3
+GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
+
+
+@pytest.fixture
+def log_path(tmp_path) -> str:
+    return str(tmp_path / "log")
+
+
+@asynccontextmanager
+async def crashing_world(log_path: str) -> AsyncIterator[World]:
+    """Run hosts, and runners that register again after each crash."""
+
+    async def register(world: World) -> None:
+        while True:
+            await asyncio.sleep(REGISTRATION_PERIOD_S)
+            for runner in world.runners:
+                if runner.process.is_up:
+                    world.store.put(f"servers/{runner.name}", runner.entry())
+
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        registering = asyncio.create_task(register(world))
+        try:
+            yield world
+        finally:
+            registering.cancel()
+
+
+def crash_times(world: World) -> list[float]:
+    return sorted(at for r in world.runners for at in r.process.crashed_at)
+
+
+def arrival_times(world: World, is_bad) -> list[float]:
+    return [
+        at
+        for runner in world.runners
+        for request, at in zip(runner.received, runner.received_at, strict=True)
+        if is_bad(request)
+    ]
+
+
+@dataclass
+class Load:
+    """Requests sent to all hosts in turn, each with a prompt of its own."""
+
+    world: World
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+    def send(self, parts: str, path: str = "/stream/x") -> None:
+        number = len(self.tasks)
+        prompt = f"{parts},own{number}:30"
+        headers = GENERATION | {"Prompt-Prefix": prompt}
+        sending = self.world.send(
+            path, "POST", f"c-{number}", b"p", number % HOSTS, headers, 5000
+        )
+        self.tasks.append(asyncio.create_task(sending))
+
+    async def answers(self, since: int = 0) -> list[Answer]:
+        return await asyncio.gather(*self.tasks[since:])
+
+
+def has_bad_part(request: Request) -> bool:
+    return "bad:" in (request.get("prompt-prefix") or "")
+
+
+async def test_prompts_with_a_part_that_crashes_engines_stop_reaching_them(log_path):
+    async with crashing_world(log_path) as world:
+        for runner in world.runners:
+            runner.crashes_on = has_bad_part
+        bad, sound = Load(world), Load(world)
+        while len(crash_times(world)) < 5:
+            bad.send("first:40,bad:30")
+            sound.send(f"first:40,session{len(sound.tasks) % 4}:30")
+            await asyncio.sleep(SEND_PERIOD_S)
+        bound = crash_times(world)[4] + CONTACT_S
+        while (now := time.monotonic()) < bound + 1:
+            if now < bound:
+                sound_before_bound = len(sound.tasks)
+            bad.send("first:40,bad:30")
+            sound.send(f"first:40,session{len(sound.tasks) % 4}:30")
+            await asyncio.sleep(SEND_PERIOD_S)
+        sound_answers = await sound.answers(sound_before_bound)
+        await bad.answers()
+        late = [at for at in arrival_times(world, has_bad_part) if at > bound]
+    assert len(late) <= MAX_LATE_REQUESTS
+    # The rule allows half; no engine crashes any more.
+    assert all(answer.status == 200 for answer in sound_answers)
