Refuse requests with a part under which runners have crashed

Cause: the blame for a crash fell on the runner alone; no host knew what the requests under which runners had ended have in common. Class: a fault of a request taken for a fault of its runner.

Change: a broken answer of a run that had just begun is checked by a connection; only if it is refused, the runner has crashed. The traits of such runs go to all hosts at once, merged by union; what several crashes have in common and no whole answer acquits is refused before each send. Ruled out: verdicts by expiry (a runner lost for each trial), by a missing registration (seconds too late), by crash rates (counts of all runs).

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -10,11 +10,13 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, fields, replace
 
+from ..dispatch.crash_causes import CrashCauses
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
 from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
+from ..fleet.crash_reports import CrashReports
 from ..fleet.demand import DemandMeter
 from ..fleet.hosts import HostStatus, HostTable
 from ..fleet.in_progress import InProgress
@@ -27,6 +29,7 @@
 from ..fleet.stream_versions import StreamVersions
 from ..fleet.unreachable_runners import UnreachableRunners
 from ..gateway.context import GatewayContext
+from ..gateway.crash_detection import CrashDetection
 from ..gateway.endpoints import JSON_HEADERS, TEXT_HEADERS, Answer, connection_handler
 from ..gateway.session import Session
 from ..gateway.shutdown import Shutdown
@@ -83,6 +86,7 @@
     follower: StoreFollower
     sync: PeerSync
     load_updates: LoadUpdates
+    crash_reports: CrashReports
     shutdown: Shutdown
     lease: OrderLease
     orders: StageOrders
@@ -117,6 +121,7 @@
             "TellWork": host.load_updates.serve,
             "NoteStream": host.context.stream_versions.serve_note,
             "FindStream": host.context.stream_versions.serve_find,
+            "ExchangeCrashes": host.crash_reports.serve,
         }
         await stack.enter_async_context(
             peer_server(listeners.peers, PEER_KEY, None, handlers)
@@ -128,6 +133,7 @@
         tasks.start(host.follower.register_host(), "register")
         tasks.start(host.follower.follow_hosts(), "hosts")
         tasks.start(host.sync.announce_updates(), "news")
+        tasks.start(host.crash_reports.run(), "forget-crashes")
         tasks.start(host.lease.run(), "order-lease")
         tasks.start(host.orders.run(), "stage-orders")
         await _listen(host, metrics, stack)
@@ -248,6 +254,14 @@
             not view.is_large or (view.is_serving and address in view.addresses)
         ),
     )
+    crash_reports = CrashReports(
+        CrashCauses(),
+        lambda: _other_servers(view, hosts),
+        links,
+        log,
+        metrics,
+        tasks,
+    )
     sync = PeerSync(
         own_status,
         links,
@@ -260,6 +274,7 @@
         switching,
         unreachable_runners,
         limits,
+        crash_reports,
         follower,
         view,
         log,
@@ -281,6 +296,10 @@
         unreachable_runners=unreachable_runners,
         retry_budget=budget,
         limits=limits,
+        crash_causes=crash_reports.causes,
+        crash_detection=CrashDetection(
+            crash_reports, runners, unreachable_runners, tasks
+        ),
         stream_versions=StreamVersions(
             settings.host, lambda: _other_servers(view, hosts), links, log, tasks
         ),
@@ -312,6 +331,7 @@
         follower,
         sync,
         load_updates,
+        crash_reports,
         shutdown,
         lease,
         orders,
--- /dev/null
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -0,0 +1,363 @@
+"""Decides which requests must not be sent, since their like has crashed runners.
+
+A crash ends all requests on its runner, sound ones too. What the requests share that
+had just begun under several crashes, and that no whole answer has acquitted, is taken
+for the cause. This is group testing with one positive item in each test [1]_: the
+traits common to the runs under all crashes of a cause are barred together, and a
+request is refused only if it has all of them, until a further crash or a whole answer
+tells them apart.
+
+The evidence of all hosts is merged by union, so that hosts with the same evidence agree
+whatever the order of its arrival. The load in mind is a request, or many with one part
+of their prompts in common, that crashes each runner and comes again at any host.
+
+References
+----------
+.. [1] R. Dorfman, "The Detection of Defective Members of Large Populations", The Annals
+   of Mathematical Statistics 14(4), 1943.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, defaultdict
+from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from ..models.traits import Trait
+from ..models.upstreams import RunnerKey
+from ..utils.clock import monotonic
+
+# Seconds after the beginning of a run in which a crash counts as caused by it.
+EARLY_S = 1.0
+# Evidence of a run that had just begun: without a complete event, with some, and
+# without the head of an answer, so that it may have been waiting.
+BEGUN_WEIGHT = 1.0
+WRITING_WEIGHT = 0.5
+UNANSWERED_WEIGHT = 0.5
+# Evidence from which a trait is barred: three crashes, or five of the weaker kind.
+BAR_WEIGHT = 2.5
+# A trait of fewer runs is preferred to one with more evidence by up to this: what all
+# requests share is under each crash, whatever caused it.
+SPECIFIC_MARGIN = 1.0
+# Seconds after which a run that goes on acquits its traits as a whole answer does.
+SURVIVED_S = 2.0
+# A whole answer acquits the traits of its request for crashes until this many seconds
+# after it, and for all before it.
+ACQUITTAL_S = 60.0
+# Seconds from the report of a crash until it counts, in which other hosts report what
+# they know of the same requests.
+SETTLE_S = 0.3
+# Seconds for which a crash is remembered without a request that is refused for it.
+RETENTION_S = 600.0
+MAX_CRASHES = 64
+MAX_RUNS = 16
+# Traits of whole answers that are remembered.
+MAX_ACQUITTED = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class CrashedRun:
+    """A request that had just begun to run when its runner crashed.
+
+    Parameters
+    ----------
+    request : str
+        Id of the caller's attempt, for the log.
+    traits : tuple of Trait
+    weight : float
+        How much the crash counts against the request.
+    """
+
+    request: str
+    traits: tuple[Trait, ...]
+    weight: float
+
+
+@dataclass(slots=True, eq=False)
+class Crash:
+    """The end of one process of a runner, and the requests that had just begun there.
+
+    Parameters
+    ----------
+    runner : RunnerKey
+    runs : set of CrashedRun
+    at : float
+        Monotonic time of the first report.
+    used_at : float
+        Monotonic time at which a request was last refused for it, or of the report.
+    acquitted : set of Trait
+        Traits that requests with whole answers have, too.
+    """
+
+    runner: RunnerKey
+    runs: set[CrashedRun]
+    at: float
+    used_at: float
+    acquitted: set[Trait] = field(default_factory=set)
+
+    @property
+    def suspects(self) -> set[Trait]:
+        """Traits of the runs that no whole answer has acquitted."""
+        return {trait for run in self.runs for trait in run.traits} - self.acquitted
+
+    def weight_by_suspect(self) -> dict[Trait, float]:
+        """Return how much the crash counts against each suspect."""
+        weight_by_trait: dict[Trait, float] = {}
+        for run in self.runs:
+            for trait in set(run.traits) - self.acquitted:
+                weight = max(weight_by_trait.get(trait, 0.0), run.weight)
+                weight_by_trait[trait] = weight
+        return weight_by_trait
+
+    def has_run_with(self, traits: frozenset[Trait]) -> bool:
+        """Return whether a run had all of these traits."""
+        return any(traits.issubset(run.traits) for run in self.runs)
+
+
+@dataclass(slots=True)
+class Bar:
+    """Traits that requests must not have all together, and the crashes behind it."""
+
+    traits: frozenset[Trait]
+    crashes: tuple[Crash, ...]
+    used_at: float
+
+    @property
+    def runners(self) -> list[str]:
+        """Names of the runners that crashed."""
+        return sorted(crash.runner.name for crash in self.crashes)
+
+
+def crash_weight(call_s: float, after_head_s: float | None, events: int) -> float:
+    """Return how much the crash of its runner counts against a request.
+
+    Parameters
+    ----------
+    call_s : float
+        Seconds from the send to the crash.
+    after_head_s : float or None
+        Seconds from the head of the answer to the crash; None if there was no head.
+    events : int
+        Complete events of the answer.
+    """
+    if after_head_s is None:
+        return UNANSWERED_WEIGHT if call_s <= EARLY_S else 0.0
+    if after_head_s > EARLY_S:
+        return 0.0
+    return WRITING_WEIGHT if events else BEGUN_WEIGHT
+
+
+def find_causes(crashes: Iterable[Crash]) -> list[tuple[frozenset[Trait], list[Crash]]]:
+    """Return the sets of traits to bar, each with the crashes that it explains.
+
+    The set with the most evidence comes first. A crash that is explained by one set
+    counts for no other.
+    """
+    unexplained = list(crashes)
+    causes: list[tuple[frozenset[Trait], list[Crash]]] = []
+    while True:
+        trait = _most_likely(unexplained)
+        if trait is None:
+            return causes
+        traits = _common_traits(trait, unexplained)
+        explained = [crash for crash in unexplained if crash.has_run_with(traits)]
+        unexplained = [c for c in unexplained if not c.has_run_with(traits)]
+        causes.append((traits, explained))
+
+
+def _most_likely(crashes: Sequence[Crash]) -> Trait | None:
+    """Return the trait that is most likely a cause; None if none has the evidence."""
+    weight_by_trait: defaultdict[Trait, float] = defaultdict(float)
+    runs_by_trait: Counter[Trait] = Counter()
+    for crash in crashes:
+        for trait, weight in crash.weight_by_suspect().items():
+            weight_by_trait[trait] += weight
+        runs_by_trait.update(trait for run in crash.runs for trait in run.traits)
+    highest = max(weight_by_trait.values(), default=0.0)
+    least = max(BAR_WEIGHT, highest - SPECIFIC_MARGIN)
+    likely = [trait for trait, weight in weight_by_trait.items() if weight >= least]
+    return min(
+        likely,
+        key=lambda trait: (runs_by_trait[trait], -weight_by_trait[trait], trait),
+        default=None,
+    )
+
+
+def _common_traits(trait: Trait, crashes: Iterable[Crash]) -> frozenset[Trait]:
+    """Return the traits that all runs with a trait share and that aren't acquitted."""
+    common: frozenset[Trait] | None = None
+    for crash in crashes:
+        if trait in crash.acquitted:
+            continue
+        for run in crash.runs:
+            if trait in run.traits:
+                suspects = frozenset(run.traits) - crash.acquitted
+                common = suspects if common is None else common & suspects
+    return common or frozenset({trait})
+
+
+class CrashCauses:
+    """Evidence on crashes of runners, and the requests that are refused for it.
+
+    Parameters
+    ----------
+    now : callable, default=monotonic
+    """
+
+    def __init__(self, now: Callable[[], float] = monotonic) -> None:
+        self._now = now
+        self.crash_by_runner: dict[RunnerKey, Crash] = {}
+        self.bars: list[Bar] = []
+        # Ordered by time, the latest last.
+        self._whole_at_by_trait: OrderedDict[Trait, float] = OrderedDict()
+        self._suspects: set[Trait] = set()
+        self._digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """A number that is equal for hosts with the same evidence; 0 without any."""
+        if self._digest is None:
+            digest = blake2b(digest_size=8)
+            for key in sorted(self.crash_by_runner, key=str):
+                crash = self.crash_by_runner[key]
+                runs = sorted(run.request for run in crash.runs)
+                digest.update(repr((key, runs, sorted(crash.acquitted))).encode())
+            value = int.from_bytes(digest.digest(), "big")
+            self._digest = value if self.crash_by_runner else 0
+        return self._digest
+
+    def bar_against(self, traits: Collection[Trait]) -> Bar | None:
+        """Return what bars a request with these traits, or None."""
+        for bar in self.bars:
+            if bar.traits.issubset(traits):
+                bar.used_at = self._now()
+                return bar
+        return None
+
+    def note_whole(self, traits: Iterable[Trait]) -> list[Crash]:
+        """Acquit the traits of a request with a whole answer, or of a run that goes on.
+
+        Returns
+        -------
+        crashes : list of Crash
+            Those whose evidence has changed.
+        """
+        now = self._now()
+        acquitted = set()
+        for trait in traits:
+            self._whole_at_by_trait[trait] = now
+            self._whole_at_by_trait.move_to_end(trait)
+            if trait in self._suspects:
+                acquitted.add(trait)
+        while len(self._whole_at_by_trait) > MAX_ACQUITTED:
+            self._whole_at_by_trait.popitem(last=False)
+        if not acquitted:
+            return []
+        changed = [
+            crash
+            for crash in self.crash_by_runner.values()
+            if not acquitted.isdisjoint(crash.suspects)
+        ]
+        for crash in changed:
+            crash.acquitted |= acquitted & crash.suspects
+        self._update()
+        return changed
+
+    def merge(
+        self,
+        runner: RunnerKey,
+        runs: Iterable[CrashedRun],
+        acquitted: Iterable[Trait] = (),
+        age_s: float = 0.0,
+        unused_s: float = 0.0,
+    ) -> bool:
+        """Add evidence on the crash of a runner; return whether any was new.
+
+        Parameters
+        ----------
+        runner : RunnerKey
+        runs : iterable of CrashedRun
+        acquitted : iterable of Trait, default=()
+        age_s : float, default=0.0
+            Seconds since the crash.
+        unused_s : float, default=0.0
+            Seconds since a request was last refused for it.
+        """
+        now = self._now()
+        crash = self.crash_by_runner.get(runner)
+        is_new = crash is None
+        if crash is None:
+            if unused_s > RETENTION_S:
+                return False
+            crash = Crash(runner, set(), now - age_s, now - unused_s)
+            self.crash_by_runner[runner] = crash
+            self._limit_crashes()
+        before = len(crash.runs), len(crash.acquitted)
+        crash.used_at = max(crash.used_at, now - unused_s)
+        crash.runs = set(
+            sorted(crash.runs | set(runs), key=lambda run: (-run.weight, run.request))[
+                :MAX_RUNS
+            ]
+        )
+        crash.acquitted |= set(acquitted)
+        crash.acquitted |= {
+            trait
+            for trait in crash.suspects
+            if self._whole_at_by_trait.get(trait, float("-inf"))
+            >= crash.at - ACQUITTAL_S
+        }
+        if before == (len(crash.runs), len(crash.acquitted)):
+            return is_new
+        self._update()
+        return True
+
+    def _limit_crashes(self) -> None:
+        while len(self.crash_by_runner) > MAX_CRASHES:
+            unused = min(self.crash_by_runner.values(), key=lambda c: c.used_at)
+            del self.crash_by_runner[unused.runner]
+
+    def _update(self) -> None:
+        self._digest = None
+        self._suspects = {
+            trait for crash in self.crash_by_runner.values() for trait in crash.suspects
+        }
+
+    def decide(self) -> tuple[list[Bar], list[Bar]]:
+        """Bar and lift by the evidence that has settled; return both changes.
+
+        Returns
+        -------
+        barred, lifted : list of Bar
+        """
+        now = self._now()
+        self._forget_unused(now)
+        settled = [
+            crash
+            for crash in self.crash_by_runner.values()
+            if now >= crash.at + SETTLE_S
+        ]
+        before_by_traits = {bar.traits: bar for bar in self.bars}
+        bars = []
+        for traits, crashes in find_causes(settled):
+            before = before_by_traits.pop(traits, None)
+            used_at = before.used_at if before else now
+            bars.append(Bar(traits, tuple(crashes), used_at))
+        known = {bar.traits for bar in self.bars}
+        self.bars = bars
+        barred = [bar for bar in bars if bar.traits not in known]
+        return barred, list(before_by_traits.values())
+
+    def _forget_unused(self, now: float) -> None:
+        for bar in self.bars:
+            for crash in bar.crashes:
+                crash.used_at = max(crash.used_at, bar.used_at)
+        unused = [
+            runner
+            for runner, crash in self.crash_by_runner.items()
+            if now - crash.used_at > RETENTION_S
+        ]
+        for runner in unused:
+            del self.crash_by_runner[runner]
+        if unused:
+            self._update()
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -17,6 +17,7 @@
 from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
+from .crash_reports import CrashReports
 from .demand import DemandMeter
 from .hosts import HOST_RETENTION_S, LOST_AFTER_S, HostStatus, HostTable, HostWork
 from .in_progress import InProgress
@@ -103,6 +104,7 @@
         Stage changes that this host has ordered.
     unreachable_runners : UnreachableRunners
     limits : RunnerLimits
+    crash_reports : CrashReports
     follower : StoreFollower
         Provides the latest listing of the runners for hosts that are starting.
     view : ServingView
@@ -124,6 +126,7 @@
         switching: StageSwitches,
         unreachable_runners: UnreachableRunners,
         limits: RunnerLimits,
+        crash_reports: CrashReports,
         follower: StoreFollower,
         view: ServingView,
         log: LogLines,
@@ -140,6 +143,7 @@
         self._switching = switching
         self._unreachable_runners = unreachable_runners
         self._limits = limits
+        self._crash_reports = crash_reports
         self._follower = follower
         self._view = view
         self._log = log
@@ -320,6 +324,7 @@
 
     async def _handle_reply(self, address: Address, state: peer_pb2.FleetState) -> None:
         self._merge_state(state)
+        self._crash_reports.note_digest(address, state.crashes_digest)
         if state.serving:
             self._view.note_report(from_host(host) for host in state.serving)
         for peer in state.peers:
@@ -433,6 +438,7 @@
             switches=to_switches(work),
             unreachable=[to_runner(key) for key in work.unreachable],
             limits=to_limits(self._limits.recent(), monotonic()),
+            crashes_digest=self._crash_reports.causes.digest,
             peers=self._known_peers() if includes_peers else (),
             asks_peers=asks_peers,
         )
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -162,6 +162,7 @@
         with queue.enqueued(waiter):
             self._check_limits(len(queue), give_up_at)
             while True:
+                self._context.check_bars(job)
                 queue.reorder()
                 if waiter.at_head.is_set():
                     capacity = await self._try_engines(excluded)
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..dispatch.caller_waits import CallerWaitTracker
+from ..dispatch.crash_causes import CrashCauses
 from ..dispatch.engine_placement import EnginePlacement
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.reachability import Reachability
@@ -28,6 +29,9 @@
 from ..platform.statements import runner_statement
 from ..stages.switching import StageSwitches
 from ..utils.tasks import TaskSet
+from .crash_detection import CrashDetection
+from .errors import barred
+from .job import Job
 
 
 @dataclass(slots=True)
@@ -44,6 +48,8 @@
     unreachable_runners: UnreachableRunners
     retry_budget: SharedRetryBudget
     limits: RunnerLimits
+    crash_causes: CrashCauses
+    crash_detection: CrashDetection
     stream_versions: StreamVersions
     plain_placement: PlainPlacement
     log: LogLines
@@ -55,6 +61,13 @@
     caller_waits: CallerWaitTracker = field(default_factory=CallerWaitTracker)
     queue_by_service: dict[ServiceName, WaitQueue] = field(default_factory=dict)
 
+    def check_bars(self, job: Job) -> None:
+        """Refuse a request whose like has crashed runners; raises `EndedError`."""
+        bar = self.crash_causes.bar_against(job.traits)
+        if bar is not None:
+            job.log_fields["barred_traits"] = ",".join(sorted(bar.traits))
+            raise barred(len(bar.crashes))
+
     def not_switching(self, runners: list[Registration]) -> list[Registration]:
         """Return the runners that are not in the middle of a stage switch.
 
--- /dev/null
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -0,0 +1,138 @@
+"""Finds out whether a runner has crashed under requests whose answers broke off.
+
+The end of a connection may come from a crash, a cut link or a fault of one answer. Only
+a process that is gone refuses connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+
+from ..dispatch.crash_causes import SURVIVED_S, CrashedRun, crash_weight
+from ..fleet.crash_reports import CrashReports
+from ..fleet.runners import RunnerDirectory
+from ..fleet.unreachable_runners import UnreachableRunners
+from ..models.traits import Trait
+from ..models.upstreams import Registration, RunnerKey
+from ..network.answer_end import AnswerEnd, Framing
+from ..network.http1_client import Exchange, refuses_connections
+from ..utils.clock import monotonic
+from ..utils.tasks import TaskSet
+
+# Seconds from a broken answer to the check; a process that ends closes its port last.
+CHECK_DELAY_S = 0.05
+CRASH_ENDS = frozenset({AnswerEnd.CLOSED, AnswerEnd.RESET})
+
+
+class RunUnderWay:
+    """One request at a runner, from its send to the end of its answer.
+
+    Parameters
+    ----------
+    request : str
+        Id of the caller's attempt.
+    traits : tuple of Trait
+    """
+
+    def __init__(self, request: str, traits: tuple[Trait, ...]) -> None:
+        self.request = request
+        self.traits = traits
+        self._sent_at = monotonic()
+        self._head_at: float | None = None
+        self._answer: Exchange | None = None
+
+    def note_head(self, answer: Exchange) -> None:
+        """Record that the head of the answer has arrived."""
+        self._head_at, self._answer = monotonic(), answer
+
+    @property
+    def after_head_s(self) -> float | None:
+        """Seconds since the head of the answer; None before it."""
+        return None if self._head_at is None else monotonic() - self._head_at
+
+    @property
+    def events(self) -> int:
+        """Complete events of the answer."""
+        return 0 if self._answer is None else self._answer.events
+
+    @property
+    def has_survived(self) -> bool:
+        """Whether it has run for longer than a request that crashes its runner."""
+        return bool(self.events) and (self.after_head_s or 0.0) > SURVIVED_S
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer is a success that has ended as a whole.
+
+        An answer without a length or chunks ends in the same way if its runner crashes.
+        """
+        answer = self._answer
+        if answer is None or not 200 <= answer.head.status < 300:
+            return False
+        is_framed = answer.framing is not Framing.CONNECTION
+        return answer.end is not None and (is_framed or self.has_survived)
+
+    def crashed(self) -> CrashedRun:
+        """Return it as evidence on a crash at this moment."""
+        call_s = monotonic() - self._sent_at
+        weight = crash_weight(call_s, self.after_head_s, self.events)
+        return CrashedRun(self.request, self.traits, weight)
+
+
+class CrashDetection:
+    """Tells crashes from other ends of answers.
+
+    Parameters
+    ----------
+    reports : CrashReports
+    runners : RunnerDirectory
+    unreachable_runners : UnreachableRunners
+    tasks : TaskSet
+    """
+
+    def __init__(
+        self,
+        reports: CrashReports,
+        runners: RunnerDirectory,
+        unreachable_runners: UnreachableRunners,
+        tasks: TaskSet,
+    ) -> None:
+        self._reports = reports
+        self._runners = runners
+        self._unreachable_runners = unreachable_runners
+        self._tasks = tasks
+        self._runs_by_runner: defaultdict[RunnerKey, list[CrashedRun]] = defaultdict(
+            list
+        )
+
+    def note_end(self, run: RunUnderWay) -> None:
+        """Record that the answer of a run has ended without an error."""
+        if run.is_whole and run.traits:
+            self._reports.note_whole(run.traits)
+
+    def note_broken(
+        self, runner: Registration, run: RunUnderWay, end: AnswerEnd | None
+    ) -> None:
+        """Record that an answer broke off; check whether its runner has crashed."""
+        if not run.traits:
+            return
+        if run.has_survived:
+            self._reports.note_whole(run.traits)
+            return
+        crashed = run.crashed()
+        is_planned = not self._runners.is_usable(runner.key)
+        if end not in CRASH_ENDS or not crashed.weight or is_planned:
+            return
+        is_checking = runner.key in self._runs_by_runner
+        self._runs_by_runner[runner.key].append(crashed)
+        if not is_checking:
+            self._tasks.start(self._check(runner), "check-crash")
+
+    async def _check(self, runner: Registration) -> None:
+        await asyncio.sleep(CHECK_DELAY_S)
+        has_crashed = await refuses_connections(runner.address)
+        runs = self._runs_by_runner.pop(runner.key)
+        if has_crashed:
+            self._unreachable_runners.mark_unreachable(runner.key)
+            self._reports.report(runner.key, runs)
--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -13,6 +13,8 @@
 # since these have stated limits.
 LIMITED_ELSEWHERE_RETRY_S = 0.3
 MIN_LIMITED_RETRY_S = 0.05
+# Retry-After in seconds of a request whose like has crashed runners.
+BARRED_RETRY_S = 600.0
 # Retry-After in seconds of a request that timed out before it was run.
 TIMEOUT_RETRY_S = 1.0
 
@@ -27,6 +29,7 @@
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     LIMITED = "limited_by_runners"
+    BARRED = "barred"
     VERSION_GONE = "version_gone"
     VERSION_UNKNOWN = "version_unknown"
     NO_RETRY_LEFT = "no_retry_left"
@@ -98,6 +101,12 @@
     return EndedError(503, EndReason.LIMITED, message, retry_after_s)
 
 
+def barred(runners: int) -> EndedError:
+    """Return the error for a request whose like has crashed this many runners."""
+    message = f"{runners} runners have crashed under requests like this one"
+    return refused(EndReason.BARRED, message, BARRED_RETRY_S)
+
+
 def failed(reason: EndReason, message: str) -> EndedError:
     """Return the error for a request that ran or may have run (status 502)."""
     return EndedError(502, reason, message)
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -27,7 +27,7 @@
 from .errors import EndedError, EndReason, failed, refused
 from .job import Job
 from .relay import PlainRelay, StreamRelay
-from .runner_calls import request_exchange
+from .runner_calls import request_exchange, run_exchange
 
 # Retry-After in seconds when an engine rejected the request, the connection failed,
 # or no retry is left: other engines can serve the caller soon.
@@ -224,6 +224,7 @@
 
     async def _prefill(self, runner: Registration) -> str | None:
         """Prefill at an engine; return the KV cache's handle, or None on failure."""
+        self._context.check_bars(self._job)
         job, tokens = self._job, self._requested.prompt_tokens
         queued = self._context.load_of(runner.key).prefill_tokens
         timeout_s = self._prefill_timeout_s(queued)
@@ -293,6 +294,7 @@
     ) -> EndedError | None:
         job, runner = self._job, capacity.runner
         job.log_fields["version"] = runner.version
+        self._context.check_bars(job)
         if self._context.limits.are_paused([runner.key]):
             # Checked here so that no retry is charged for what isn't sent.
             message = f"{runner.key.name} has asked for a pause since its prefill"
@@ -316,7 +318,7 @@
                     tokens = self._requested.prompt_tokens
                     prefill = self._context.in_progress.prefill(runner.key, tokens)
                     prefilling.enter_context(prefill)
-                sending = request_exchange(self._context, runner, call, job)
+                sending = run_exchange(self._context, runner, call, job)
                 async with sending as answer:
                     # The engine answers when it has prefilled the prompt.
                     prefilling.close()
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -50,6 +50,8 @@
         Number of sends that a runner rejected without running the request.
     log_fields : dict
         Additional fields of the request's log line.
+    traits : tuple of Trait
+        What it may have in common with other requests that crash runners.
     """
 
     request: ReceivedRequest
@@ -64,17 +66,17 @@
     last_sent_to: RunnerKey | None = None
     rejections: int = 0
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
+    traits: tuple[Trait, ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        parts = wire.shared_prompt_parts(self.request)
+        self.traits = part_traits(self.service, parts)
 
     @property
     def id(self) -> str:
         """Id that the caller assigned to the request."""
         return wire.request_id(self.request)
 
-    @property
-    def traits(self) -> tuple[Trait, ...]:
-        """What the request may have in common with others that crash runners."""
-        return part_traits(self.service, wire.shared_prompt_parts(self.request))
-
     def note_time(self, name: str) -> None:
         """Set a log field to the seconds since the arrival."""
         self.log_fields[name] = round(monotonic() - self.arrived_at, 3)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -13,7 +13,7 @@
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
 from .relay import PlainRelay, StreamRelay
-from .runner_calls import request_exchange
+from .runner_calls import run_exchange
 
 # Retry-After in seconds when a runner rejected the request or was unreachable:
 # other runners can serve the caller soon.
@@ -112,12 +112,13 @@
     async def _send_once(self, runner: Registration) -> EndedError | None:
         """Send the request to a runner; return the failure, or None."""
         placement, job = self._context.plain_placement, self._job
+        self._context.check_bars(job)
         call = wire.runner_call(
             job.request, wire.SendOptions(runner.key, job.time_left_s)
         )
         try:
             with self._context.in_progress.request(runner.key), job.sending(runner.key):
-                sending = request_exchange(self._context, runner, call, job)
+                sending = run_exchange(self._context, runner, call, job)
                 async with sending as answer:
                     return await self._process_answer(runner, answer)
         except RunnerPausedError as error:
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -166,6 +166,7 @@
         async for chunk in answer.chunks():
             await self._start(answer, close)
             await self._forward(chunk)
+            answer.events = self._scanner.events
         end = answer.end or AnswerEnd.FRAMED
         if judge(answer.framing, end, self.is_inside_event) is not Verdict.WHOLE:
             raise AnswerBrokenError("the stream ended within an event", end=end)
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -17,12 +17,32 @@
 from ..platform import wire
 from ..utils.clock import monotonic
 from .context import GatewayContext
+from .crash_detection import RunUnderWay
 from .job import Job
 
 # Answers to calls of this host's own carry a few fields.
 MAX_ANSWER_BYTES = 1_048_576
 
 
+@asynccontextmanager
+async def run_exchange(
+    context: GatewayContext, runner: Registration, call: Call, job: Job
+) -> AsyncIterator[Exchange]:
+    """Send a caller's request to a runner that is to run it, as `request_exchange`.
+
+    How it ends is evidence on what crashes runners.
+    """
+    run = RunUnderWay(job.id, job.traits)
+    try:
+        async with request_exchange(context, runner, call, job) as answer:
+            run.note_head(answer)
+            yield answer
+    except AnswerBrokenError as error:
+        context.crash_detection.note_broken(runner, run, error.end)
+        raise
+    context.crash_detection.note_end(run)
+
+
 @asynccontextmanager
 async def request_exchange(
     context: GatewayContext, runner: Registration, call: Call, job: Job
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -102,6 +102,7 @@
         try:
             job = new_job(request, self._find_route(request))
             self._context.retry_budget.note_request(job.service)
+            self._context.check_bars(job)
             if self._refuses_while_stopping(job):
                 raise refused(EndReason.STOPPING, "this host stops", STOPPING_RETRY_S)
             runner = await self._within_deadline(job)
--- a/src/siskinlever/_internal/metrics/names.py
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -5,6 +5,7 @@
 
 HELP_BY_NAME = {
     "answers": "Answers of runners by verdict and by how their bytes ended.",
+    "barred_traits": "Sets of traits that requests are refused for.",
     "configuration_age_seconds": "Seconds since this host knew it was current.",
     "configuration_generation": "Generation of the configuration in force.",
     "configuration_fetch_failures": "Failed reads of a newer generation at a peer.",
@@ -19,6 +20,7 @@
     "peer_calls_failed": "Calls to peers that were not answered.",
     "peer_connections_replaced": "Connections to peers that fell silent.",
     "peer_message_bytes": "Bytes of messages to and from peers, as the caller.",
+    "runner_crashes": "Crashes of runners under requests that had just begun.",
     "runner_leaving_answers": "Answers in which runners stated that they leave.",
     "runner_limit_changes": "Limits that runners stated, changed or ended.",
     "runner_pauses": "Answers with which runners asked this host for a pause.",
--- a/src/siskinlever/_internal/models/traits.py
+++ b/src/siskinlever/_internal/models/traits.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from hashlib import blake2b
+from itertools import islice
 from typing import NewType
 
 from .ids import ServiceName
@@ -15,11 +16,15 @@
 Trait = NewType("Trait", str)
 
 DIGEST_BYTES = 8
+# Further parts of a prompt are not looked at.
+MAX_TRAITS = 64
 
 
 def part_traits(service: ServiceName, parts: Iterable[str]) -> tuple[Trait, ...]:
-    """Return the traits of parts of a prompt for a service, in their order."""
-    return tuple(_trait("part", service, part.encode()) for part in parts)
+    """Return the traits of the first parts of a prompt for a service."""
+    return tuple(
+        _trait("part", service, part.encode()) for part in islice(parts, MAX_TRAITS)
+    )
 
 
 def _trait(kind: str, service: ServiceName, *values: bytes) -> Trait:
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -76,11 +76,14 @@
     head : AnswerHead
     body_bytes : int
         Bytes of the body that have been read.
+    events : int
+        Complete events that its reader has found in the body.
     """
 
     def __init__(self, head: AnswerHead, reader: _AnswerReader) -> None:
         self.head = head
         self.body_bytes = 0
+        self.events = 0
         self._reader = reader
 
     @property
@@ -279,6 +282,19 @@
         raise AnswerBrokenError(message, end=AnswerEnd.SILENT) from error
 
 
+async def refuses_connections(address: str) -> bool:
+    """Return whether no process listens at an address that can be reached."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(*split_address(address))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 async def _connect(
     address: str,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/src/siskinlever/_internal/peers/peer_grpc.py
+++ b/src/siskinlever/_internal/peers/peer_grpc.py
@@ -82,6 +82,10 @@
     async def FindStream(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetStreamRequest, siskinlever._internal.peers.peer_pb2.FleetStream]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ExchangeCrashes(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetCrashes, siskinlever._internal.peers.peer_pb2.FleetCrashes]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchFleetDocuments(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetDocumentsRequest, siskinlever._internal.peers.peer_pb2.FleetDocuments]') -> None:
         pass
@@ -190,6 +194,12 @@
                 siskinlever._internal.peers.peer_pb2.FleetStreamRequest,
                 siskinlever._internal.peers.peer_pb2.FleetStream,
             ),
+            '/siskinlever.peers.Peer/ExchangeCrashes': grpclib.const.Handler(
+                self.ExchangeCrashes,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.FleetCrashes,
+                siskinlever._internal.peers.peer_pb2.FleetCrashes,
+            ),
             '/siskinlever.peers.Peer/FetchFleetDocuments': grpclib.const.Handler(
                 self.FetchFleetDocuments,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -304,6 +314,12 @@
             siskinlever._internal.peers.peer_pb2.FleetStreamRequest,
             siskinlever._internal.peers.peer_pb2.FleetStream,
         )
+        self.ExchangeCrashes = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/ExchangeCrashes',
+            siskinlever._internal.peers.peer_pb2.FleetCrashes,
+            siskinlever._internal.peers.peer_pb2.FleetCrashes,
+        )
         self.FetchFleetDocuments = grpclib.client.UnaryUnaryMethod(
             channel,
             '/siskinlever.peers.Peer/FetchFleetDocuments',
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -16,6 +16,7 @@
 # Bounds of the users' rules: contact_ms, and requests after a number of crashes.
 CONTACT_S = 3.0
 MAX_LATE_REQUESTS = 3
+BOUNDED_CRASHES = 5
 REGISTRATION_PERIOD_S = 0.1
 SEND_PERIOD_S = 0.1
 HOSTS = 3
@@ -88,12 +89,10 @@
         for runner in world.runners:
             runner.crashes_on = has_bad_part
         bad, sound = Load(world), Load(world)
-        while len(crash_times(world)) < 5:
-            bad.send("first:40,bad:30")
-            sound.send(f"first:40,session{len(sound.tasks) % 4}:30")
-            await asyncio.sleep(SEND_PERIOD_S)
-        bound = crash_times(world)[4] + CONTACT_S
+        bound = float("inf")
         while (now := time.monotonic()) < bound + 1:
+            if crashes := crash_times(world)[:BOUNDED_CRASHES]:
+                bound = crashes[-1] + CONTACT_S
             if now < bound:
                 sound_before_bound = len(sound.tasks)
             bad.send("first:40,bad:30")
--- /dev/null
+++ b/tests/unit/test_crash_causes.py
@@ -0,0 +1,231 @@
+"""Which requests are refused after crashes of runners."""
+
+from __future__ import annotations
+
+from itertools import count, permutations
+
+import pytest
+
+from siskinlever._internal.dispatch import crash_causes
+from siskinlever._internal.dispatch.crash_causes import (
+    CrashCauses,
+    CrashedRun,
+    crash_weight,
+)
+from siskinlever._internal.models.traits import Trait
+from siskinlever._internal.models.upstreams import RunnerKey
+
+STRONG, WEAK = crash_causes.BEGUN_WEIGHT, crash_causes.WRITING_WEIGHT
+
+
+class Fleet:
+    """Crashes and whole answers in virtual time, as one host sees them."""
+
+    def __init__(self) -> None:
+        self.time = 1000.0
+        self.causes = CrashCauses(now=lambda: self.time)
+        self._numbers = count(1)
+
+    def crash(self, *runs: str, weight: float = STRONG) -> RunnerKey:
+        """Crash a runner under requests with these traits, "F S" for two of them."""
+        number = next(self._numbers)
+        runner = RunnerKey(f"e-{number}", number)
+        self.causes.merge(
+            runner,
+            [
+                CrashedRun(f"r-{number}-{n}", tuple(map(Trait, run.split())), weight)
+                for n, run in enumerate(runs)
+            ],
+        )
+        return runner
+
+    def decide(self) -> None:
+        self.time += crash_causes.SETTLE_S + 0.01
+        self.causes.decide()
+
+    def whole(self, traits: str) -> None:
+        self.causes.note_whole(map(Trait, traits.split()))
+        self.causes.decide()
+
+    def is_refused(self, traits: str) -> bool:
+        return self.causes.bar_against(traits.split()) is not None
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet()
+
+
+def test_part_is_barred_after_three_crashes_of_runs_that_had_just_begun(fleet):
+    fleet.whole("F")
+    for session in ("S1", "S2"):
+        fleet.crash(f"F {session} B")
+    fleet.decide()
+    assert not fleet.is_refused("F S3 B")
+    fleet.crash("F S3 B")
+    fleet.decide()
+    assert fleet.is_refused("F S4 B")
+    assert not fleet.is_refused("F S3")
+
+
+def test_part_is_barred_by_the_fifth_crash_of_runs_that_had_written_events(fleet):
+    fleet.whole("F")
+    for number in range(5):
+        assert not fleet.is_refused("F B")
+        fleet.crash(f"F S{number} B", weight=WEAK)
+        fleet.decide()
+    assert fleet.is_refused("F B")
+
+
+def test_parts_that_always_came_together_are_barred_together_until_told_apart(fleet):
+    for _ in range(3):
+        fleet.crash("F B")
+    fleet.decide()
+    assert fleet.is_refused("F B") and fleet.is_refused("F S B")
+    assert not fleet.is_refused("F S") and not fleet.is_refused("F2 B")
+    fleet.whole("F S")
+    assert fleet.is_refused("F2 B")
+    assert not fleet.is_refused("F")
+
+
+def test_further_crash_tells_parts_apart_that_came_together(fleet):
+    fleet.whole("F")
+    for _ in range(3):
+        fleet.crash("F S B")
+    fleet.decide()
+    fleet.crash("F S2 B")
+    fleet.crash("F S2 B")
+    fleet.decide()
+    assert fleet.is_refused("F S3 B")
+    assert not fleet.is_refused("F S")
+
+
+def test_sound_runs_beside_the_cause_are_not_barred(fleet):
+    """The session was running on all three engines, with events or without."""
+    fleet.whole("F")
+    for _ in range(3):
+        fleet.crash("F B", "F S")
+    fleet.decide()
+    refused = [traits for traits in ("F B", "F S", "F") if fleet.is_refused(traits)]
+    assert len(refused) == 1
+    fleet.whole("F S")
+    assert fleet.is_refused("F B") and not fleet.is_refused("F S")
+
+
+def test_part_shared_by_all_requests_is_not_barred_for_an_unrelated_crash(fleet):
+    """No answer was whole since all hosts started."""
+    for _ in range(3):
+        fleet.crash("F B", "F S")
+    fleet.crash("F S2")
+    fleet.decide()
+    assert not fleet.is_refused("F S3")
+
+
+def test_whole_answer_acquits_for_earlier_crashes_and_those_soon_after(fleet):
+    for _ in range(2):
+        fleet.crash("S")
+    fleet.whole("S")
+    fleet.crash("S")
+    fleet.decide()
+    assert not fleet.is_refused("S")
+
+
+def test_part_that_became_bad_is_barred_once_its_last_whole_answer_is_old(fleet):
+    fleet.whole("B")
+    fleet.time += crash_causes.ACQUITTAL_S + 1
+    for _ in range(3):
+        fleet.crash("B")
+    fleet.decide()
+    assert fleet.is_refused("B")
+
+
+def test_whole_answer_lifts_a_bar(fleet):
+    for _ in range(3):
+        fleet.crash("B")
+    fleet.decide()
+    assert fleet.is_refused("B")
+    fleet.whole("B")
+    assert not fleet.is_refused("B")
+
+
+def test_crashes_of_one_runner_count_once(fleet):
+    runner = fleet.crash("B", "B", "B")
+    fleet.causes.merge(runner, [CrashedRun("r", (Trait("B"),), STRONG)])
+    fleet.decide()
+    assert not fleet.is_refused("B")
+
+
+def test_two_parts_that_crash_runners_are_both_barred(fleet):
+    fleet.whole("F")
+    for _ in range(3):
+        fleet.crash("F B1", "F S")
+        fleet.crash("F B2")
+    fleet.whole("F S")
+    fleet.decide()
+    assert fleet.is_refused("F B1") and fleet.is_refused("F B2")
+
+
+def test_bar_lasts_while_requests_are_refused_for_it(fleet):
+    for _ in range(3):
+        fleet.crash("B")
+    fleet.decide()
+    for _ in range(5):
+        fleet.time += crash_causes.RETENTION_S * 0.9
+        fleet.decide()
+        assert fleet.is_refused("B")
+    fleet.time += crash_causes.RETENTION_S + 1
+    fleet.decide()
+    assert not fleet.is_refused("B") and not fleet.causes.crash_by_runner
+
+
+def test_hosts_with_the_same_evidence_agree_whatever_its_order():
+    evidence = [("F S1 B", "F S2"), ("F S1 B",), ("F S3 B", "F S1"), ("F S4",)]
+    digests, bars = set(), set()
+    for order in permutations(range(len(evidence))):
+        fleet = Fleet()
+        for number in order:
+            runs = [
+                CrashedRun(f"r-{number}-{n}", tuple(map(Trait, run.split())), STRONG)
+                for n, run in enumerate(evidence[number])
+            ]
+            runner = RunnerKey(f"e-{number}", number)
+            fleet.causes.merge(runner, runs[:1], acquitted=[Trait("F")])
+            fleet.causes.merge(runner, runs)
+        fleet.decide()
+        digests.add(fleet.causes.digest)
+        bars.add(frozenset(bar.traits for bar in fleet.causes.bars))
+    assert len(digests) == len(bars) == 1
+
+
+def test_evidence_is_bounded(fleet):
+    for number in range(500):
+        fleet.crash(*(f"S{number}-{run}" for run in range(50)))
+    crashes = fleet.causes.crash_by_runner
+    assert len(crashes) == crash_causes.MAX_CRASHES
+    assert all(len(c.runs) == crash_causes.MAX_RUNS for c in crashes.values())
+
+
+def test_part_in_steady_use_stays_acquitted_whatever_else_comes(fleet):
+    for number in range(3 * crash_causes.MAX_ACQUITTED):
+        fleet.causes.note_whole([Trait(f"S{number}")])
+        if number % 1000 == 0:
+            fleet.causes.note_whole([Trait("F")])
+    for _ in range(5):
+        fleet.crash("F")
+    fleet.decide()
+    assert not fleet.is_refused("F")
+
+
+@pytest.mark.parametrize(
+    ("call_s", "after_head_s", "events", "weight"),
+    [
+        (0.3, 0.1, 0, STRONG),
+        (0.3, 0.1, 3, WEAK),
+        (1.5, 1.1, 0, 0.0),
+        (4.0, 3.9, 80, 0.0),
+        (0.1, None, 0, crash_causes.UNANSWERED_WEIGHT),
+        (1.1, None, 0, 0.0),
+    ],
+)
+def test_only_runs_that_had_just_begun_are_blamed(call_s, after_head_s, events, weight):
+    assert crash_weight(call_s, after_head_s, events) == weight
--- /dev/null
+++ b/tests/unit/test_crash_reports.py
@@ -0,0 +1,149 @@
+"""The exchange of evidence on crashes between hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from siskinlever._internal.dispatch.crash_causes import (
+    BEGUN_WEIGHT,
+    CrashCauses,
+    CrashedRun,
+)
+from siskinlever._internal.exceptions import PeerError
+from siskinlever._internal.fleet import crash_reports
+from siskinlever._internal.fleet.crash_reports import CrashReports
+from siskinlever._internal.models.traits import Trait
+from siskinlever._internal.models.upstreams import RunnerKey
+from siskinlever._internal.utils.tasks import task_set
+
+
+@dataclass
+class Status:
+    """The part of a host's status that the exchange uses."""
+
+    peers_address: str
+
+
+class NoLog:
+    def write(self, *_, **__) -> None: ...
+
+
+class NoMetrics:
+    def count(self, *_, **__) -> None: ...
+    def gauge(self, *_, **__) -> None: ...
+
+
+@dataclass
+class Network:
+    """Hosts by address; calls to those that are cut off fail."""
+
+    reports_by_address: dict[str, CrashReports] = field(default_factory=dict)
+    cut_off: set[str] = field(default_factory=set)
+    calls: int = 0
+
+    async def call_address(self, address, rpc, message, timeout_s=0.0, tries=2):
+        self.calls += 1
+        await asyncio.sleep(0)
+        if address in self.cut_off:
+            raise PeerError(address)
+        return await self.reports_by_address[address].serve(message)
+
+    def add_host(self, address: str, tasks) -> CrashReports:
+        def others() -> list[Status]:
+            return [Status(a) for a in self.reports_by_address if a != address]
+
+        self.reports_by_address[address] = CrashReports(
+            CrashCauses(), others, self, NoLog(), NoMetrics(), tasks
+        )
+        return self.reports_by_address[address]
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    monkeypatch.setattr(crash_reports, "COLLECT_S", 0.0)
+
+
+def crash(reports: CrashReports, number: int, traits: str) -> None:
+    run = CrashedRun(f"r-{number}", tuple(map(Trait, traits.split())), BEGUN_WEIGHT)
+    reports.report(RunnerKey(f"e-{number}", number), [run])
+
+
+def are_refused(network: Network, traits: str) -> set[bool]:
+    return {
+        reports.causes.bar_against(traits.split()) is not None
+        for reports in network.reports_by_address.values()
+    }
+
+
+SETTLED_S = crash_reports.SETTLE_S + 0.1
+
+
+async def test_crashes_at_different_hosts_bar_a_part_at_all_hosts():
+    network = Network()
+    async with task_set() as tasks:
+        hosts = [network.add_host(f"h-{n}", tasks) for n in range(8)]
+        hosts[6].note_whole([Trait("F")])
+        for number in range(3):
+            crash(hosts[number], number, f"F S{number} B")
+        await asyncio.sleep(SETTLED_S)
+        assert are_refused(network, "F S9 B") == {True}
+        assert are_refused(network, "F S1") == {False}
+        assert len({reports.causes.digest for reports in hosts}) == 1
+
+
+async def test_host_that_knows_a_whole_answer_acquits_at_all_hosts():
+    network = Network()
+    async with task_set() as tasks:
+        hosts = [network.add_host(f"h-{n}", tasks) for n in range(3)]
+        hosts[2].note_whole([Trait("S")])
+        for number in range(4):
+            crash(hosts[number % 2], number, "S")
+        await asyncio.sleep(SETTLED_S)
+        assert are_refused(network, "S") == {False}
+
+
+async def test_later_whole_answer_lifts_the_bar_at_all_hosts():
+    network = Network()
+    async with task_set() as tasks:
+        hosts = [network.add_host(f"h-{n}", tasks) for n in range(3)]
+        for number in range(3):
+            crash(hosts[0], number, "S")
+        await asyncio.sleep(SETTLED_S)
+        assert are_refused(network, "S") == {True}
+        hosts[1].note_whole([Trait("S")])
+        await asyncio.sleep(SETTLED_S)
+        assert are_refused(network, "S") == {False}
+
+
+async def test_host_that_was_cut_off_or_starts_learns_it_from_another_digest():
+    network = Network(cut_off={"h-1"})
+    async with task_set() as tasks:
+        hosts = [network.add_host(f"h-{n}", tasks) for n in range(2)]
+        for number in range(3):
+            crash(hosts[0], number, "F B")
+        await asyncio.sleep(SETTLED_S)
+        network.cut_off.clear()
+        hosts.append(network.add_host("h-2", tasks))
+        for late in hosts[1:]:
+            late.note_digest("h-0", hosts[0].causes.digest)
+        await asyncio.sleep(SETTLED_S)
+        assert are_refused(network, "F B") == {True}
+
+
+async def test_exchange_ends_when_all_hosts_have_the_same_evidence():
+    network = Network()
+    async with task_set() as tasks:
+        hosts = [network.add_host(f"h-{n}", tasks) for n in range(8)]
+        for reports in hosts[3:]:
+            reports.note_whole([Trait("F")])
+        for number in range(3):
+            crash(hosts[number], number, "F B")
+        await asyncio.sleep(SETTLED_S)
+        calls = network.calls
+        for reports in hosts:
+            reports.note_digest("h-0", hosts[0].causes.digest)
+        await asyncio.sleep(SETTLED_S)
+        assert network.calls == calls < 200
