Log which requests with broken answers repeat each other

The traits in answer.broken now include a digest of method, host, path, caller's credentials and body. Logs only; the new test failed before (equal traits for different requests, none at all).

--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -10,7 +10,7 @@
 from ..exceptions import NotSentError
 from ..models.ids import ServiceName
 from ..models.routes import Route
-from ..models.traits import Trait, part_traits
+from ..models.traits import Trait, part_traits, request_trait
 from ..models.upstreams import RunnerKey
 from ..network.http1_server import ReceivedRequest
 from ..platform import wire
@@ -81,6 +81,11 @@
         """Set a log field to the seconds since the arrival."""
         self.log_fields[name] = round(monotonic() - self.arrived_at, 3)
 
+    @property
+    def request_trait(self) -> Trait:
+        """The trait that the request has in common with its repetitions."""
+        return request_trait(self.service, *wire.request_identity(self.request))
+
     @property
     def may_have_run(self) -> bool:
         """Whether a runner may have started to process the request."""
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -111,8 +111,8 @@
                 _count(context, Verdict.WHOLE, answer.end)
     except AnswerBrokenError as error:
         _count(context, error.verdict, error.end)
-        if job is not None and job.traits:
-            fields["traits"] = ",".join(job.traits)
+        if job is not None:
+            fields["traits"] = ",".join((*job.traits, job.request_trait))
         context.log.write(
             "answer.broken",
             job.id if job else "",
--- a/src/siskinlever/_internal/models/traits.py
+++ b/src/siskinlever/_internal/models/traits.py
@@ -1,6 +1,7 @@
 """What requests may have in common that makes runners crash.
 
-Traits are digests, so that no prompt is written to a log or sent to another host.
+Traits are digests, so that no prompt, body or key is written to a log or sent to
+another host.
 """
 
 from __future__ import annotations
@@ -27,6 +28,18 @@
     )
 
 
+def request_trait(service: ServiceName, *identity: bytes) -> Trait:
+    """Return the trait of a request, which is that of its repetitions, too.
+
+    Parameters
+    ----------
+    service : ServiceName
+    *identity : bytes
+        What its repetitions have in common.
+    """
+    return _trait("request", service, *identity)
+
+
 def _trait(kind: str, service: ServiceName, *values: bytes) -> Trait:
     digest = blake2b(service.encode(), digest_size=DIGEST_BYTES)
     for value in values:
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -81,6 +81,8 @@
 PRESERVED_HEADERS = frozenset(
     {b"host", REQUEST_ID, b"model", TOKENS, PROMPT_PARTS, LAST_EVENT, OUTPUT_HINT}
 )
+# Headers that may tell one caller from another.
+CALLER_HEADERS = (b"authorization", b"cookie")
 EVENT_STREAM = "text/event-stream"
 READINESS_PATH = "/readyz"
 LOOKUP_PATH = "/resolve"
@@ -192,6 +194,21 @@
     return [entry.partition(":")[0].strip() for entry in entries[:-1]]
 
 
+def request_identity(request: ReceivedRequest) -> list[bytes]:
+    """Return what a request has in common with its repetitions.
+
+    These are its method, host, path, body and what names the caller, but not its id,
+    its time, or how far a stream had come.
+    """
+    names = (request.get(name) or "" for name in (b"host", *CALLER_HEADERS))
+    return [
+        request.method,
+        request.target,
+        *(name.encode("latin-1") for name in names),
+        request.body,
+    ]
+
+
 def runner_call(request: ReceivedRequest, options: SendOptions) -> Call:
     """Return the call that sends a caller's request to a runner."""
     headers = [
--- a/tests/functional/test_broken_streams.py
+++ b/tests/functional/test_broken_streams.py
@@ -223,5 +223,21 @@
             )
         first, second = world.lines("answer.broken")
     assert first["traits"] == second["traits"]
-    assert len(first["traits"].split(",")) == 2 and "aa" not in first["traits"]
+    kinds = [trait.partition(":")[0] for trait in first["traits"].split(",")]
+    assert kinds == ["part", "part", "request"] and "aa:" not in first["traits"]
     assert 0 <= first["after_head_s"] < 1 and first["body_bytes"] > 0
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/safe/x?page=2", "/safe/y"])
+async def test_line_of_a_broken_answer_tells_repetitions_of_a_request(log_path, path):
+    async with platform_world(log_path) as world:
+        for name in ("p-1", "p-2"):
+            world.runner_named(name).fault = RunnerFault.RESET_AFTER_RUN
+        for identifier, body in (("r-1", b"a"), ("r-2", b"a"), ("r-3", b"b")):
+            await world.send(path, "POST", identifier, body)
+        lines = world.lines("answer.broken")
+    first, repetition, other = (
+        {line["traits"] for line in lines if line["request"] == identifier}
+        for identifier in ("r-1", "r-2", "r-3")
+    )
+    assert len(first) == 1 and first == repetition != other
