--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -16,7 +16,8 @@
 # Bounds of the users' rules: contact_ms, and requests after a number of crashes.
 CONTACT_S = 3.0
 MAX_LATE_REQUESTS = 3
-BOUNDED_CRASHES = 5
+# Crashes after which the bounds begin to run: by parts of prompts, and by repetitions.
+PART_CRASHES, REQUEST_CRASHES = 5, 3
 REGISTRATION_PERIOD_S = 0.1
 SEND_PERIOD_S = 0.1
 HOSTS = 3
@@ -62,17 +63,22 @@
 
 @dataclass
 class Load:
-    """Requests sent to all hosts in turn, each with a prompt of its own."""
+    """Requests sent to all hosts in turn."""
 
     world: World
+    name: str
     tasks: list[asyncio.Task] = field(default_factory=list)
 
-    def send(self, parts: str, path: str = "/stream/x") -> None:
+    def send_prompt(self, parts: str) -> None:
+        """Send a generation whose prompt has a last part of its own."""
+        prompt = f"{parts},own{len(self.tasks)}:30"
+        self.send("/stream/x", b"p", GENERATION | {"Prompt-Prefix": prompt})
+
+    def send(self, path: str, body: bytes, headers: dict[str, str]) -> None:
         number = len(self.tasks)
-        prompt = f"{parts},own{number}:30"
-        headers = GENERATION | {"Prompt-Prefix": prompt}
+        identifier = f"{self.name}-{number}"
         sending = self.world.send(
-            path, "POST", f"c-{number}", b"p", number % HOSTS, headers, 5000
+            path, "POST", identifier, body, number % HOSTS, headers, 5000
         )
         self.tasks.append(asyncio.create_task(sending))
 
@@ -88,15 +94,15 @@
     async with crashing_world(log_path) as world:
         for runner in world.runners:
             runner.crashes_on = has_bad_part
-        bad, sound = Load(world), Load(world)
+        bad, sound = Load(world, "bad"), Load(world, "sound")
         bound = float("inf")
         while (now := time.monotonic()) < bound + 1:
-            if crashes := crash_times(world)[:BOUNDED_CRASHES]:
+            if crashes := crash_times(world)[:PART_CRASHES]:
                 bound = crashes[-1] + CONTACT_S
             if now < bound:
                 sound_before_bound = len(sound.tasks)
-            bad.send("first:40,bad:30")
-            sound.send(f"first:40,session{len(sound.tasks) % 4}:30")
+            bad.send_prompt("first:40,bad:30")
+            sound.send_prompt(f"first:40,session{len(sound.tasks) % 4}:30")
             await asyncio.sleep(SEND_PERIOD_S)
         sound_answers = await sound.answers(sound_before_bound)
         await bad.answers()
@@ -104,3 +110,39 @@
     assert len(late) <= MAX_LATE_REQUESTS
     # The rule allows half; no engine crashes any more.
     assert all(answer.status == 200 for answer in sound_answers)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/safe/x", {}),
+        ("/once/x", {}),
+        ("/stream/x", GENERATION | {"Prompt-Prefix": "first:40,session:30,own:30"}),
+        ("/resume/x", GENERATION),
+    ],
+    ids=["repeatable", "not-repeatable", "stream", "resumable-stream"],
+)
+async def test_request_that_crashes_runners_and_comes_again_stops_reaching_them(
+    log_path, path, headers
+):
+    def is_bad(request: Request) -> bool:
+        return request.body == b"bad"
+
+    async with crashing_world(log_path) as world:
+        for runner in world.runners:
+            runner.crashes_on = is_bad
+        bad, sound = Load(world, "bad"), Load(world, "sound")
+        bound = float("inf")
+        while (now := time.monotonic()) < bound + 1:
+            if crashes := crash_times(world)[:REQUEST_CRASHES]:
+                bound = crashes[-1] + CONTACT_S
+            if now < bound:
+                sound_before_bound = len(sound.tasks)
+            bad.send(path, b"bad", headers)
+            sound.send(path, f"sound {len(sound.tasks)}".encode(), headers)
+            await asyncio.sleep(SEND_PERIOD_S)
+        sound_answers = await sound.answers(sound_before_bound)
+        await bad.answers()
+        late = [at for at in arrival_times(world, is_bad) if at > bound]
+    assert len(late) <= MAX_LATE_REQUESTS
+    assert all(answer.status == 200 for answer in sound_answers)
