Refuse a request that has crashed runners when it comes again

Cause: no host knew a request again.

Change: the request's own trait, a digest of what its repetitions have in common, joins those of its prompt in the same record. Three crashes of any kind bar it, since only its repetitions have it. Only the likeliest runs under a crash narrow down what is refused; the test of parts showed otherwise that all requests with one body were refused.

--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -24,7 +24,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from ..models.traits import Trait
+from ..models.traits import Trait, is_of_request
 from ..models.upstreams import RunnerKey
 from ..utils.clock import monotonic
 
@@ -35,8 +35,10 @@
 BEGUN_WEIGHT = 1.0
 WRITING_WEIGHT = 0.5
 UNANSWERED_WEIGHT = 0.5
-# Evidence from which a trait is barred: three crashes, or five of the weaker kind.
+# Evidence from which a trait is barred: three crashes, or five of the weaker kind. Only
+# repetitions of the same request have its trait: three crashes of any kind.
 BAR_WEIGHT = 2.5
+REQUEST_BAR_WEIGHT = 1.5
 # A trait of fewer runs is preferred to one with more evidence by up to this: what all
 # requests share is under each crash, whatever caused it.
 SPECIFIC_MARGIN = 1.0
@@ -52,7 +54,7 @@
 RETENTION_S = 600.0
 MAX_CRASHES = 64
 MAX_RUNS = 16
-# Traits of whole answers that are remembered.
+# Traits of whole answers that are remembered, of each kind.
 MAX_ACQUITTED = 10_000
 
 
@@ -177,8 +179,12 @@
             weight_by_trait[trait] += weight
         runs_by_trait.update(trait for run in crash.runs for trait in run.traits)
     highest = max(weight_by_trait.values(), default=0.0)
-    least = max(BAR_WEIGHT, highest - SPECIFIC_MARGIN)
-    likely = [trait for trait, weight in weight_by_trait.items() if weight >= least]
+    least = highest - SPECIFIC_MARGIN
+    likely = [
+        trait
+        for trait, weight in weight_by_trait.items()
+        if weight >= max(least, _bar_weight(trait))
+    ]
     return min(
         likely,
         key=lambda trait: (runs_by_trait[trait], -weight_by_trait[trait], trait),
@@ -186,6 +192,10 @@
     )
 
 
+def _bar_weight(trait: Trait) -> float:
+    return REQUEST_BAR_WEIGHT if is_of_request(trait) else BAR_WEIGHT
+
+
 def _equally_likely(trait: Trait, crashes: Iterable[Crash]) -> list[Trait]:
     """Return the traits, this one too, with the same evidence and as many runs."""
     evidence_by_trait: defaultdict[Trait, list[tuple[RunnerKey, float, int]]]
@@ -200,13 +210,16 @@
 
 
 def _common_traits(trait: Trait, crashes: Iterable[Crash]) -> frozenset[Trait]:
-    """Return the traits that all runs with a trait share and that aren't acquitted."""
+    """Return the traits that the likeliest runs with a trait share.
+
+    Of the runs with the trait under one crash, these are the ones with the highest
+    weight. Traits that are acquitted are left out.
+    """
     common: frozenset[Trait] | None = None
     for crash in crashes:
-        if trait in crash.acquitted:
-            continue
+        weight = crash.weight_by_suspect().get(trait)
         for run in crash.runs:
-            if trait in run.traits:
+            if trait in run.traits and run.weight == weight:
                 suspects = frozenset(run.traits) - crash.acquitted
                 common = suspects if common is None else common & suspects
     return common or frozenset({trait})
@@ -224,8 +237,9 @@
         self._now = now
         self.crash_by_runner: dict[RunnerKey, Crash] = {}
         self.bars: list[Bar] = []
-        # Ordered by time, the latest last.
-        self._whole_at_by_trait: OrderedDict[Trait, float] = OrderedDict()
+        # For each kind of trait; ordered by time, the latest last.
+        self._whole_at_by_part: OrderedDict[Trait, float] = OrderedDict()
+        self._whole_at_by_request: OrderedDict[Trait, float] = OrderedDict()
         self._suspects: set[Trait] = set()
         self._digest: int | None = None
 
@@ -261,12 +275,13 @@
         now = self._now()
         acquitted = set()
         for trait in traits:
-            self._whole_at_by_trait[trait] = now
-            self._whole_at_by_trait.move_to_end(trait)
+            whole_at_by_trait = self._whole_at(trait)
+            whole_at_by_trait[trait] = now
+            whole_at_by_trait.move_to_end(trait)
+            if len(whole_at_by_trait) > MAX_ACQUITTED:
+                whole_at_by_trait.popitem(last=False)
             if trait in self._suspects:
                 acquitted.add(trait)
-        while len(self._whole_at_by_trait) > MAX_ACQUITTED:
-            self._whole_at_by_trait.popitem(last=False)
         if not acquitted:
             return []
         changed = [
@@ -319,14 +334,17 @@
         crash.acquitted |= {
             trait
             for trait in crash.suspects
-            if self._whole_at_by_trait.get(trait, float("-inf"))
-            >= crash.at - ACQUITTAL_S
+            if self._whole_at(trait).get(trait, float("-inf")) >= crash.at - ACQUITTAL_S
         }
         if before == (len(crash.runs), len(crash.acquitted)):
             return is_new
         self._update()
         return True
 
+    def _whole_at(self, trait: Trait) -> OrderedDict[Trait, float]:
+        is_request = is_of_request(trait)
+        return self._whole_at_by_request if is_request else self._whole_at_by_part
+
     def _limit_crashes(self) -> None:
         while len(self.crash_by_runner) > MAX_CRASHES:
             unused = min(self.crash_by_runner.values(), key=lambda c: c.used_at)
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -63,6 +63,8 @@
 
     def check_bars(self, job: Job) -> None:
         """Refuse a request whose like has crashed runners; raises `EndedError`."""
+        if not self.crash_causes.bars:
+            return
         bar = self.crash_causes.bar_against(job.traits)
         if bar is not None:
             job.log_fields["barred_traits"] = ",".join(sorted(bar.traits))
--- a/src/siskinlever/_internal/gateway/crash_detection.py
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -13,12 +13,12 @@
 from ..fleet.crash_reports import CrashReports
 from ..fleet.runners import RunnerDirectory
 from ..fleet.unreachable_runners import UnreachableRunners
-from ..models.traits import Trait
 from ..models.upstreams import Registration, RunnerKey
 from ..network.answer_end import AnswerEnd, Framing
 from ..network.http1_client import Exchange, refuses_connections
 from ..utils.clock import monotonic
 from ..utils.tasks import TaskSet
+from .job import Job
 
 # Seconds from a broken answer to the check; a process that ends closes its port last.
 CHECK_DELAY_S = 0.05
@@ -30,14 +30,11 @@
 
     Parameters
     ----------
-    request : str
-        Id of the caller's attempt.
-    traits : tuple of Trait
+    job : Job
     """
 
-    def __init__(self, request: str, traits: tuple[Trait, ...]) -> None:
-        self.request = request
-        self.traits = traits
+    def __init__(self, job: Job) -> None:
+        self.job = job
         self._sent_at = monotonic()
         self._head_at: float | None = None
         self._answer: Exchange | None = None
@@ -77,7 +74,7 @@
         """Return it as evidence on a crash at this moment."""
         call_s = monotonic() - self._sent_at
         weight = crash_weight(call_s, self.after_head_s, self.events)
-        return CrashedRun(self.request, self.traits, weight)
+        return CrashedRun(self.job.id, self.job.traits, weight)
 
 
 class CrashDetection:
@@ -108,17 +105,15 @@
 
     def note_end(self, run: RunUnderWay) -> None:
         """Record that the answer of a run has ended without an error."""
-        if run.is_whole and run.traits:
-            self._reports.note_whole(run.traits)
+        if run.is_whole:
+            self._reports.note_whole(run.job.traits)
 
     def note_broken(
         self, runner: Registration, run: RunUnderWay, end: AnswerEnd | None
     ) -> None:
         """Record that an answer broke off; check whether its runner has crashed."""
-        if not run.traits:
-            return
         if run.has_survived:
-            self._reports.note_whole(run.traits)
+            self._reports.note_whole(run.job.traits)
             return
         crashed = run.crashed()
         is_planned = not self._runners.is_usable(runner.key)
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -50,8 +50,8 @@
         Number of sends that a runner rejected without running the request.
     log_fields : dict
         Additional fields of the request's log line.
-    traits : tuple of Trait
-        What it may have in common with other requests that crash runners.
+    part_traits : tuple of Trait
+        Those of the parts of its prompt that other requests may share.
     """
 
     request: ReceivedRequest
@@ -66,11 +66,12 @@
     last_sent_to: RunnerKey | None = None
     rejections: int = 0
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
-    traits: tuple[Trait, ...] = field(init=False)
+    part_traits: tuple[Trait, ...] = field(init=False)
+    _request_trait: Trait | None = None
 
     def __post_init__(self) -> None:
         parts = wire.shared_prompt_parts(self.request)
-        self.traits = part_traits(self.service, parts)
+        self.part_traits = part_traits(self.service, parts)
 
     @property
     def id(self) -> str:
@@ -83,8 +84,19 @@
 
     @property
     def request_trait(self) -> Trait:
-        """The trait that the request has in common with its repetitions."""
-        return request_trait(self.service, *wire.request_identity(self.request))
+        """The trait that the request has in common with its repetitions.
+
+        Computed when first needed, since its body may be large.
+        """
+        if self._request_trait is None:
+            identity = wire.request_identity(self.request)
+            self._request_trait = request_trait(self.service, *identity)
+        return self._request_trait
+
+    @property
+    def traits(self) -> tuple[Trait, ...]:
+        """What the request may have in common with others that crash runners."""
+        return (*self.part_traits, self.request_trait)
 
     @property
     def may_have_run(self) -> bool:
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -32,7 +32,7 @@
 
     How it ends is evidence on what crashes runners.
     """
-    run = RunUnderWay(job.id, job.traits)
+    run = RunUnderWay(job)
     try:
         async with request_exchange(context, runner, call, job) as answer:
             run.note_head(answer)
@@ -112,7 +112,7 @@
     except AnswerBrokenError as error:
         _count(context, error.verdict, error.end)
         if job is not None:
-            fields["traits"] = ",".join((*job.traits, job.request_trait))
+            fields["traits"] = ",".join(job.traits)
         context.log.write(
             "answer.broken",
             job.id if job else "",
--- a/src/siskinlever/_internal/models/traits.py
+++ b/src/siskinlever/_internal/models/traits.py
@@ -16,6 +16,7 @@
 # Kind and digest, separated by a colon.
 Trait = NewType("Trait", str)
 
+PART, REQUEST = "part", "request"
 DIGEST_BYTES = 8
 # Further parts of a prompt are not looked at.
 MAX_TRAITS = 64
@@ -24,7 +25,7 @@
 def part_traits(service: ServiceName, parts: Iterable[str]) -> tuple[Trait, ...]:
     """Return the traits of the first parts of a prompt for a service."""
     return tuple(
-        _trait("part", service, part.encode()) for part in islice(parts, MAX_TRAITS)
+        _trait(PART, service, part.encode()) for part in islice(parts, MAX_TRAITS)
     )
 
 
@@ -37,7 +38,12 @@
     *identity : bytes
         What its repetitions have in common.
     """
-    return _trait("request", service, *identity)
+    return _trait(REQUEST, service, *identity)
+
+
+def is_of_request(trait: Trait) -> bool:
+    """Return whether only repetitions of one request have the trait."""
+    return trait.startswith(f"{REQUEST}:")
 
 
 def _trait(kind: str, service: ServiceName, *values: bytes) -> Trait:
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -197,14 +197,15 @@
 def request_identity(request: ReceivedRequest) -> list[bytes]:
     """Return what a request has in common with its repetitions.
 
-    These are its method, host, path, body and what names the caller, but not its id,
-    its time, or how far a stream had come.
+    These are its method, host, path, body, the shared parts of its prompt, and what
+    names the caller, but not its id, its time, or how far a stream had come.
     """
-    names = (request.get(name) or "" for name in (b"host", *CALLER_HEADERS))
+    headers = (request.get(name) or "" for name in (b"host", *CALLER_HEADERS))
+    texts = [*headers, ",".join(shared_prompt_parts(request))]
     return [
         request.method,
         request.target,
-        *(name.encode("latin-1") for name in names),
+        *(text.encode("latin-1") for text in texts),
         request.body,
     ]
 
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -240,3 +240,59 @@
 )
 def test_only_runs_that_had_just_begun_are_blamed(call_s, after_head_s, events, weight):
     assert crash_weight(call_s, after_head_s, events) == weight
+
+
+def test_request_is_barred_after_three_crashes_though_it_had_no_answer(fleet):
+    for _ in range(3):
+        assert not fleet.is_refused("request:R")
+        fleet.crash("request:R", "request:other", weight=WEAK)
+        fleet.whole("request:other")
+        fleet.decide()
+    assert fleet.is_refused("request:R")
+    assert not fleet.is_refused("request:other")
+
+
+def test_request_with_parts_of_sound_ones_is_barred_alone(fleet):
+    for _ in range(3):
+        fleet.crash("F S request:R")
+    fleet.decide()
+    assert fleet.is_refused("F S request:R")
+    assert not fleet.is_refused("F S request:R2")
+
+
+def test_part_is_barred_although_each_request_with_it_was_sent_twice(fleet):
+    fleet.whole("F")
+    for number in range(3):
+        for _ in range(2):
+            assert number < 2 or fleet.is_refused(f"F B request:R{number}")
+            fleet.crash(f"F S{number} B request:R{number}")
+        fleet.decide()
+    assert fleet.is_refused("F S B request:R9")
+    assert not fleet.is_refused("F S0 request:R0")
+
+
+def test_sound_request_beside_two_crashes_does_not_hide_the_part(fleet):
+    fleet.whole("F")
+    for number in range(2):
+        fleet.crash(f"F B request:R{number}", "F S request:sound")
+    for number in range(2, 5):
+        fleet.crash(f"F B request:R{number}")
+    fleet.decide()
+    assert fleet.is_refused("F B request:R9")
+    assert not fleet.is_refused("F S request:sound")
+
+
+def test_runs_that_had_written_events_do_not_widen_what_is_refused(fleet):
+    """No answer was whole yet, and the request's trait is that of sound ones, too."""
+    for number in range(2):
+        bad, sound = (
+            CrashedRun(name, tuple(map(Trait, traits.split())), weight)
+            for name, traits, weight in (
+                ("b", "F B request:R", STRONG),
+                ("s", f"F S{number} request:R", WEAK),
+            )
+        )
+        fleet.causes.merge(RunnerKey(f"e-{number}", 0), [bad, sound])
+    fleet.decide()
+    assert fleet.is_refused("F B request:R")
+    assert not fleet.is_refused("F S9 request:R")
