Let others pass a generation that all engines have failed

Such a waiter stays queued, in case another engine returns, but isn't a head meanwhile. Ruled out: refusing it at once, which gives up streams that a returning engine could continue.

--- a/src/siskinlever/_internal/dispatch/wait_queue.py
+++ b/src/siskinlever/_internal/dispatch/wait_queue.py
@@ -5,7 +5,8 @@
 for as long as their callers can still use the answer.
 
 Streams that may go on only at one software version queue apart, since the engines of
-that version may be full while others are free.
+that version may be full while others are free. A generation that all engines have
+failed waits for another one without holding up those behind it.
 """
 
 from __future__ import annotations
@@ -34,6 +35,8 @@
         late.
     version : str or None, default=None
         The only software version of engines that it may use; None for any.
+    has_engines : bool, default=True
+        Whether there are engines that it may use; otherwise others pass it.
     at_head : asyncio.Event
         Set while the generation is the first of its version.
     """
@@ -42,6 +45,7 @@
     arrived_at: float
     on_time_until: float
     version: SoftwareVersion | None = None
+    has_engines: bool = True
     at_head: asyncio.Event = field(default_factory=asyncio.Event)
 
     def sort_key(self, now: float) -> tuple[bool, int, float]:
@@ -74,7 +78,9 @@
         now = monotonic()
         head_by_version: dict[SoftwareVersion | None, Waiter] = {}
         for waiter in sorted(self._waiters, key=lambda w: w.sort_key(now)):
-            if head_by_version.setdefault(waiter.version, waiter) is waiter:
+            if not waiter.has_engines:
+                waiter.at_head.clear()
+            elif head_by_version.setdefault(waiter.version, waiter) is waiter:
                 waiter.at_head.set()
             else:
                 waiter.at_head.clear()
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -163,6 +163,7 @@
             self._check_limits(len(queue), give_up_at)
             while True:
                 self._context.check_bars(job)
+                waiter.has_engines = self._has_engines(excluded)
                 queue.reorder()
                 if waiter.at_head.is_set():
                     capacity = await self._try_engines(excluded)
@@ -214,6 +215,16 @@
             raise refused(EndReason.VERSION_GONE, message, NO_ENGINE_RETRY_S)
         return at_version(usable, self._version)
 
+    def _has_engines(self, excluded: Collection[RunnerKey]) -> bool:
+        """Return whether not all decode engines that serve are excluded."""
+        usable = self._context.runners.usable(self._job.service)
+        decoding = {
+            runner.key
+            for runner in at_version(usable, self._version)
+            if runner.stage is Stage.DECODE
+        }
+        return not decoding or not decoding.issubset(excluded)
+
     def _check_limits(self, waiting: int, give_up_at: float) -> None:
         """Refuse the request if the limits of the engines cannot serve it in time.
 
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -428,3 +428,15 @@
     with queue.enqueued(pinned), queue.enqueued(others[0]), queue.enqueued(others[1]):
         assert pinned.at_head.is_set() and others[0].at_head.is_set()
         assert not others[1].at_head.is_set()
+
+
+def test_waiter_that_all_engines_have_failed_lets_others_pass():
+    queue = WaitQueue()
+    failed, next_one = Waiter(1, 0.0, 0.0), Waiter(1, 1.0, 0.0)
+    with queue.enqueued(failed), queue.enqueued(next_one):
+        failed.has_engines = False
+        queue.reorder()
+        assert next_one.at_head.is_set() and not failed.at_head.is_set()
+        failed.has_engines = True
+        queue.reorder()
+        assert failed.at_head.is_set() and not next_one.at_head.is_set()
