Count crashes at the same moment once against a part of a prompt

Crashes of several runners within 50 ms now count once against a part; a request is brought to several runners only by its repetitions, and counts each time.

--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -42,6 +42,9 @@
 # A trait of fewer runs is preferred to one with more evidence by up to this: what all
 # requests share is under each crash, whatever caused it.
 SPECIFIC_MARGIN = 1.0
+# Crashes within this many seconds count once against a part: the loss of a zone ends
+# many runners at the same moment. Only its repetitions bring a request to several.
+SIMULTANEOUS_S = 0.05
 # Seconds after which a run that goes on acquits its traits as a whole answer does.
 SURVIVED_S = 2.0
 # A whole answer acquits the traits of its request for crashes until this many seconds
@@ -173,10 +176,14 @@
 def _most_likely(crashes: Sequence[Crash]) -> Trait | None:
     """Return the trait that is most likely a cause; None if none has the evidence."""
     weight_by_trait: defaultdict[Trait, float] = defaultdict(float)
+    counted_at_by_trait: dict[Trait, float] = {}
     runs_by_trait: Counter[Trait] = Counter()
-    for crash in crashes:
+    for crash in sorted(crashes, key=lambda crash: crash.at):
         for trait, weight in crash.weight_by_suspect().items():
-            weight_by_trait[trait] += weight
+            counted_at = counted_at_by_trait.get(trait, float("-inf"))
+            if is_of_request(trait) or crash.at - counted_at > SIMULTANEOUS_S:
+                weight_by_trait[trait] += weight
+                counted_at_by_trait[trait] = crash.at
         runs_by_trait.update(trait for run in crash.runs for trait in run.traits)
     highest = max(weight_by_trait.values(), default=0.0)
     least = highest - SPECIFIC_MARGIN
