Keep a part barred when some of its crashes have another explanation

Found by the model of crashes: a sound request that was sent again, and had crashed three times beside the cause, has fewer runs than the bad part. It was taken first, explained some of the part's crashes, and the part was lifted: 5 requests with it were sent on after the verdict. The preference for the trait of fewer runs is meant for what all requests share; it now applies only among runs of the trait with the most evidence. test_bar_is_not_lifted_by_another_cause_of_some_of_its_crashes failed before.

--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -174,28 +174,36 @@
 
 
 def _most_likely(crashes: Sequence[Crash]) -> Trait | None:
-    """Return the trait that is most likely a cause; None if none has the evidence."""
+    """Return the trait that is most likely a cause; None if none has the evidence.
+
+    It has the highest weight, or is one of fewer runs among those of the highest.
+    """
     weight_by_trait: defaultdict[Trait, float] = defaultdict(float)
     counted_at_by_trait: dict[Trait, float] = {}
-    runs_by_trait: Counter[Trait] = Counter()
+    runs_by_trait: defaultdict[Trait, set[tuple[RunnerKey, CrashedRun]]]
+    runs_by_trait = defaultdict(set)
     for crash in sorted(crashes, key=lambda crash: crash.at):
         for trait, weight in crash.weight_by_suspect().items():
             counted_at = counted_at_by_trait.get(trait, float("-inf"))
             if is_of_request(trait) or crash.at - counted_at > SIMULTANEOUS_S:
                 weight_by_trait[trait] += weight
                 counted_at_by_trait[trait] = crash.at
-        runs_by_trait.update(trait for run in crash.runs for trait in run.traits)
-    highest = max(weight_by_trait.values(), default=0.0)
-    least = highest - SPECIFIC_MARGIN
-    likely = [
-        trait
-        for trait, weight in weight_by_trait.items()
-        if weight >= max(least, _bar_weight(trait))
-    ]
+        for run in crash.runs:
+            for trait in run.traits:
+                runs_by_trait[trait].add((crash.runner, run))
+    likely = [t for t, weight in weight_by_trait.items() if weight >= _bar_weight(t)]
+    if not likely:
+        return None
+    heaviest = max(likely, key=lambda t: (weight_by_trait[t], t))
+    least = weight_by_trait[heaviest] - SPECIFIC_MARGIN
     return min(
-        likely,
-        key=lambda trait: (runs_by_trait[trait], -weight_by_trait[trait], trait),
-        default=None,
+        (
+            trait
+            for trait in likely
+            if weight_by_trait[trait] >= least
+            and runs_by_trait[trait] <= runs_by_trait[heaviest]
+        ),
+        key=lambda t: (len(runs_by_trait[t]), -weight_by_trait[t], t),
     )
 
 
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -316,3 +316,18 @@
         fleet.causes.merge(RunnerKey(f"e-{number}", 0), [run])
     fleet.decide()
     assert fleet.is_refused("request:R")
+
+
+def test_bar_is_not_lifted_by_another_cause_of_some_of_its_crashes(fleet):
+    """A sound request was sent again, and three runners crashed under it."""
+    fleet.whole("F")
+    traits = (Trait("F"), Trait("S"), Trait("request:again"))
+    again = CrashedRun("s", traits, WEAK)
+    fleet.crash("F B", "F B")
+    for _ in range(2):
+        fleet.causes.merge(fleet.crash("F B"), [again])
+    fleet.decide()
+    assert fleet.is_refused("F B")
+    fleet.crash("F S request:again")
+    fleet.decide()
+    assert fleet.is_refused("F B")
