Try two requests in spite of a bar that may be wrong

One host now sends up to two requests that lack something which each crashed request had, while fewer than five crashes are behind the bar, so that the bound on requests after the fifth isn't touched.

--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -45,6 +45,11 @@
 # Crashes within this many seconds count once against a part: the loss of a zone ends
 # many runners at the same moment. Only its repetitions bring a request to several.
 SIMULTANEOUS_S = 0.05
+# Requests that one host sends in spite of a bar, to find out whether it is wrong, and
+# seconds between two of them. With more crashes behind the bar, nothing is tried.
+MAX_TRIALS = 2
+TRIAL_PERIOD_S = 2.0
+MAX_TRIED_CRASHES = 5
 # Seconds after which a run that goes on acquits its traits as a whole answer does.
 SURVIVED_S = 2.0
 # A whole answer acquits the traits of its request for crashes until this many seconds
@@ -119,6 +124,23 @@
         """Return whether a run had all of these traits."""
         return any(traits.issubset(run.traits) for run in self.runs)
 
+    def has_run_within(
+        self, traits: Collection[Trait], barred: frozenset[Trait]
+    ) -> bool:
+        """Return whether a request has all that a run with barred traits had.
+
+        The trait of the run's own request is left out.
+        """
+        return any(
+            barred.issubset(run.traits)
+            and all(
+                trait in traits
+                for trait in run.traits
+                if trait not in self.acquitted and not is_of_request(trait)
+            )
+            for run in self.runs
+        )
+
 
 @dataclass(slots=True)
 class Bar:
@@ -134,6 +156,9 @@
         return sorted(crash.runner.name for crash in self.crashes)
 
 
+FindCauses = Callable[[Iterable[Crash]], list[tuple[frozenset[Trait], list[Crash]]]]
+
+
 def crash_weight(call_s: float, after_head_s: float | None, events: int) -> float:
     """Return how much the crash of its runner counts against a request.
 
@@ -246,10 +271,19 @@
     Parameters
     ----------
     now : callable, default=monotonic
+    find : callable, default=find_causes
+        The way to find causes.
     """
 
-    def __init__(self, now: Callable[[], float] = monotonic) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float] = monotonic,
+        find: FindCauses = find_causes,
+    ) -> None:
         self._now = now
+        self._find = find
+        # Numbers and times of the trials of bars, by their traits.
+        self._trials_by_traits: dict[frozenset[Trait], tuple[int, float]] = {}
         self.crash_by_runner: dict[RunnerKey, Crash] = {}
         self.bars: list[Bar] = []
         # For each kind of trait; ordered by time, the latest last.
@@ -279,6 +313,25 @@
                 return bar
         return None
 
+    def may_try(self, bar: Bar, traits: Collection[Trait]) -> bool:
+        """Return whether to send a request in spite of a bar; count it as a trial.
+
+        What all requests share may be barred with the cause before any answer was
+        whole, and nothing that is refused can acquit it. A request is a trial only if
+        it lacks something that each of the crashed requests had.
+        """
+        is_of_one_request = any(map(is_of_request, bar.traits))
+        if is_of_one_request or len(bar.crashes) >= MAX_TRIED_CRASHES:
+            return False
+        if any(crash.has_run_within(traits, bar.traits) for crash in bar.crashes):
+            return False
+        now = self._now()
+        trials, tried_at = self._trials_by_traits.get(bar.traits, (0, float("-inf")))
+        if trials >= MAX_TRIALS or now - tried_at < TRIAL_PERIOD_S:
+            return False
+        self._trials_by_traits[bar.traits] = trials + 1, now
+        return True
+
     def note_whole(self, traits: Iterable[Trait]) -> list[Crash]:
         """Acquit the traits of a request with a whole answer, or of a run that goes on.
 
@@ -387,12 +440,17 @@
         ]
         before_by_traits = {bar.traits: bar for bar in self.bars}
         bars = []
-        for traits, crashes in find_causes(settled):
+        for traits, crashes in self._find(settled):
             before = before_by_traits.pop(traits, None)
             used_at = before.used_at if before else now
             bars.append(Bar(traits, tuple(crashes), used_at))
         known = {bar.traits for bar in self.bars}
         self.bars = bars
+        self._trials_by_traits = {
+            bar.traits: self._trials_by_traits[bar.traits]
+            for bar in bars
+            if bar.traits in self._trials_by_traits
+        }
         barred = [bar for bar in bars if bar.traits not in known]
         return barred, list(before_by_traits.values())
 
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..dispatch.caller_waits import CallerWaitTracker
-from ..dispatch.crash_causes import CrashCauses
+from ..dispatch.crash_causes import Bar, CrashCauses
 from ..dispatch.engine_placement import EnginePlacement
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.reachability import Reachability
@@ -28,6 +28,7 @@
 from ..platform import wire
 from ..platform.statements import runner_statement
 from ..stages.switching import StageSwitches
+from ..utils.rendezvous import is_among_best
 from ..utils.tasks import TaskSet
 from .crash_detection import CrashDetection
 from .errors import barred
@@ -66,9 +67,21 @@
         if not self.crash_causes.bars:
             return
         bar = self.crash_causes.bar_against(job.traits)
-        if bar is not None:
-            job.log_fields["barred_traits"] = ",".join(sorted(bar.traits))
-            raise barred(len(bar.crashes))
+        if bar is None or bar.traits in job.tried_bars:
+            return
+        names = ",".join(sorted(bar.traits))
+        if self._tries(bar) and self.crash_causes.may_try(bar, job.traits):
+            job.tried_bars.add(bar.traits)
+            self.log.write("traits.tried", job.id, traits=names)
+            return
+        job.log_fields["barred_traits"] = names
+        raise barred(len(bar.crashes))
+
+    def _tries(self, bar: Bar) -> bool:
+        """Return whether this host is the one that tries requests in spite of a bar."""
+        own = self.settings.host
+        others = (known.status.host for known in self.hosts.alive())
+        return is_among_best(",".join(sorted(bar.traits)), own, (own, *others), 1)
 
     def not_switching(self, runners: list[Registration]) -> list[Registration]:
         """Return the runners that are not in the middle of a stage switch.
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -50,6 +50,8 @@
         Number of sends that a runner rejected without running the request.
     log_fields : dict
         Additional fields of the request's log line.
+    tried_bars : set of frozenset of Trait
+        Barred traits in spite of which the request is sent, as a trial.
     part_traits : tuple of Trait
         Those of the parts of its prompt that other requests may share.
     """
@@ -66,6 +68,7 @@
     last_sent_to: RunnerKey | None = None
     rejections: int = 0
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
+    tried_bars: set[frozenset[Trait]] = field(default_factory=set)
     part_traits: tuple[Trait, ...] = field(init=False)
     _request_trait: Trait | None = None
 
--- a/src/siskinlever_testbed/__main__.py
+++ b/src/siskinlever_testbed/__main__.py
@@ -5,6 +5,8 @@
 
 Tools:
   bench   Measure the policies under load and faults.
+  crash_model
+          Simulate days with crashes and how their causes are found.
   demo    Start a fleet and send it real requests.
   model   Simulate placement policies on simulated engines under load.
   platform_demo
@@ -20,7 +22,7 @@
 
 from docopt import docopt
 
-TOOLS = frozenset({"bench", "demo", "model", "platform_demo", "slopes"})
+TOOLS = frozenset({"bench", "crash_model", "demo", "model", "platform_demo", "slopes"})
 
 
 def main() -> int:
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -331,3 +331,43 @@
     fleet.crash("F S request:again")
     fleet.decide()
     assert fleet.is_refused("F B")
+
+
+def tries(fleet: Fleet, traits: str) -> bool:
+    bar = fleet.causes.bar_against(traits.split())
+    return bar is not None and fleet.causes.may_try(bar, traits.split())
+
+
+def test_request_unlike_those_that_crashed_is_tried_and_lifts_a_wrong_bar(fleet):
+    """No answer was whole when the first runners crashed."""
+    for bad in ("B1", "B2", "B3"):
+        fleet.crash(f"F {bad}")
+    fleet.decide()
+    assert fleet.is_refused("F S")
+    assert tries(fleet, "F S") and not tries(fleet, "F S")
+    fleet.whole("F S")
+    assert not fleet.is_refused("F S2")
+
+
+def test_trials_of_a_bar_end(fleet):
+    for number in range(3):
+        fleet.crash(f"F S{number} B")
+    fleet.whole("F")
+    fleet.decide()
+    assert not tries(fleet, "F S0 B")
+    trials = 0
+    for number in range(10):
+        fleet.time += crash_causes.TRIAL_PERIOD_S + 1
+        if tries(fleet, f"F T{number} B request:T{number}"):
+            trials += 1
+            fleet.crash(f"F T{number} B")
+            fleet.decide()
+    assert trials == crash_causes.MAX_TRIALS
+    assert fleet.is_refused("F S B")
+
+
+def test_request_that_comes_again_is_not_tried(fleet):
+    for _ in range(3):
+        fleet.crash("F S request:R")
+    fleet.decide()
+    assert not tries(fleet, "F S request:R")
