List and lift what requests are refused for after crashes

A wrong bar could only be lifted by restarting all hosts. A lift acquits the traits in the evidence, which merges by union, so that it reaches all hosts and those that start. Ruled out: writing it to the store, which may be out.

--- a/src/siskinlever/_internal/cli/main.py
+++ b/src/siskinlever/_internal/cli/main.py
@@ -21,6 +21,7 @@
   apply     Put a declaration in force.
   show      Show the declaration in force at each host.
   status    Show the state of the hosts.
+  crashes   Show what crashes runners, and lift wrong verdicts.
   timeline  Show events of all hosts in causal order.
   explain   Show the log lines of the hosts about one request.
   version   Show the version.
--- a/src/siskinlever/_internal/commands/__init__.py
+++ b/src/siskinlever/_internal/commands/__init__.py
@@ -1,7 +1,8 @@
 """The commands, one module each, imported only when the command is run.
 
 Commands that call hosts use the administration interface, which only
-`siskinleverd --settings` has.
+`siskinleverd --settings` has; `crashes` uses the metrics interface of
+`siskinleverd --platform`.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 MODULE_BY_COMMAND = {
     "apply": "apply",
+    "crashes": "crashes",
     "explain": "explain",
     "plan": "plan",
     "show": "show",
--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -30,6 +30,7 @@
 from ..fleet.unreachable_runners import UnreachableRunners
 from ..gateway.context import GatewayContext
 from ..gateway.crash_detection import CrashDetection
+from ..gateway.crash_endpoints import CRASHES_PATH, LIFT_PATH, lift, list_crashes
 from ..gateway.endpoints import JSON_HEADERS, TEXT_HEADERS, Answer, connection_handler
 from ..gateway.session import Session
 from ..gateway.shutdown import Shutdown
@@ -400,7 +401,13 @@
         listeners.callers: serve_caller,
         listeners.readiness: connection_handler({wire.READINESS_PATH: readiness}),
         listeners.lookup: connection_handler({wire.LOOKUP_PATH: lookup}),
-        listeners.metrics: connection_handler({METRICS_PATH: exposition}),
+        listeners.metrics: connection_handler(
+            {
+                METRICS_PATH: exposition,
+                CRASHES_PATH: lambda request: list_crashes(host.crash_reports),
+                LIFT_PATH: lambda request: lift(host.crash_reports, request),
+            }
+        ),
     }
     max_connections = _share(host.settings.descriptor_limit, CALLER_DESCRIPTOR_SHARE)
     for address, handler in handler_by_address.items():
--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -305,6 +305,11 @@
             self._digest = value if self.crash_by_runner else 0
         return self._digest
 
+    @property
+    def suspects(self) -> frozenset[Trait]:
+        """Traits that crashes count against."""
+        return frozenset(self._suspects)
+
     def bar_against(self, traits: Collection[Trait]) -> Bar | None:
         """Return what bars a request with these traits, or None."""
         for bar in self.bars:
--- a/src/siskinlever/_internal/fleet/crash_reports.py
+++ b/src/siskinlever/_internal/fleet/crash_reports.py
@@ -99,6 +99,12 @@
             self._publish([crash.runner for crash in changed])
             self._decide()
 
+    def lift(self, traits: Iterable[Trait]) -> None:
+        """Acquit traits at all hosts, by the order of an operator."""
+        traits = list(traits)
+        self._log.write("traits.lift_ordered", traits=",".join(traits))
+        self.note_whole(traits)
+
     def note_digest(self, address: Address, digest: int) -> None:
         """Fetch the evidence of a host whose digest differs."""
         if digest == self.causes.digest:
--- a/src/siskinlever/_internal/gateway/crash_detection.py
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -22,6 +22,9 @@
 
 # Seconds from a broken answer to the check; a process that ends closes its port last.
 CHECK_DELAY_S = 0.05
+# The digest of a larger body takes long enough to delay other requests, so that it is
+# computed only after a crash.
+LARGE_BODY_BYTES = 65_536
 CRASH_ENDS = frozenset({AnswerEnd.CLOSED, AnswerEnd.RESET})
 
 
@@ -106,14 +109,21 @@
     def note_end(self, run: RunUnderWay) -> None:
         """Record that the answer of a run has ended without an error."""
         if run.is_whole:
-            self._reports.note_whole(run.job.traits)
+            self._acquit(run.job)
+
+    def _acquit(self, job: Job) -> None:
+        has_crashes = bool(self._reports.causes.crash_by_runner)
+        is_large = len(job.request.body) > LARGE_BODY_BYTES
+        self._reports.note_whole(
+            job.part_traits if is_large and not has_crashes else job.traits
+        )
 
     def note_broken(
         self, runner: Registration, run: RunUnderWay, end: AnswerEnd | None
     ) -> None:
         """Record that an answer broke off; check whether its runner has crashed."""
         if run.has_survived:
-            self._reports.note_whole(run.job.traits)
+            self._acquit(run.job)
             return
         crashed = run.crashed()
         is_planned = not self._runners.is_usable(runner.key)
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -52,8 +52,6 @@
         Additional fields of the request's log line.
     tried_bars : set of frozenset of Trait
         Barred traits in spite of which the request is sent, as a trial.
-    part_traits : tuple of Trait
-        Those of the parts of its prompt that other requests may share.
     """
 
     request: ReceivedRequest
@@ -69,13 +67,9 @@
     rejections: int = 0
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
     tried_bars: set[frozenset[Trait]] = field(default_factory=set)
-    part_traits: tuple[Trait, ...] = field(init=False)
+    _part_traits: tuple[Trait, ...] | None = None
     _request_trait: Trait | None = None
 
-    def __post_init__(self) -> None:
-        parts = wire.shared_prompt_parts(self.request)
-        self.part_traits = part_traits(self.service, parts)
-
     @property
     def id(self) -> str:
         """Id that the caller assigned to the request."""
@@ -85,6 +79,14 @@
         """Set a log field to the seconds since the arrival."""
         self.log_fields[name] = round(monotonic() - self.arrived_at, 3)
 
+    @property
+    def part_traits(self) -> tuple[Trait, ...]:
+        """The traits of the parts of its prompt that other requests may share."""
+        if self._part_traits is None:
+            parts = wire.shared_prompt_parts(self.request)
+            self._part_traits = part_traits(self.service, parts)
+        return self._part_traits
+
     @property
     def request_trait(self) -> Trait:
         """The trait that the request has in common with its repetitions.
--- a/src/siskinlever/_internal/models/traits.py
+++ b/src/siskinlever/_internal/models/traits.py
@@ -47,7 +47,10 @@
 
 
 def _trait(kind: str, service: ServiceName, *values: bytes) -> Trait:
-    digest = blake2b(service.encode(), digest_size=DIGEST_BYTES)
-    for value in values:
-        digest.update(len(value).to_bytes(8) + value)
+    *parts, last = values
+    # HTTP allows no zero bytes in what comes before the body.
+    digest = blake2b(
+        b"\0".join((service.encode(), *parts, b"")), digest_size=DIGEST_BYTES
+    )
+    digest.update(last)
     return Trait(f"{kind}:{digest.hexdigest()}")
