Bound what the search for causes of crashes costs

Found by reading and a measurement: the search ran after each of the calls that a crash brings, and took 41 ms for 64 crashes of 3 runs with 60 causes, 682 ms with 16 runs and 320 causes. Hosts that had given up different evidence would have fetched all of it twice a second from each peer; they fetch once in 2 s from all peers together.

--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -62,6 +62,7 @@
 RETENTION_S = 600.0
 MAX_CRASHES = 64
 MAX_RUNS = 16
+MAX_BARS = 16
 # Traits of whole answers that are remembered, of each kind.
 MAX_ACQUITTED = 10_000
 
@@ -186,16 +187,17 @@
     """
     unexplained = list(crashes)
     causes: list[tuple[frozenset[Trait], list[Crash]]] = []
-    while True:
+    while len(causes) < MAX_BARS:
         trait = _most_likely(unexplained)
         if trait is None:
-            return causes
+            break
         traits = _common_traits(trait, unexplained)
         explained = [crash for crash in unexplained if crash.has_run_with(traits)]
         equals = _equally_likely(trait, unexplained)
         for common in {_common_traits(equal, unexplained) for equal in equals}:
             causes.append((common, explained))
         unexplained = [c for c in unexplained if not c.has_run_with(traits)]
+    return causes
 
 
 def _most_likely(crashes: Sequence[Crash]) -> Trait | None:
@@ -203,22 +205,16 @@
 
     It has the highest weight, or is one of fewer runs among those of the highest.
     """
-    weight_by_trait: defaultdict[Trait, float] = defaultdict(float)
-    counted_at_by_trait: dict[Trait, float] = {}
+    weight_by_trait = _weights(crashes)
+    likely = [t for t, weight in weight_by_trait.items() if weight >= _bar_weight(t)]
+    if not likely:
+        return None
     runs_by_trait: defaultdict[Trait, set[tuple[RunnerKey, CrashedRun]]]
     runs_by_trait = defaultdict(set)
-    for crash in sorted(crashes, key=lambda crash: crash.at):
-        for trait, weight in crash.weight_by_suspect().items():
-            counted_at = counted_at_by_trait.get(trait, float("-inf"))
-            if is_of_request(trait) or crash.at - counted_at > SIMULTANEOUS_S:
-                weight_by_trait[trait] += weight
-                counted_at_by_trait[trait] = crash.at
+    for crash in crashes:
         for run in crash.runs:
             for trait in run.traits:
                 runs_by_trait[trait].add((crash.runner, run))
-    likely = [t for t, weight in weight_by_trait.items() if weight >= _bar_weight(t)]
-    if not likely:
-        return None
     heaviest = max(likely, key=lambda t: (weight_by_trait[t], t))
     least = weight_by_trait[heaviest] - SPECIFIC_MARGIN
     return min(
@@ -232,6 +228,19 @@
     )
 
 
+def _weights(crashes: Iterable[Crash]) -> dict[Trait, float]:
+    """Return the weight of all crashes against each trait."""
+    weight_by_trait: defaultdict[Trait, float] = defaultdict(float)
+    counted_at_by_trait: dict[Trait, float] = {}
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        for trait, weight in crash.weight_by_suspect().items():
+            counted_at = counted_at_by_trait.get(trait, float("-inf"))
+            if is_of_request(trait) or crash.at - counted_at > SIMULTANEOUS_S:
+                weight_by_trait[trait] += weight
+                counted_at_by_trait[trait] = crash.at
+    return weight_by_trait
+
+
 def _bar_weight(trait: Trait) -> float:
     return REQUEST_BAR_WEIGHT if is_of_request(trait) else BAR_WEIGHT
 
--- a/src/siskinlever/_internal/fleet/crash_reports.py
+++ b/src/siskinlever/_internal/fleet/crash_reports.py
@@ -33,8 +33,11 @@
 # Seconds in which changes are collected before they are sent.
 COLLECT_S = 0.02
 CALL_TIMEOUT_S = 0.4
-# Minimum seconds between two fetches from the same host.
-FETCH_PERIOD_S = 0.5
+# Minimum seconds between two fetches. Hosts that have given up different evidence
+# would otherwise fetch at each exchange.
+FETCH_PERIOD_S = 2.0
+# Seconds in which changes are collected before the causes are searched for.
+DECIDE_DELAY_S = 0.05
 # Seconds between two searches for evidence that is no longer used.
 FORGET_PERIOD_S = 30.0
 
@@ -69,7 +72,8 @@
         self._metrics = metrics
         self._tasks = tasks
         self._unsent: set[RunnerKey] = set()
-        self._fetched_at_by_address: dict[Address, float] = {}
+        self._fetched_at = float("-inf")
+        self._is_deciding = False
 
     async def run(self) -> None:
         """Forget evidence that is no longer used until cancelled."""
@@ -90,14 +94,14 @@
         )
         if self.causes.merge(runner, runs):
             self._publish([runner])
-            self._tasks.start(self._decide_later(), "crash-causes")
+            self._tasks.start(self._decide_after(SETTLE_S), "crash-causes")
 
     def note_whole(self, traits: Iterable[Trait]) -> None:
         """Acquit the traits of a request with a whole answer."""
         changed = self.causes.note_whole(traits)
         if changed:
             self._publish([crash.runner for crash in changed])
-            self._decide()
+            self._decide_soon()
 
     def lift(self, traits: Iterable[Trait]) -> None:
         """Acquit traits at all hosts, by the order of an operator."""
@@ -110,13 +114,8 @@
         if digest == self.causes.digest:
             return
         now = monotonic()
-        self._fetched_at_by_address = {
-            known: fetched_at
-            for known, fetched_at in self._fetched_at_by_address.items()
-            if now - fetched_at < FETCH_PERIOD_S
-        }
-        if address not in self._fetched_at_by_address:
-            self._fetched_at_by_address[address] = now
+        if now - self._fetched_at >= FETCH_PERIOD_S:
+            self._fetched_at = now
             self._tasks.start(self._fetch(address), "fetch-crashes")
 
     async def serve(self, message: peer_pb2.FleetCrashes) -> peer_pb2.FleetCrashes:
@@ -176,12 +175,23 @@
             )
         ]
         if changed:
-            self._decide()
-            self._tasks.start(self._decide_later(), "crash-causes")
+            self._decide_soon()
+            self._tasks.start(self._decide_after(SETTLE_S), "crash-causes")
         return changed
 
-    async def _decide_later(self) -> None:
-        await asyncio.sleep(SETTLE_S)
+    async def _decide_after(self, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        self._decide_soon()
+
+    def _decide_soon(self) -> None:
+        """Search for causes once for all changes of the next moment."""
+        if not self._is_deciding:
+            self._is_deciding = True
+            self._tasks.start(self._decide_once(), "decide-crashes")
+
+    async def _decide_once(self) -> None:
+        await asyncio.sleep(DECIDE_DELAY_S)
+        self._is_deciding = False
         self._decide()
 
     def _decide(self) -> None:
--- a/tests/unit/test_crash_reports.py
+++ b/tests/unit/test_crash_reports.py
@@ -149,3 +149,32 @@
             reports.note_digest("h-0", hosts[0].causes.digest)
         await asyncio.sleep(SETTLED_S)
         assert network.calls == calls < 200
+
+
+async def test_hosts_that_differ_fetch_at_most_once_in_a_while():
+    network = Network()
+    async with task_set() as tasks:
+        reports = network.add_host("h-0", tasks)
+        for number in range(1, 20):
+            network.add_host(f"h-{number}", tasks)
+        for number in range(1, 20):
+            reports.note_digest(f"h-{number}", 17)
+        await asyncio.sleep(0.01)
+        assert network.calls == 1
+
+
+async def test_causes_are_searched_for_once_for_many_changes(monkeypatch):
+    network = Network()
+    async with task_set() as tasks:
+        reports = network.add_host("h-0", tasks)
+        searches = []
+        decide = reports.causes.decide
+        monkeypatch.setattr(
+            reports.causes, "decide", lambda: searches.append(1) or decide()
+        )
+        for number in range(50):
+            run = CrashedRun(f"r-{number}", (Trait("B"),), BEGUN_WEIGHT)
+            reports.report(RunnerKey(f"e-{number}", number), [run])
+            reports.note_whole([Trait("B")])
+        await asyncio.sleep(SETTLED_S)
+        assert 1 <= len(searches) <= 5
