Notice crashes of runners that start again at once

A broken answer whose runner accepts connections is now a crash, too, if another process registers at its address within 2.5 s. test_crash_of_a_runner_that_starts_again_at_once_is_noticed failed before; a test shows that resets alone accuse nobody.

--- a/src/siskinlever/_internal/fleet/runners.py
+++ b/src/siskinlever/_internal/fleet/runners.py
@@ -104,6 +104,22 @@
         runner = self.by_key.get(key)
         return runner is not None and runner.state in USABLE_STATES
 
+    def is_replaced(self, runner: Registration, since: float) -> bool:
+        """Return whether another process has registered at a runner's address.
+
+        Parameters
+        ----------
+        runner : Registration
+        since : float
+            Monotonic time from which registrations count.
+        """
+        return any(
+            key != runner.key
+            and known.registration.address == runner.address
+            and known.since >= since
+            for key, known in self.by_key.items()
+        )
+
     def recently_unusable(self, within_s: float) -> list[KnownRunner]:
         """Return the processes that changed to `DRAINING` or `GONE` recently.
 
--- a/src/siskinlever/_internal/gateway/crash_detection.py
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -1,7 +1,8 @@
 """Finds out whether a runner has crashed under requests whose answers broke off.
 
 The end of a connection may come from a crash, a cut link or a fault of one answer. Only
-a process that is gone refuses connections.
+a process that is gone refuses connections, or is soon followed by another one at its
+address.
 """
 
 from __future__ import annotations
@@ -25,6 +26,10 @@
 # The digest of a larger body takes long enough to delay other requests, so that it is
 # computed only after a crash.
 LARGE_BODY_BYTES = 65_536
+# Seconds for which a process that has crashed and started again at once may take to
+# register, and between two looks for it.
+RESTART_WAIT_S = 2.5
+RESTART_POLL_S = 0.25
 CRASH_ENDS = frozenset({AnswerEnd.CLOSED, AnswerEnd.RESET})
 
 
@@ -135,9 +140,19 @@
             self._tasks.start(self._check(runner), "check-crash")
 
     async def _check(self, runner: Registration) -> None:
+        broke_at = monotonic()
         await asyncio.sleep(CHECK_DELAY_S)
-        has_crashed = await refuses_connections(runner.address)
+        is_down = await refuses_connections(runner.address)
         runs = self._runs_by_runner.pop(runner.key)
-        if has_crashed:
+        if is_down:
             self._unreachable_runners.mark_unreachable(runner.key)
+        if is_down or await self._is_replaced(runner, broke_at):
             self._reports.report(runner.key, runs)
+
+    async def _is_replaced(self, runner: Registration, since: float) -> bool:
+        """Wait for the registration of a process that has started in its place."""
+        while monotonic() - since < RESTART_WAIT_S:
+            if self._runners.is_replaced(runner, since):
+                return True
+            await asyncio.sleep(RESTART_POLL_S)
+        return False
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -21,8 +21,9 @@
 from siskinlever._internal.daemon.gateway import running_gateway
 from siskinlever._internal.dispatch import crash_causes
 from siskinlever._internal.fleet import crash_reports
+from siskinlever._internal.gateway import crash_detection
 from siskinlever_testbed.processes import free_addresses
-from siskinlever_testbed.standins.platform.runner_answers import Request
+from siskinlever_testbed.standins.platform.runner_answers import Request, RunnerFault
 
 # Bounds of the users' rules: contact_ms, and requests after a number of crashes.
 CONTACT_S = 3.0
@@ -221,3 +222,25 @@
         decoded = [world.runner_named(name).received for name in ("e-2", "e-3")]
         tries = {r.get("attempt-id") for received in decoded for r in received}
     assert len(tries) <= crash_causes.MAX_TRIALS
+
+
+async def test_crash_of_a_runner_that_starts_again_at_once_is_noticed(log_path):
+    async with crashing_world(log_path) as world:
+        for runner in world.runners:
+            runner.crashes_on, runner.process.restart_s = has_bad_part, 0.0
+        load = Load(world, "bad")
+        load.send_prompt("bad:40")
+        await load.answers()
+        await until(lambda: world.lines("runner.crashed"))
+
+
+async def test_runner_that_resets_one_answer_has_not_crashed(log_path):
+    async with platform_world(log_path) as world:
+        for name in ("e-2", "e-3"):
+            world.runner_named(name).fault = RunnerFault.RESET_AFTER_RUN
+        for number in range(4):
+            load = Load(world, f"reset-{number}")
+            load.send_prompt("sound:40")
+            await load.answers()
+        await asyncio.sleep(crash_detection.RESTART_WAIT_S + 0.5)
+        assert world.lines("answer.broken") and not world.lines("runner.crashed")
