--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -232,16 +232,24 @@
     )
 
 
+def _order(crash: Crash) -> tuple[int, str, int]:
+    """Sort crashes by time, and alike at all hosts."""
+    return crash.reported_ms, crash.runner.name, crash.runner.started_at
+
+
 def _weights(crashes: Iterable[Crash]) -> dict[Trait, float]:
     """Return the weight of all crashes against each trait."""
     weight_by_trait: defaultdict[Trait, float] = defaultdict(float)
-    counted_ms_by_trait: dict[Trait, int] = {}
-    for crash in sorted(crashes, key=lambda crash: crash.reported_ms):
+    # Time and weight of the last crash that isn't simultaneous with one before it.
+    counted_by_trait: dict[Trait, tuple[int, float]] = {}
+    for crash in sorted(crashes, key=_order):
         for trait, weight in crash.weight_by_suspect().items():
-            since_ms = crash.reported_ms - counted_ms_by_trait.get(trait, 0)
+            counted_ms, counted = counted_by_trait.get(trait, (0, 0.0))
+            since_ms = crash.reported_ms - counted_ms
             if is_of_request(trait) or since_ms > SIMULTANEOUS_S * MS_PER_S:
-                weight_by_trait[trait] += weight
-                counted_ms_by_trait[trait] = crash.reported_ms
+                counted_ms, counted = crash.reported_ms, 0.0
+            weight_by_trait[trait] += max(0.0, weight - counted)
+            counted_by_trait[trait] = counted_ms, max(weight, counted)
     return weight_by_trait
 
 
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -371,3 +371,17 @@
         fleet.crash("F S request:R")
     fleet.decide()
     assert not tries(fleet, "F S request:R")
+
+
+@pytest.mark.parametrize("order", permutations(range(4)))
+def test_order_of_reports_of_simultaneous_crashes_does_not_matter(order):
+    """The heavier of two simultaneous crashes counts."""
+    evidence = [(1000, WEAK), (1010, STRONG), (5000, STRONG), (9000, WEAK)]
+    fleet = Fleet()
+    for number in order:
+        reported_ms, weight = evidence[number]
+        run = CrashedRun(f"r-{number}", (Trait("B"),), weight)
+        runner = RunnerKey(f"e-{number}", number)
+        fleet.causes.merge(runner, [run], reported_ms=reported_ms)
+    fleet.decide()
+    assert fleet.is_refused("B")
