Show that each mechanism against crashing requests is needed

Ten mechanisms were switched off one at a time. Seven were found by their tests at once. The check before a plain retry, the one host that tries, and the end of trials without an outcome were not; each has a test now that fails without it. The check at the arrival is not found: the later checks refuse the same requests, only after a look for a stream's version.

--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass, field
 
 import pytest
-from lib.crashes import bar_part
+from lib.crashes import bar_part, bar_trait
 from lib.platform_world import (
+    HOST,
     Answer,
     World,
     host_settings,
@@ -22,6 +23,9 @@
 from siskinlever._internal.dispatch import crash_causes
 from siskinlever._internal.fleet import crash_reports
 from siskinlever._internal.gateway import crash_detection
+from siskinlever._internal.models.traits import request_trait
+from siskinlever._internal.network.http1_server import ReceivedRequest
+from siskinlever._internal.platform import wire
 from siskinlever_testbed.processes import free_addresses
 from siskinlever_testbed.standins.platform.runner_answers import Request, RunnerFault
 
@@ -213,7 +217,7 @@
     async with crashing_world(log_path) as world:
         for runner in world.runners:
             runner.crashes_on = has_bad_part
-        await bar_part(world, "bad")
+        await bar_part(world, "bad", beside="session")
         load = Load(world, "bad")
         for number in range(30):
             load.send_prompt(f"first{number}:40,bad:30")
@@ -244,3 +248,33 @@
             await load.answers()
         await asyncio.sleep(crash_detection.RESTART_WAIT_S + 0.5)
         assert world.lines("answer.broken") and not world.lines("runner.crashed")
+
+
+async def test_only_one_host_tries_a_barred_part_at_a_time(log_path):
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        for runner in world.runners:
+            runner.refuses_holds = True
+        await bar_part(world, "bad", beside="session")
+        load = Load(world, "bad")
+        for number in range(2 * HOSTS):
+            load.send_prompt(f"first{number}:40,bad:30")
+        await until(lambda: sum(task.done() for task in load.tasks) >= 2 * HOSTS - 1)
+        assert len(world.lines("traits.tried")) == 1
+
+
+async def test_request_that_is_barred_while_it_runs_is_not_sent_again(log_path):
+    async with platform_world(log_path) as world:
+        received = ReceivedRequest(
+            b"POST", b"/safe/x", ((b"Host", HOST.encode()),), b"slow"
+        )
+        identity = wire.request_identity(received)
+        trait = request_trait("plain", *identity)
+        for name in ("p-1", "p-2"):
+            runner = world.runner_named(name)
+            runner.work_s, runner.fault = 1.2, RunnerFault.RESET_AFTER_RUN
+        load = Load(world, "slow")
+        load.send("/safe/x", b"slow", {})
+        await bar_trait(world, trait)
+        (answer,) = await load.answers()
+        received = [world.runner_named(name).received for name in ("p-1", "p-2")]
+        assert answer.status == 502 and sum(map(len, received)) == 1
--- a/tests/lib/crashes.py
+++ b/tests/lib/crashes.py
@@ -12,19 +12,27 @@
 from .platform_world import ENGINES, World, until
 
 
-async def bar_part(world: World, part: str) -> Trait:
-    """Report three crashes to the first host until all hosts bar a part of prompts.
+async def bar_part(world: World, part: str, beside: str = "") -> Trait:
+    """Bar a part of prompts, as `bar_trait`; return its trait."""
+    (trait,) = part_traits(ENGINES, [part])
+    await bar_trait(world, trait, beside)
+    return trait
+
 
-    Returns
-    -------
+async def bar_trait(world: World, trait: Trait, beside: str = "") -> None:
+    """Report three crashes to the first host until all hosts bar a trait.
+
+    Parameters
+    ----------
+    world : World
     trait : Trait
-        Of the part.
+    beside : str, default=""
+        Beginning of the names of other parts, one in each crashed request.
     """
-    (trait,) = part_traits(ENGINES, [part])
     reports = world.hosts[0].crash_reports
     for number in range(3):
-        run = CrashedRun(f"r-{number}", (trait,), BEGUN_WEIGHT)
+        others = part_traits(ENGINES, [f"{beside}{number}"] if beside else [])
+        run = CrashedRun(f"r-{number}", (trait, *others), BEGUN_WEIGHT)
         reports.report(RunnerKey(f"gone-{number}", number), [run])
         await asyncio.sleep(crash_causes.SIMULTANEOUS_S + 0.01)
     await until(lambda: all(h.crash_reports.causes.bars for h in world.hosts))
-    return trait
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -373,7 +373,7 @@
     assert not tries(fleet, "F S request:R")
 
 
-@pytest.mark.parametrize("order", permutations(range(4)))
+@pytest.mark.parametrize("order", list(permutations(range(4))))
 def test_order_of_reports_of_simultaneous_crashes_does_not_matter(order):
     """The heavier of two simultaneous crashes counts."""
     evidence = [(1000, WEAK), (1010, STRONG), (5000, STRONG), (9000, WEAK)]
@@ -385,3 +385,15 @@
         fleet.causes.merge(runner, [run], reported_ms=reported_ms)
     fleet.decide()
     assert fleet.is_refused("B")
+
+
+def test_host_tries_few_requests_that_tell_it_nothing(fleet):
+    for number in range(3):
+        fleet.crash(f"F S{number} B")
+    fleet.whole("F")
+    fleet.decide()
+    trials = 0
+    for number in range(10):
+        fleet.time += crash_causes.TRIAL_PERIOD_S + 1
+        trials += tries(fleet, f"F T{number} B")
+    assert trials == crash_causes.MAX_TRIALS
