Try again, ever less often, when a trial told nothing

Trials are no longer numbered but spaced, 2 s doubled up to 60 s; their cost stays bounded by the five crashes behind a bar.

--- a/src/siskinlever/_internal/dispatch/crash_causes.py
+++ b/src/siskinlever/_internal/dispatch/crash_causes.py
@@ -46,10 +46,11 @@
 # Crashes within this many seconds count once against a part: the loss of a zone ends
 # many runners at the same moment. Only its repetitions bring a request to several.
 SIMULTANEOUS_S = 0.05
-# Requests that one host sends in spite of a bar, to find out whether it is wrong, and
-# seconds between two of them. With more crashes behind the bar, nothing is tried.
-MAX_TRIALS = 2
+# Seconds between the first two requests that one host sends in spite of a bar, to find
+# out whether it is wrong; doubled each time, since one that reached no runner tells
+# nothing. With so many crashes behind the bar, nothing is tried.
 TRIAL_PERIOD_S = 2.0
+MAX_TRIAL_PERIOD_S = 60.0
 MAX_TRIED_CRASHES = 5
 # Seconds after which a run that goes on acquits its traits as a whole answer does.
 SURVIVED_S = 2.0
@@ -359,7 +360,8 @@
             return False
         now = self._now()
         trials, tried_at = self._trials_by_traits.get(bar.traits, (0, float("-inf")))
-        if trials >= MAX_TRIALS or now - tried_at < TRIAL_PERIOD_S:
+        period_s = min(TRIAL_PERIOD_S * 2 ** (trials - 1), MAX_TRIAL_PERIOD_S)
+        if now - tried_at < period_s:
             return False
         self._trials_by_traits[bar.traits] = trials + 1, now
         return True
