Split the record of crashes from the search for their causes

Moved: evidence to crash_evidence.py, the search to cause_search.py, the size of a stand-in's request to its type.

--- a/src/siskinlever/_internal/fleet/crash_reports.py
+++ b/src/siskinlever/_internal/fleet/crash_reports.py
@@ -9,15 +9,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from ..dispatch.crash_causes import (
-    MAX_CRASHES,
-    MAX_RUNS,
-    SETTLE_S,
-    Bar,
-    Crash,
-    CrashCauses,
-    CrashedRun,
-)
+from ..dispatch.crash_causes import MAX_CRASHES, MAX_RUNS, SETTLE_S, Bar, CrashCauses
+from ..dispatch.crash_evidence import Crash, CrashedRun
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
 from ..metrics.registry import Metrics
--- a/src/siskinlever/_internal/gateway/crash_detection.py
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections import defaultdict
 
-from ..dispatch.crash_causes import SURVIVED_S, CrashedRun, crash_weight
+from ..dispatch.crash_evidence import SURVIVED_S, CrashedRun, crash_weight
 from ..fleet.crash_reports import CrashReports
 from ..fleet.runners import RunnerDirectory
 from ..fleet.unreachable_runners import UnreachableRunners
--- a/src/siskinlever_testbed/crash_model.py
+++ b/src/siskinlever_testbed/crash_model.py
@@ -26,14 +26,13 @@
 
 from docopt import docopt
 
-from siskinlever._internal.dispatch import crash_causes
-from siskinlever._internal.dispatch.crash_causes import (
+from siskinlever._internal.dispatch import crash_causes, crash_evidence
+from siskinlever._internal.dispatch.cause_search import FindCauses, find_causes
+from siskinlever._internal.dispatch.crash_causes import CrashCauses
+from siskinlever._internal.dispatch.crash_evidence import (
     Crash,
-    CrashCauses,
     CrashedRun,
-    FindCauses,
     crash_weight,
-    find_causes,
 )
 from siskinlever._internal.models.ids import RunnerName
 from siskinlever._internal.models.traits import Trait
@@ -253,7 +252,7 @@
         for number, run in enumerate(runs):
             age_s = self.time - run.began_at
             events = int(age_s / FIRST_EVENT_S)
-            if age_s > crash_causes.SURVIVED_S:
+            if age_s > crash_evidence.SURVIVED_S:
                 self._causes.note_whole(run.traits)
             elif weight := crash_weight(age_s, age_s, events):
                 crashed.append(CrashedRun(str(number), run.traits, weight))
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -286,7 +286,7 @@
             await raw_http.send(writer, 200, head, body)
 
     async def _prefill(self, request: Request, writer: asyncio.StreamWriter) -> None:
-        prompt, _ = _token_usage(request)
+        prompt, _ = request.token_usage
         await asyncio.sleep(self.work_s)
         handle = secrets.token_hex(4)
         self.handle_by_id[handle] = request.get("attempt-id") or ""
@@ -305,7 +305,7 @@
     ) -> None:
         attempt_id = request.get("attempt-id") or ""
         self.held_by_id.pop(request.get("kv-hold") or "", None)
-        prompt, max_tokens = _token_usage(request)
+        prompt, max_tokens = request.token_usage
         source = request.get("kv-source")
         if source and not self._take_handle(source, attempt_id):
             await raw_http.send(writer, 503, self._rejection_headers(attempt_id), b"")
@@ -484,13 +484,6 @@
 ENGINE_BY_ADDRESS: dict[str, RunnerStandIn] = {}
 
 
-def _token_usage(request: Request) -> tuple[int, int]:
-    prompt, max_tokens = (
-        int(p) for p in (request.get("token-usage") or "0,0").split(",")
-    )
-    return prompt, max_tokens
-
-
 @asynccontextmanager
 async def running_runner(runner: RunnerStandIn) -> AsyncIterator[RunnerStandIn]:
     """Serve a runner for the duration of a `with` block."""
--- a/src/siskinlever_testbed/standins/platform/runner_answers.py
+++ b/src/siskinlever_testbed/standins/platform/runner_answers.py
@@ -95,3 +95,9 @@
     def get(self, name: str) -> str | None:
         """Return the value of the first header called `name`, a lower-case name."""
         return next((v for n, v in self.headers if n.lower() == name), None)
+
+    @property
+    def token_usage(self) -> tuple[int, int]:
+        """Tokens of the prompt and the most tokens of output; 0 if not stated."""
+        prompt, max_tokens = (self.get("token-usage") or "0,0").split(",")
+        return int(prompt), int(max_tokens)
--- a/tests/fuzz/test_crash_evidence.py
+++ b/tests/fuzz/test_crash_evidence.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from siskinlever._internal.dispatch import crash_causes
-from siskinlever._internal.dispatch.crash_causes import Crash, CrashCauses, CrashedRun
+from siskinlever._internal.dispatch import crash_causes, crash_evidence
+from siskinlever._internal.dispatch.crash_causes import CrashCauses
+from siskinlever._internal.dispatch.crash_evidence import Crash, CrashedRun
 from siskinlever._internal.models.traits import Trait
 from siskinlever._internal.models.upstreams import RunnerKey
 
@@ -17,7 +18,7 @@
 hosts = st.sampled_from(HOSTS)
 # One part of all prompts, parts of sessions, a part and a request that crash runners.
 parts = st.sampled_from(["F S1", "F S2", "F S3 B", "F S1 B", "F S2 request:R"])
-weights = st.sampled_from([crash_causes.BEGUN_WEIGHT, crash_causes.WRITING_WEIGHT])
+weights = st.sampled_from([crash_evidence.BEGUN_WEIGHT, crash_evidence.WRITING_WEIGHT])
 Evidence = tuple[RunnerKey, frozenset[CrashedRun], frozenset[Trait], float, int]
 
 
--- a/tests/lib/crashes.py
+++ b/tests/lib/crashes.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from siskinlever._internal.dispatch import crash_causes
-from siskinlever._internal.dispatch.crash_causes import BEGUN_WEIGHT, CrashedRun
+from siskinlever._internal.dispatch import cause_search
+from siskinlever._internal.dispatch.crash_evidence import BEGUN_WEIGHT, CrashedRun
 from siskinlever._internal.models.traits import Trait, part_traits
 from siskinlever._internal.models.upstreams import RunnerKey
 
@@ -34,5 +34,5 @@
         others = part_traits(ENGINES, [f"{beside}{number}"] if beside else [])
         run = CrashedRun(f"r-{number}", (trait, *others), BEGUN_WEIGHT)
         reports.report(RunnerKey(f"gone-{number}", number), [run])
-        await asyncio.sleep(crash_causes.SIMULTANEOUS_S + 0.01)
+        await asyncio.sleep(cause_search.SIMULTANEOUS_S + 0.01)
     await until(lambda: all(h.crash_reports.causes.bars for h in world.hosts))
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -6,16 +6,13 @@
 
 import pytest
 
-from siskinlever._internal.dispatch import crash_causes
-from siskinlever._internal.dispatch.crash_causes import (
-    CrashCauses,
-    CrashedRun,
-    crash_weight,
-)
+from siskinlever._internal.dispatch import cause_search, crash_causes, crash_evidence
+from siskinlever._internal.dispatch.crash_causes import CrashCauses
+from siskinlever._internal.dispatch.crash_evidence import CrashedRun, crash_weight
 from siskinlever._internal.models.traits import Trait
 from siskinlever._internal.models.upstreams import RunnerKey
 
-STRONG, WEAK = crash_causes.BEGUN_WEIGHT, crash_causes.WRITING_WEIGHT
+STRONG, WEAK = crash_evidence.BEGUN_WEIGHT, crash_evidence.WRITING_WEIGHT
 
 
 class Fleet:
@@ -28,7 +25,7 @@
 
     def crash(self, *runs: str, weight: float = STRONG) -> RunnerKey:
         """Crash a runner under requests with these traits, "F S" for two of them."""
-        self.time += crash_causes.SIMULTANEOUS_S + 0.01
+        self.time += cause_search.SIMULTANEOUS_S + 0.01
         number = next(self._numbers)
         runner = RunnerKey(f"e-{number}", number)
         self.causes.merge(
@@ -237,7 +234,7 @@
         (0.3, 0.1, 3, WEAK),
         (1.5, 1.1, 0, 0.0),
         (4.0, 3.9, 80, 0.0),
-        (0.1, None, 0, crash_causes.UNANSWERED_WEIGHT),
+        (0.1, None, 0, crash_evidence.UNANSWERED_WEIGHT),
         (1.1, None, 0, 0.0),
     ],
 )
--- a/tests/unit/test_crash_reports.py
+++ b/tests/unit/test_crash_reports.py
@@ -7,12 +7,9 @@
 
 import pytest
 
-from siskinlever._internal.dispatch.crash_causes import (
-    BEGUN_WEIGHT,
-    SIMULTANEOUS_S,
-    CrashCauses,
-    CrashedRun,
-)
+from siskinlever._internal.dispatch.cause_search import SIMULTANEOUS_S
+from siskinlever._internal.dispatch.crash_causes import CrashCauses
+from siskinlever._internal.dispatch.crash_evidence import BEGUN_WEIGHT, CrashedRun
 from siskinlever._internal.exceptions import PeerError
 from siskinlever._internal.fleet import crash_reports
 from siskinlever._internal.fleet.crash_reports import CrashReports
