--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -36,6 +37,7 @@
 PART_CRASHES, REQUEST_CRASHES = 5, 3
 REGISTRATION_PERIOD_S = 0.1
 SEND_PERIOD_S = 0.1
+MAX_PLAY_S = 40.0
 HOSTS = 3
 GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
 
@@ -68,7 +70,7 @@
     return sorted(at for r in world.runners for at in r.process.crashed_at)
 
 
-def arrival_times(world: World, is_bad) -> list[float]:
+def arrival_times(world: World, is_bad: Callable[[Request], bool]) -> list[float]:
     return [
         at
         for runner in world.runners
@@ -109,24 +111,63 @@
     return "bad:" in (request.get("prompt-prefix") or "")
 
 
+async def play_past_bound(
+    world: World,
+    is_bad: Callable[[Request], bool],
+    crashes: int,
+    send_bad: Callable[[Load], None],
+    send_sound: Callable[[Load], None],
+) -> tuple[int, list[Answer]]:
+    """Send bad and sound requests until a second after the bound.
+
+    Parameters
+    ----------
+    world : World
+    is_bad : callable
+        Whether a request crashes its runner.
+    crashes : int
+        Number of crashes, or all if there are fewer, after which the bound comes by
+        `CONTACT_S`.
+    send_bad, send_sound : callable
+        Send one request each.
+
+    Returns
+    -------
+    late : int
+        Number of bad requests that reached runners after the bound.
+    answers : list of Answer
+        Answers to the sound requests that were sent after it.
+    """
+    for runner in world.runners:
+        runner.crashes_on = is_bad
+    bad, sound = Load(world, "bad"), Load(world, "sound")
+    bound, ends_at = math.inf, time.monotonic() + MAX_PLAY_S
+    while (now := time.monotonic()) < bound + 1:
+        assert now < ends_at, "the bad requests crash no runner, or never stop"
+        if crashed_at := crash_times(world)[:crashes]:
+            bound = crashed_at[-1] + CONTACT_S
+        if now < bound:
+            sound_before_bound = len(sound.tasks)
+        send_bad(bad)
+        send_sound(sound)
+        await asyncio.sleep(SEND_PERIOD_S)
+    answers = await sound.answers(sound_before_bound)
+    await bad.answers()
+    return sum(at > bound for at in arrival_times(world, is_bad)), answers
+
+
 async def test_prompts_with_a_part_that_crashes_engines_stop_reaching_them(log_path):
     async with crashing_world(log_path) as world:
-        for runner in world.runners:
-            runner.crashes_on = has_bad_part
-        bad, sound = Load(world, "bad"), Load(world, "sound")
-        bound = float("inf")
-        while (now := time.monotonic()) < bound + 1:
-            if crashes := crash_times(world)[:PART_CRASHES]:
-                bound = crashes[-1] + CONTACT_S
-            if now < bound:
-                sound_before_bound = len(sound.tasks)
-            bad.send_prompt("first:40,bad:30")
-            sound.send_prompt(f"first:40,session{len(sound.tasks) % 4}:30")
-            await asyncio.sleep(SEND_PERIOD_S)
-        sound_answers = await sound.answers(sound_before_bound)
-        await bad.answers()
-        late = [at for at in arrival_times(world, has_bad_part) if at > bound]
-    assert len(late) <= MAX_LATE_REQUESTS
+        late, sound_answers = await play_past_bound(
+            world,
+            has_bad_part,
+            PART_CRASHES,
+            lambda bad: bad.send_prompt("first:40,bad:30"),
+            lambda sound: sound.send_prompt(
+                f"first:40,session{len(sound.tasks) % 4}:30"
+            ),
+        )
+    assert late <= MAX_LATE_REQUESTS
     # The rule allows half; no engine crashes any more.
     assert failures(sound_answers) == []
 
@@ -144,26 +185,17 @@
 async def test_request_that_crashes_runners_and_comes_again_stops_reaching_them(
     log_path, path, headers
 ):
-    def is_bad(request: Request) -> bool:
-        return request.body == b"bad"
-
     async with crashing_world(log_path) as world:
-        for runner in world.runners:
-            runner.crashes_on = is_bad
-        bad, sound = Load(world, "bad"), Load(world, "sound")
-        bound = float("inf")
-        while (now := time.monotonic()) < bound + 1:
-            if crashes := crash_times(world)[:REQUEST_CRASHES]:
-                bound = crashes[-1] + CONTACT_S
-            if now < bound:
-                sound_before_bound = len(sound.tasks)
-            bad.send(path, b"bad", headers)
-            sound.send(path, f"sound {len(sound.tasks)}".encode(), headers)
-            await asyncio.sleep(SEND_PERIOD_S)
-        sound_answers = await sound.answers(sound_before_bound)
-        await bad.answers()
-        late = [at for at in arrival_times(world, is_bad) if at > bound]
-    assert len(late) <= MAX_LATE_REQUESTS
+        late, sound_answers = await play_past_bound(
+            world,
+            lambda request: request.body == b"bad",
+            REQUEST_CRASHES,
+            lambda bad: bad.send(path, b"bad", headers),
+            lambda sound: sound.send(
+                path, f"sound {len(sound.tasks)}".encode(), headers
+            ),
+        )
+    assert late <= MAX_LATE_REQUESTS
     assert failures(sound_answers) == []
 
 
