List that a prompt of very many parts loses its request's trait

Found when reading the change: a peer takes 64 traits of a run, but a prompt of 64 or more shared parts has 65 with the request's own, which is dropped.

--- a/tests/unit/test_crash_reports.py
+++ b/tests/unit/test_crash_reports.py
@@ -13,7 +13,8 @@
 from siskinlever._internal.exceptions import PeerError
 from siskinlever._internal.fleet import crash_reports
 from siskinlever._internal.fleet.crash_reports import CrashReports
-from siskinlever._internal.models.traits import Trait
+from siskinlever._internal.models.ids import ServiceName
+from siskinlever._internal.models.traits import Trait, part_traits, request_trait
 from siskinlever._internal.models.upstreams import RunnerKey
 from siskinlever._internal.utils.tasks import task_set
 
@@ -191,3 +192,16 @@
         hosts[1].note_digest("h-0", hosts[0].causes.digest)
         await asyncio.sleep(SETTLED_S)
         assert are_refused(network, "F B") == {True}
+
+
+async def test_hosts_agree_on_a_crash_under_a_prompt_of_very_many_parts():
+    network = Network()
+    async with task_set() as tasks:
+        hosts = [network.add_host(f"h-{n}", tasks) for n in range(2)]
+        parts = part_traits(ServiceName("engines"), map(str, range(100)))
+        request = request_trait(ServiceName("engines"), b"request")
+        await crash(hosts[0], 1, " ".join((*parts, request)))
+        await asyncio.sleep(SETTLED_S)
+        assert hosts[0].causes.digest == hosts[1].causes.digest
+        (crashed,) = hosts[1].causes.crash_by_runner.values()
+        assert request in crashed.suspects
