--- a/tests/unit/test_runner_limits.py
+++ b/tests/unit/test_runner_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from random import Random
 from unittest.mock import Mock
 
 import pytest
@@ -14,12 +16,14 @@
 RUNNER = RunnerKey(RunnerName("r-1"), StartedAt(1))
 WINDOW_S = 4.0
 STEP_S = 0.05
+CHECK_PERIOD_S = 0.25
 
 
 class Fleet:
     """Hosts that send a runner all that they may, on a clock of the test.
 
-    `known` maps each host to the hosts that it knows.
+    `known` maps each host to the hosts that it knows. They have known each other for
+    some time when the runner states its limit.
     """
 
     def __init__(self, names: list[str], limit: float) -> None:
@@ -27,6 +31,8 @@
         self.known = {HostName(n): frozenset(map(HostName, names)) for n in names}
         self.limits = {name: self._limits(name) for name in self.known}
         self.sent: list[float] = []
+        self._next_check_at = self.now
+        self.wait(10.0)
         for limits in self.limits.values():
             limits.note(RUNNER, limit)
 
@@ -34,19 +40,35 @@
         hosts = lambda: self.known[name]
         return RunnerLimits(name, hosts, Mock(), Mock(), lambda: self.now)
 
+    def restart(self, name: HostName) -> None:
+        """Let a host begin anew; it is told the limit of the runner at once."""
+        before, self.limits[name] = self.limits[name], self._limits(name)
+        self.limits[name].note_report(RUNNER, before.limit_of(RUNNER), 0.0, "peer")
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass; no host sends anything."""
+        for _ in range(int(seconds / STEP_S)):
+            self._step()
+
     def run(self, seconds: float, senders: list[HostName] | None = None) -> None:
         """Let hosts send as often as they may."""
         for _ in range(int(seconds / STEP_S)):
-            self.now += STEP_S
+            self._step()
             for name in senders or self.limits:
                 if self.limits[name].take(RUNNER):
                     self.sent.append(self.now)
 
+    def _step(self) -> None:
+        self.now += STEP_S
+        if self.now >= self._next_check_at:
+            self._next_check_at = self.now + CHECK_PERIOD_S
+            for limits in self.limits.values():
+                limits.keep_only([RUNNER])
+
     def most_in_window(self) -> int:
-        return max(
-            (sum(s <= at < s + WINDOW_S for at in self.sent) for s in self.sent),
-            default=0,
-        )
+        """Return the largest number of requests in a window; they are in order."""
+        ends = (bisect_left(self.sent, at + WINDOW_S) for at in self.sent)
+        return max((end - start for start, end in enumerate(ends)), default=0)
 
 
 def allowed(limit: float) -> float:
@@ -99,6 +121,69 @@
     assert fleet.most_in_window() <= allowed(limit)
 
 
+@pytest.mark.parametrize("limit", [0.4, 3.2, 12.5])
+@pytest.mark.parametrize("hosts", [24, 84, 195])
+def test_hosts_outside_the_serving_set_do_not_break_a_limit(hosts, limit):
+    """All hosts have callers; limits are divided among nine of them."""
+    fleet = Fleet(names(hosts), limit)
+    for name in fleet.known:
+        fleet.known[name] = frozenset(map(HostName, names(9)))
+    fleet.wait(10.0)
+    fleet.run(20.0)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
+def rotate_serving_set(fleet: Fleet, seconds: int, late_s: int) -> None:
+    """Replace a host of the serving set each second; every other host hears late."""
+    everyone = list(fleet.known)
+    random = Random(7)
+    history = [frozenset(everyone[:9])] * (late_s + 1)
+    for _ in range(seconds):
+        left = random.choice(sorted(history[-1]))
+        joined = random.choice(sorted(set(everyone) - history[-1]))
+        history.append(history[-1] - {left} | {joined})
+        for number, name in enumerate(everyone):
+            fleet.known[name] = history[-1 - late_s * (number % 2)]
+        fleet.run(1.0)
+
+
+@pytest.mark.parametrize("limit", [0.4, 3.2, 12.5])
+@pytest.mark.parametrize("hosts", [24, 84, 195])
+def test_hosts_that_learn_of_changes_late_do_not_break_a_limit(hosts, limit):
+    fleet = Fleet(names(hosts), limit)
+    rotate_serving_set(fleet, 40, late_s=3)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
+@pytest.mark.parametrize("limit", [0.4, 3.2, 12.5])
+def test_hosts_that_restart_do_not_break_a_limit(limit):
+    fleet = Fleet(names(84), limit)
+    for name in fleet.known:
+        fleet.known[name] = frozenset(map(HostName, names(9)))
+    for second in range(40):
+        for number in range(10):
+            fleet.restart(HostName(f"host-{(second * 10 + number) % 84}"))
+        fleet.run(1.0)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
+@pytest.mark.parametrize("limit", [0.4, 3.2, 12.5])
+def test_fleet_that_grows_does_not_break_a_limit(limit):
+    """Up to 12 hosts divide limits among all that they know, a larger fleet does not.
+
+    Every other host learns of each change 3 s late.
+    """
+    fleet = Fleet(names(30), limit)
+    everyone = list(fleet.known)
+    bases = [frozenset(everyone[:size]) for size in range(5, 13)]
+    bases += [frozenset(everyone[:9])] * 10 + [frozenset(everyone[:12])] * 10
+    for second in range(3, len(bases)):
+        for number, name in enumerate(everyone):
+            fleet.known[name] = bases[second - 3 * (number % 2)]
+        fleet.run(1.0)
+    assert fleet.most_in_window() <= allowed(limit)
+
+
 def test_limit_that_falls_or_ends_applies_at_once():
     fleet = Fleet(names(7), 20.0)
     fleet.run(10.0)
@@ -120,10 +205,11 @@
 
 
 def test_newest_statement_of_all_hosts_is_in_force():
-    limits = Fleet(names(2), 3.2).limits[HostName("host-0")]
+    fleet = Fleet(names(2), 3.2)
+    limits = fleet.limits[HostName("host-0")]
     limits.note_report(RUNNER, None, 1.0, "host-1")
     assert limits.limit_of(RUNNER) == 3.2
-    limits._now = lambda: 103.0
+    fleet.now += 3.0
     limits.note_report(RUNNER, None, 1.0, "host-1")
     assert limits.limit_of(RUNNER) is None
     assert limits.recent()[RUNNER].per_s is None
