Give hosts outside the serving set no share of a runner's limit

Cause: in a large fleet a limit is divided among the hosts of the serving set, and each host asks whether it is among the best of them for the runner. The ranking counts how many candidates are better and never asks whether the host itself is a candidate, so most of the 75 other hosts held themselves for senders and used a whole share each. Class: each host acts on its own view of what holds for all hosts.

Ruled out for the other callers of is_among_best: each of them passes its own host among the candidates.

--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -105,8 +105,11 @@
         The runner's limit.
     own : str
     hosts : collection of str
-        The hosts that may send requests, including those that were lost recently.
+        The hosts that may send requests, including those that were lost recently. A
+        host that isn't one of them has no share.
     """
+    if own not in hosts:
+        return 0.0
     shares = min(
         max(len(hosts), MIN_SHARES), BASE_SENDERS + int(SENDERS_PER_LIMIT * per_s)
     )
