Count a generation against its engine's limit when it is sent

Cause: a generation is counted when it reserves room at its decode engine, and sent when its prompt is ready, up to seconds later. What had reserved before the limit was known was never counted, and what was counted over several seconds could arrive at once. Class: a check made at one moment for an act at another.

Ruled out: prefills and plain requests are sent in the step that counts them.

--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -46,6 +46,9 @@
 # Requests per second to a runner for `RESUME_S` seconds after the end of a pause.
 RESUME_RATE_PER_S = 10.0
 RESUME_S = 1.0
+# Seconds after `RunnerLimits.take` within which the counted request must be sent. Later
+# ones would arrive together with those counted since.
+TAKEN_VALID_S = 1.0
 # Statements are repeated to other hosts for this many seconds, and those on the end of
 # a limit are then removed.
 REPEAT_S = 15.0
@@ -74,6 +77,8 @@
         Requests per second that this host may send.
     rate_until : float, default=-inf
         Time until which ``rate_per_s`` is used.
+    limited_since : float, default=-inf
+        Time at which this host learned that it has a limit.
     """
 
     per_s: float | None = None
@@ -83,6 +88,7 @@
     updated_at: float | None = None
     rate_per_s: float = 0.0
     rate_until: float = -math.inf
+    limited_since: float = -math.inf
 
     def is_unrestricted(self, now: float) -> bool:
         """Return whether it has no limit and has not had a pause recently."""
@@ -235,6 +241,25 @@
             record.allowance -= 1
         return True
 
+    def take_late(self, runner: RunnerKey, taken_at: float) -> bool:
+        """Count a request again that is sent some time after it was counted.
+
+        It is counted as by `take` if the limit was not known then, or if that is longer
+        ago than `TAKEN_VALID_S`.
+
+        Parameters
+        ----------
+        runner : RunnerKey
+        taken_at : float
+            Time of the call of `take`.
+        """
+        record, now = self.by_runner.get(runner), self._now()
+        if record is None or record.is_unrestricted(now):
+            return True
+        if taken_at >= max(record.limited_since, now - TAKEN_VALID_S):
+            return True
+        return self.take(runner)
+
     def rate_of(self, runner: RunnerKey) -> float:
         """Return the requests per second that this host may send to a runner."""
         record, now = self.by_runner.get(runner), self._now()
@@ -309,6 +334,7 @@
             return False
         record.rate_until = -math.inf
         if before is None:
+            record.limited_since = self._now()
             record.clear_allowance()
         self._metrics.count("runner_limit_changes")
         self._log.write(
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -56,10 +56,13 @@
         The decode engine.
     hold : str or None
         Id of the reservation; None after a request has consumed it.
+    counted_at : float
+        Monotonic time at which the request was counted against the runner's limit.
     """
 
     runner: Registration
     hold: str | None
+    counted_at: float
 
 
 class CapacitySearch:
@@ -198,7 +201,7 @@
         ):
             hold = await self._acquire_hold(runner)
             if hold is not None and context.limits.take(runner.key):
-                return ReservedCapacity(runner, hold)
+                return ReservedCapacity(runner, hold, monotonic())
             if hold is not None:
                 engine_calls.release_hold(context, runner, hold)
         return None
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -24,7 +24,7 @@
 from . import engine_calls
 from .capacity import CapacitySearch, ReservedCapacity
 from .context import GatewayContext
-from .errors import EndedError, EndReason, failed, refused
+from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
 from .relay import PlainRelay, StreamRelay
 from .runner_calls import request_exchange, run_exchange
@@ -138,7 +138,8 @@
                 failure = await self._attempt(capacity)
             if failure is None:
                 return capacity.runner.key.name
-            self._failed_engines.add(capacity.runner.key)
+            if failure.reason is not EndReason.LIMITED:
+                self._failed_engines.add(capacity.runner.key)
             if self._relay.started:
                 self._version = capacity.runner.version
             if not self._may_retry(failure):
@@ -167,6 +168,7 @@
             and source is not None
             and self._context.limits.take(capacity.runner.key)
         ):
+            capacity.counted_at = monotonic()
             # The KV cache of the prompt may have been lost before the decode engine
             # fetched it, so the decode engine repeats the prefill itself.
             failure = await self._decode(capacity, None)
@@ -299,6 +301,8 @@
             # Checked here so that no retry is charged for what isn't sent.
             message = f"{runner.key.name} has asked for a pause since its prefill"
             return refused(EndReason.REJECTED, message, FAILED_RETRY_S)
+        if not self._context.limits.take_late(runner.key, capacity.counted_at):
+            return limited(job.service, self._context.limits.wait_s([runner.key]))
         if not self._retries.charge_next():
             message = "the retry budget is spent"
             return refused(EndReason.NO_RETRY_LEFT, message, FAILED_RETRY_S)
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from lib.platform_world import platform_world, until
+from lib.platform_world import configuration, platform_world, until
 
 from siskinlever._internal.dispatch.runner_limits import SAFETY_FACTOR, sender_share
 from siskinlever._internal.fleet import store_follower
@@ -133,3 +133,43 @@
         await until(
             lambda: [host.context.limits.rate_of(key) for key in keys] == rates, 3.0
         )
+
+
+async def test_generations_reserved_before_a_limit_do_not_exceed_it(log_path):
+    """A limit is stated while prompts of many reserved generations are prefilled."""
+    limit_per_s = 1.0
+    headers = {"Model": "m", "Token-Usage": "1200,70", "Length-Hint": "70"}
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        statements = [host.context.limits for host in world.hosts]
+        document = configuration(version=2)
+        for route in document["routes"]:
+            # Prompts wait for the prefill engine.
+            route["target_latency_ms"] = 6000
+        world.apply(document)
+        await until(
+            lambda: all(h.context.configuration.version == 2 for h in world.hosts)
+        )
+        decoding = [r for r in world.runners if r.stage == "decode"]
+        for runner in world.runners:
+            if runner.stage == "prefill":
+                runner.work_s = 1.2
+        tasks = []
+        for number in range(40):
+            call = world.send(
+                "/stream/x", "POST", f"g-{number}", b"p", number % HOSTS, headers
+            )
+            tasks.append(asyncio.create_task(call))
+        await until(lambda: all(len(r.held_by_id) >= 12 for r in decoding))
+        for runner in decoding:
+            runner.limit = str(limit_per_s)
+            keys = world.hosts[0].context.runners.by_key
+            key = next(key for key in keys if key.name == runner.name)
+            for limits in statements:
+                limits.note(key, limit_per_s)
+        allowed = 1.5 * limit_per_s * WINDOW_S + 5
+        stated_at = time.monotonic()
+        answers = await asyncio.gather(*tasks)
+        for runner in decoding:
+            since = stated_at + NOTICE_S
+            assert most_in_window(runner.received_at, since) <= allowed
+        assert {answer.status for answer in answers} <= {200, 503}
--- a/tests/unit/test_runner_limits.py
+++ b/tests/unit/test_runner_limits.py
@@ -229,6 +229,27 @@
     assert not limits.by_runner
 
 
+def test_request_that_is_sent_long_after_it_was_counted_is_counted_again():
+    fleet = Fleet(names(1), 3.2)
+    limits = fleet.limits[HostName("host-0")]
+    assert not limits.may_send(RUNNER)
+    fleet.wait(10.0)
+    assert limits.take(RUNNER)
+    counted_at = fleet.now
+    fleet.now += 0.5
+    assert limits.take_late(RUNNER, counted_at)
+    fleet.now += 0.6
+    assert not limits.take_late(RUNNER, counted_at)
+
+
+def test_request_that_was_counted_before_a_limit_is_counted_again():
+    _, limits = alone()
+    counted_at = limits._now()
+    assert limits.take(RUNNER)
+    limits.note(RUNNER, 3.2)
+    assert not limits.take_late(RUNNER, counted_at - 0.1)
+
+
 def test_wait_is_the_time_until_the_next_request():
     fleet = Fleet(names(1), 3.2)
     limits = fleet.limits[HostName("host-0")]
