Let no answer to an earlier request end a runner's limit

Cause: any answer without Server-Limit ended the limit, at this host and, by the exchange of states, at all. An answer whose request was sent before the runner was in need may arrive long after it has stated its limit: a generation waits for its prompt and room. Each such answer opened the runner to all hosts until it stated its limit again. Class: an old statement taken for a new one.

Change: the absence of a limit counts only in answers to requests that were sent after the newest statement that this host knows.

Evidence: test_answer_to_an_earlier_request_does_not_end_a_limit: None is known before, 3.2 now.

--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -157,11 +157,27 @@
         self._listeners.append(listener)
 
     def note(self, runner: RunnerKey, per_s: float | None) -> None:
-        """Record the limit that a runner stated in an answer, or its absence."""
+        """Record the limit that a runner stated in an answer; None if it has ended."""
         if self._record(runner, per_s, self._now(), "answer"):
             for listener in self._listeners:
                 listener()
 
+    def note_absence(self, runner: RunnerKey, sent_at: float) -> None:
+        """Record that an answer states no limit.
+
+        It ends a limit only if its request was sent after the limit was stated: an
+        answer may have begun before.
+
+        Parameters
+        ----------
+        runner : RunnerKey
+        sent_at : float
+            Time at which the request was sent.
+        """
+        known = self.by_runner.get(runner)
+        if known is not None and known.stated_at < sent_at:
+            self.note(runner, None)
+
     def note_report(
         self, runner: RunnerKey, per_s: float | None, age_s: float, source: str
     ) -> None:
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -100,7 +100,7 @@
         return not_switching
 
     def note_statements(
-        self, runner: RunnerKey, head: AnswerHead, ends_limit: bool = True
+        self, runner: RunnerKey, head: AnswerHead, sent_at: float | None = None
     ) -> None:
         """Record what a runner states about itself in an answer.
 
@@ -110,8 +110,9 @@
         ----------
         runner : RunnerKey
         head : AnswerHead
-        ends_limit : bool, default=True
-            Whether the absence of a limit ends the one stated before.
+        sent_at : float or None, default=None
+            Monotonic time at which the request was sent. If None, the absence of a
+            limit in the answer doesn't end one.
         """
         if wire.is_other_runner(head, runner.name):
             return
@@ -121,9 +122,10 @@
             self.log.write(
                 "runner.statement_invalid", runner=runner.name, reason=reason
             )
-        states_limit = statement.limit_per_s is not None
-        if statement.is_limit_valid and (states_limit or ends_limit):
+        if statement.limit_per_s is not None:
             self.limits.note(runner, statement.limit_per_s)
+        elif statement.is_limit_valid and sent_at is not None:
+            self.limits.note_absence(runner, sent_at)
         if statement.pause_s is not None:
             self.limits.note_pause(runner, statement.pause_s)
         if statement.is_leaving:
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -55,9 +55,10 @@
         Raised when the runner wants no requests now; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
+    sent_at = monotonic()
     async with _judged_exchange(context, runner, call, job) as answer:
         if not wire.is_answer_to_other(answer.head, job.request):
-            context.note_statements(runner.key, answer.head)
+            context.note_statements(runner.key, answer.head, sent_at)
         yield answer
 
 
@@ -86,7 +87,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             async with _judged_exchange(context, runner, call) as answer:
-                context.note_statements(runner.key, answer.head, ends_limit=False)
+                context.note_statements(runner.key, answer.head)
                 return answer.head, await answer.read(MAX_ANSWER_BYTES)
     except TimeoutError as error:
         message = f"no answer within {timeout_s:g} s"
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -6,10 +6,16 @@
 import time
 
 import pytest
-from lib.platform_world import configuration, platform_world, until
+from lib.platform_world import PLAIN, configuration, platform_world, until
 
 from siskinlever._internal.dispatch.runner_limits import SAFETY_FACTOR, sender_share
 from siskinlever._internal.fleet import store_follower
+from siskinlever_testbed.standins.platform.runner import RunnerStandIn
+from siskinlever_testbed.standins.platform.runner_answers import (
+    RawAnswer,
+    RawEnd,
+    RunnerFault,
+)
 
 LIMIT_PER_S = 3.2
 WINDOW_S = 4.0
@@ -91,6 +97,51 @@
         assert [answer.status for answer in answers] == [200] * len(answers)
 
 
+ANSWER_BODY = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+SIGNED_END = b"Server-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+
+
+def answer_after(seconds: float, identifier: str) -> RawAnswer:
+    """Return an answer without a limit whose head ends after some seconds."""
+    start = ANSWER_BODY % identifier.encode()
+    return RawAnswer((start, SIGNED_END), RawEnd.CLOSE, seconds)
+
+
+async def keep_one_runner(world) -> RunnerStandIn:
+    """Remove one of the two plain runners and return the other."""
+    world.deregister(world.runner_named("p-2"))
+    runners = world.hosts[0].context.runners
+    await until(lambda: len(runners.usable(PLAIN)) == 1)
+    return world.runner_named("p-1")
+
+
+async def test_answer_to_an_earlier_request_does_not_end_a_limit(log_path):
+    async with platform_world(log_path) as world:
+        runner = await keep_one_runner(world)
+        limits = world.hosts[0].context.limits
+        runner.raw_by_call["early"] = [answer_after(0.6, "early")]
+        early = asyncio.create_task(world.send("/safe/x", identifier="early"))
+        await until(lambda: "early" in runner.ran)
+        runner.limit = str(LIMIT_PER_S)
+        assert (await world.send("/safe/x", identifier="n-1")).status == 200
+        assert (await early).status == 200
+        assert [record.per_s for record in limits.by_runner.values()] == [LIMIT_PER_S]
+
+
+async def test_rejection_does_not_end_a_limit(log_path):
+    async with platform_world(log_path) as world:
+        runner = await keep_one_runner(world)
+        limits = world.hosts[0].context.limits
+        runner.limit = str(LIMIT_PER_S)
+        assert (await world.send("/safe/x", identifier="n-1")).status == 200
+        key = next(iter(limits.by_runner))
+        await until(lambda: limits.may_send(key))
+        runner.limit, runner.fault = None, RunnerFault.SHED
+        await world.send("/safe/x", identifier="n-2")
+        assert len(runner.received) == 2
+        assert [record.per_s for record in limits.by_runner.values()] == [LIMIT_PER_S]
+
+
 async def test_generations_exceed_the_limit_of_no_engine(log_path):
     """Prefills, decodes and second attempts all count."""
     headers = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
--- a/tests/unit/test_runner_limits.py
+++ b/tests/unit/test_runner_limits.py
@@ -215,6 +215,24 @@
     assert limits.recent()[RUNNER].per_s is None
 
 
+def test_reports_that_travel_do_not_become_newer_than_the_answer():
+    """Hosts repeat to each other that a limit has ended; each report takes 60 ms."""
+    fleet = Fleet(names(9), 3.2)
+    first, *others = fleet.limits.values()
+    fleet.now += 2.0
+    first.note(RUNNER, None)
+    ended_at = fleet.now
+    for _ in range(100):
+        for teller in (first, *others):
+            age_s = fleet.now - teller.by_runner[RUNNER].stated_at
+            per_s = teller.limit_of(RUNNER)
+            fleet.now += 0.06
+            for hearer in fleet.limits.values():
+                hearer.note_report(RUNNER, per_s, age_s, "host")
+    newest = max(limits.by_runner[RUNNER].stated_at for limits in fleet.limits.values())
+    assert newest <= ended_at + 1.0
+
+
 def test_another_process_of_a_runner_has_no_limit():
     limits = Fleet(names(1), 3.2).limits[HostName("host-0")]
     assert limits.may_send(RunnerKey(RUNNER.name, StartedAt(2)))
