Let no rejection end a runner's limit

Cause: a rejection that names no limit ended the one that the runner's answers state, so that a runner in need that also turns requests away got all that the hosts had. Class: the absence of a statement taken for its opposite.

A limit that has ended is still seen in the first answer (test_limit_that_has_ended_is_not_applied).

--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -124,7 +124,12 @@
             )
         if statement.limit_per_s is not None:
             self.limits.note(runner, statement.limit_per_s)
-        elif statement.is_limit_valid and sent_at is not None:
+        elif (
+            statement.is_limit_valid
+            and sent_at is not None
+            and not wire.is_not_run(head)
+        ):
+            # A runner that rejects requests is in need, whatever it states.
             self.limits.note_absence(runner, sent_at)
         if statement.pause_s is not None:
             self.limits.note_pause(runner, statement.pause_s)
