Don't let reports of a limit become newer on their way

Cause: hosts tell each other the age of a statement, which is counted from its arrival at each of them, so that it loses the time of the way. Whatever came back was taken for newer and told again. With many hosts that exchange often and late, a statement that a limit had ended stayed as new as any, and replaced a limit stated since. Class: an old statement taken for a new one.

--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -49,6 +49,9 @@
 # Seconds after `RunnerLimits.take` within which the counted request must be sent. Later
 # ones would arrive together with those counted since.
 TAKEN_VALID_S = 1.0
+# The age of a statement grows less than the time, by as much as reports of it take from
+# host to host. A report replaces a limit only if it is newer by more than these seconds.
+REPORT_TOLERANCE_S = 1.0
 # Statements are repeated to other hosts for this many seconds, and those on the end of
 # a limit are then removed.
 REPEAT_S = 15.0
@@ -193,10 +196,23 @@
             The other host, for the log.
         """
         stated_at = self._now() - age_s
-        known = self.by_runner.get(runner)
-        if age_s <= REPEAT_S and (known is None or known.stated_at < stated_at):
+        if age_s <= REPEAT_S and self._is_newer(runner, per_s, stated_at):
             self._record(runner, per_s, stated_at, source)
 
+    def _is_newer(
+        self, runner: RunnerKey, per_s: float | None, stated_at: float
+    ) -> bool:
+        """Return whether a reported statement is newer than the one that is known.
+
+        In doubt, a runner has a limit, and a statement is the known one, repeated.
+        """
+        known = self.by_runner.get(runner)
+        if known is None:
+            return True
+        is_doubtful = per_s is None or per_s == known.per_s
+        tolerance_s = REPORT_TOLERANCE_S if is_doubtful else 0.0
+        return stated_at > known.stated_at + tolerance_s
+
     def note_pause(self, runner: RunnerKey, pause_s: float) -> None:
         """Record that a runner wants no requests from this host for some seconds.
 
