Count attempts to reserve room against an engine's limit

Cause: an attempt was made whenever a request might be sent, and counted only once it had succeeded. Many generations tried at once for one place in the limit, and at a full engine each tried again every 80 ms.

A reservation that is granted and the generation that uses it count once.

--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -199,11 +199,13 @@
             is_late,
             excluded,
         ):
+            # An attempt that an engine in need refuses counts against its limit, too.
+            if not context.limits.take(runner.key):
+                continue
+            counted_at = monotonic()
             hold = await self._acquire_hold(runner)
-            if hold is not None and context.limits.take(runner.key):
-                return ReservedCapacity(runner, hold, monotonic())
             if hold is not None:
-                engine_calls.release_hold(context, runner, hold)
+                return ReservedCapacity(runner, hold, counted_at)
         return None
 
     def _usable_engines(self) -> list[Registration]:
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -186,6 +186,27 @@
         )
 
 
+async def test_attempts_to_reserve_at_full_engines_stay_within_their_limits(log_path):
+    headers = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
+    async with platform_world(log_path, hosts=HOSTS) as world:
+        decoding = [r for r in world.runners if r.stage == "decode"]
+        for runner in decoding:
+            runner.refuses_holds, runner.limit = True, str(LIMIT_PER_S)
+        started_at = time.monotonic()
+        tasks = []
+        for number in range(100):
+            call = world.send(
+                "/stream/x", "POST", f"g-{number}", b"p", number % HOSTS, headers
+            )
+            tasks.append(asyncio.create_task(call))
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*tasks)
+        for runner in decoding:
+            attempts = [at for at, _, path in runner.arrivals if path == "/hold-take"]
+            assert attempts
+            assert most_in_window(attempts, started_at + NOTICE_S) <= ALLOWED
+
+
 async def test_generations_reserved_before_a_limit_do_not_exceed_it(log_path):
     """A limit is stated while prompts of many reserved generations are prefilled."""
     limit_per_s = 1.0
