--- a/src/siskinlever/_internal/dispatch/runner_limits.py
+++ b/src/siskinlever/_internal/dispatch/runner_limits.py
@@ -49,8 +49,8 @@
 # Seconds after `RunnerLimits.take` within which the counted request must be sent. Later
 # ones would arrive together with those counted since.
 TAKEN_VALID_S = 1.0
-# The age of a statement grows less than the time, by as much as reports of it take from
-# host to host. A report replaces a limit only if it is newer by more than these seconds.
+# The age of a statement grows less than the time, by as much as reports of it take on
+# their way. A report replaces a limit only if it is newer by more than these seconds.
 REPORT_TOLERANCE_S = 1.0
 # Statements are repeated to other hosts for this many seconds, and those on the end of
 # a limit are then removed.
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -24,6 +24,9 @@
 # Requests in a window that a runner with `LIMIT_PER_S` takes.
 ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 HOSTS = 4
+# More than `serving_set.MAX_SMALL_FLEET`; three of them serve, since all are in a zone.
+LARGE_FLEET_HOSTS = 24
+LOW_LIMIT_PER_S = 1.0
 
 
 @pytest.fixture
@@ -63,6 +66,21 @@
             assert most_in_window(runner.received_at, since) <= ALLOWED
 
 
+async def test_hosts_of_a_large_fleet_exceed_the_limit_of_no_runner(log_path):
+    """More hosts than those that serve have callers."""
+    async with platform_world(log_path, hosts=LARGE_FLEET_HOSTS) as world:
+        await until(lambda: all(len(h.view.serving) < 14 for h in world.hosts), 10.0)
+        runners = [world.runner_named("p-1"), world.runner_named("p-2")]
+        for runner in runners:
+            runner.limit = str(LOW_LIMIT_PER_S)
+        started_at = time.monotonic()
+        await send_steadily(world, 60, 7.0)
+        for runner in runners:
+            since = started_at + NOTICE_S
+            allowed = 1.5 * LOW_LIMIT_PER_S * WINDOW_S + 5
+            assert most_in_window(runner.received_at, since) <= allowed
+
+
 async def test_request_beyond_the_limits_of_all_runners_is_refused_at_once(log_path):
     async with platform_world(log_path, hosts=HOSTS) as world:
         for name in ("p-1", "p-2"):
