Serve callers through another host when runners are lost

Cause: each host took a runner that it couldn't reach for down. Nothing asked whether others reach it, and nothing took a request there. Class: each host acts on its own view of what holds for all hosts.

Change: a connection to a runner that can't be opened in time, or is refused, is opened by another host that doesn't report the runner as unreachable, and its bytes are relayed as frames of a gRPC stream. All decisions, counts and the reading of the answer stay where the request is; the relaying host refuses runners that it knows are leaving or want a pause. Which runners are lost and who helps is dispatch/runner_paths.py, without a network. Orders are never relayed: engines tell holders apart by host.

Ruled out: leaving the lookup (callers keep addresses for seconds, and a whole zone may be cut), and sending whole requests on (a second copy of all decisions on limits, holds, retries and streams).

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -14,6 +14,7 @@
 from ..dispatch.plain_placement import PlainPlacement
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
+from ..dispatch.runner_paths import RunnerPaths
 from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.crash_reports import CrashReports
@@ -32,6 +33,8 @@
 from ..gateway.crash_detection import CrashDetection
 from ..gateway.crash_endpoints import CRASHES_PATH, LIFT_PATH, lift, list_crashes
 from ..gateway.endpoints import JSON_HEADERS, TEXT_HEADERS, Answer, connection_handler
+from ..gateway.relay_service import RelayService
+from ..gateway.runner_connections import is_down
 from ..gateway.session import Session
 from ..gateway.shutdown import Shutdown
 from ..logs.lines import STANDARD_OUTPUT, LogLines, log_lines
@@ -88,6 +91,7 @@
     sync: PeerSync
     load_updates: LoadUpdates
     crash_reports: CrashReports
+    relay_service: RelayService
     shutdown: Shutdown
     lease: OrderLease
     orders: StageOrders
@@ -123,6 +127,8 @@
             "NoteStream": host.context.stream_versions.serve_note,
             "FindStream": host.context.stream_versions.serve_find,
             "ExchangeCrashes": host.crash_reports.serve,
+            "Relay": host.relay_service.serve,
+            "NotePause": host.relay_service.note_pause,
         }
         await stack.enter_async_context(
             peer_server(listeners.peers, PEER_KEY, None, handlers)
@@ -209,6 +215,7 @@
     hosts = HostTable(settings.host, log)
     in_progress, demand = InProgress(), DemandMeter()
     switching, unreachable_runners = StageSwitches(), UnreachableRunners()
+    runner_paths = RunnerPaths(settings.zone)
     store = MetadataStore(settings.store.address, log)
     store_health = StoreHealth(log, metrics)
     incarnation = Incarnation(int(time.time() * MS_PER_S))
@@ -274,6 +281,7 @@
         demand,
         switching,
         unreachable_runners,
+        runner_paths,
         limits,
         crash_reports,
         follower,
@@ -295,11 +303,18 @@
         demand=demand,
         switching=switching,
         unreachable_runners=unreachable_runners,
+        runner_paths=runner_paths,
+        peers=links,
+        other_servers=lambda: _other_servers(view, hosts),
         retry_budget=budget,
         limits=limits,
         crash_causes=crash_reports.causes,
         crash_detection=CrashDetection(
-            crash_reports, runners, unreachable_runners, tasks
+            crash_reports,
+            runners,
+            unreachable_runners,
+            lambda runner: is_down(context, runner),
+            tasks,
         ),
         stream_versions=StreamVersions(
             settings.host, lambda: _other_servers(view, hosts), links, log, tasks
@@ -315,6 +330,7 @@
     )
     runners.on_removal(context.forget_runner)
     unreachable_runners.subscribe(sync.announce)
+    runner_paths.subscribe(sync.announce)
     limits.subscribe(sync.announce)
     lease = OrderLease(
         store,
@@ -333,6 +349,7 @@
         sync,
         load_updates,
         crash_reports,
+        RelayService(context, shutdown),
         shutdown,
         lease,
         orders,
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -249,6 +249,16 @@
             tokens += demand.decode_tokens
         return Demand(prompts, tokens)
 
+    def reports_unreachable(self, host: HostName, runner: RunnerKey) -> bool:
+        """Return whether a host reports a runner as unreachable."""
+        known = self.by_host.get(host)
+        return known is not None and runner in known.work.unreachable
+
+    def is_suspect(self, host: HostName) -> bool:
+        """Return whether a host did not answer the latest call."""
+        known = self.by_host.get(host)
+        return known is not None and known.is_suspect
+
     def is_reported_unreachable(self, runner: RunnerKey) -> bool:
         """Return whether another live host reports a runner as unreachable."""
         return any(runner in known.work.unreachable for known in self.alive())
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from ..dispatch.runner_limits import RunnerLimits
+from ..dispatch.runner_paths import RunnerPaths
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
 from ..models.upstreams import Address, RunnerKey
@@ -103,6 +104,7 @@
     switching : StageSwitches
         Stage changes that this host has ordered.
     unreachable_runners : UnreachableRunners
+    runner_paths : RunnerPaths
     limits : RunnerLimits
     crash_reports : CrashReports
     follower : StoreFollower
@@ -125,6 +127,7 @@
         demand: DemandMeter,
         switching: StageSwitches,
         unreachable_runners: UnreachableRunners,
+        runner_paths: RunnerPaths,
         limits: RunnerLimits,
         crash_reports: CrashReports,
         follower: StoreFollower,
@@ -142,6 +145,7 @@
         self._demand = demand
         self._switching = switching
         self._unreachable_runners = unreachable_runners
+        self._runner_paths = runner_paths
         self._limits = limits
         self._crash_reports = crash_reports
         self._follower = follower
@@ -421,7 +425,9 @@
             self._in_progress.load_by_runner,
             self._demand.by_service(),
             self._switching.by_runner(),
-            frozenset(self._unreachable_runners.unreachable()),
+            frozenset(
+                (*self._unreachable_runners.unreachable(), *self._runner_paths.lost())
+            ),
             self._in_progress.engine_changes,
         )
         return peer_pb2.FleetState(
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from ..dispatch.caller_waits import CallerWaitTracker
@@ -11,10 +12,11 @@
 from ..dispatch.reachability import Reachability
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
+from ..dispatch.runner_paths import Helper, RunnerPaths
 from ..dispatch.wait_queue import WaitQueue
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
-from ..fleet.hosts import HostTable, RunnerLoad, total_load
+from ..fleet.hosts import HostStatus, HostTable, RunnerLoad, total_load
 from ..fleet.in_progress import InProgress
 from ..fleet.runners import RunnerDirectory
 from ..fleet.stream_versions import StreamVersions
@@ -23,8 +25,9 @@
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
 from ..models.ids import ServiceName
-from ..models.upstreams import Registration, RunnerKey
+from ..models.upstreams import Registration, RunnerKey, RunnerStatement
 from ..network.http1_client import AnswerHead
+from ..peers.link import Peers
 from ..platform import wire
 from ..platform.statements import runner_statement
 from ..stages.switching import StageSwitches
@@ -47,6 +50,10 @@
     demand: DemandMeter
     switching: StageSwitches
     unreachable_runners: UnreachableRunners
+    runner_paths: RunnerPaths
+    peers: Peers
+    # Returns the other hosts that serve callers.
+    other_servers: Callable[[], list[HostStatus]]
     retry_budget: SharedRetryBudget
     limits: RunnerLimits
     crash_causes: CrashCauses
@@ -101,8 +108,8 @@
 
     def note_statements(
         self, runner: RunnerKey, head: AnswerHead, sent_at: float | None = None
-    ) -> None:
-        """Record what a runner states about itself in an answer.
+    ) -> RunnerStatement | None:
+        """Record and return what a runner states about itself in an answer.
 
         An answer of another runner, which may have its address, is ignored.
 
@@ -115,7 +122,7 @@
             limit in the answer doesn't end one.
         """
         if wire.is_other_runner(head, runner.name):
-            return
+            return None
         statement = runner_statement(head)
         for reason in statement.invalid:
             self.metrics.count("runner_statements_invalid")
@@ -136,9 +143,25 @@
         if statement.is_leaving:
             self.metrics.count("runner_leaving_answers")
             self.runners.mark_draining(runner.name, runner.started_at, "its answer")
+        return statement
+
+    def helpers_for(self, runner: RunnerKey) -> list[Helper]:
+        """Return the hosts to ask for a connection to a runner, best first."""
+        hosts = [
+            Helper(
+                status.host,
+                status.zone,
+                status.peers_address,
+                self.hosts.is_suspect(status.host),
+            )
+            for status in self.other_servers()
+            if not self.hosts.reports_unreachable(status.host, runner)
+        ]
+        return self.runner_paths.helpers(runner, hosts)
 
     def forget_runner(self, runner: RunnerKey) -> None:
         """Remove what is known of a process that is gone."""
+        self.runner_paths.forget(runner)
         self.plain_placement.forget(runner)
         for placement in self.placement_by_service.values():
             placement.forget(runner)
--- a/src/siskinlever/_internal/gateway/crash_detection.py
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Awaitable, Callable
 
 from ..dispatch.crash_evidence import SURVIVED_S, CrashedRun, crash_weight
 from ..fleet.crash_reports import CrashReports
@@ -16,7 +17,7 @@
 from ..fleet.unreachable_runners import UnreachableRunners
 from ..models.upstreams import Registration, RunnerKey
 from ..network.answer_end import AnswerEnd, Framing
-from ..network.http1_client import Exchange, refuses_connections
+from ..network.http1_client import Exchange
 from ..utils.clock import monotonic
 from ..utils.tasks import TaskSet
 from .job import Job
@@ -93,6 +94,8 @@
     reports : CrashReports
     runners : RunnerDirectory
     unreachable_runners : UnreachableRunners
+    is_down : coroutine function
+        Returns whether no process listens at the address of a runner.
     tasks : TaskSet
     """
 
@@ -101,11 +104,13 @@
         reports: CrashReports,
         runners: RunnerDirectory,
         unreachable_runners: UnreachableRunners,
+        is_down: Callable[[Registration], Awaitable[bool]],
         tasks: TaskSet,
     ) -> None:
         self._reports = reports
         self._runners = runners
         self._unreachable_runners = unreachable_runners
+        self._is_down = is_down
         self._tasks = tasks
         self._runs_by_runner: defaultdict[RunnerKey, list[CrashedRun]] = defaultdict(
             list
@@ -142,7 +147,7 @@
     async def _check(self, runner: Registration) -> None:
         broke_at = monotonic()
         await asyncio.sleep(CHECK_DELAY_S)
-        is_down = await refuses_connections(runner.address)
+        is_down = await self._is_down(runner)
         runs = self._runs_by_runner.pop(runner.key)
         if is_down:
             self._unreachable_runners.mark_unreachable(runner.key)
--- a/src/siskinlever/_internal/gateway/engine_calls.py
+++ b/src/siskinlever/_internal/gateway/engine_calls.py
@@ -100,7 +100,10 @@
     call = wire.stage_order_call(
         runner.address, runner.key.name, stage, host, fencing_token, orders_accepted
     )
-    head, _ = await fetch_from_runner(context, runner, call, ORDER_TIMEOUT_S)
+    # An engine tells the holders of orders apart by the hosts that send them.
+    head, _ = await fetch_from_runner(
+        context, runner, call, ORDER_TIMEOUT_S, may_relay=False
+    )
     return head.status
 
 
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -8,17 +8,20 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
-from ..exceptions import AnswerBrokenError, RunnerPausedError
-from ..models.upstreams import Registration
+from ..exceptions import AnswerBrokenError, PeerError, RunnerPausedError
+from ..fleet.messages import to_runner
+from ..models.upstreams import Registration, RunnerKey
 from ..network.answer_end import AnswerEnd, Verdict
 from ..network.http1_client import AnswerHead, Call, Exchange, exchange
+from ..peers import peer_pb2
 from ..platform import wire
-from ..utils.clock import monotonic
+from ..utils.clock import MS_PER_S, monotonic
 from .context import GatewayContext
 from .crash_detection import RunUnderWay
 from .job import Job
+from .runner_connections import RunnerConnection, open_connection, open_direct
 
 # Answers to calls of this host's own carry a few fields.
 MAX_ANSWER_BYTES = 1_048_576
@@ -55,15 +58,23 @@
         Raised when the runner wants no requests now; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
+    _check_pause(context, runner)
+    opened = await open_connection(context, runner, job.time_left_s)
+    if opened.helper is not None:
+        job.log_fields["relayed_by"] = opened.helper.host
     sent_at = monotonic()
-    async with _judged_exchange(context, runner, call, job) as answer:
+    async with _judged_exchange(context, runner, call, opened, job) as answer:
         if not wire.is_answer_to_other(answer.head, job.request):
-            context.note_statements(runner.key, answer.head, sent_at)
+            _note_statements(context, runner.key, opened, answer.head, sent_at)
         yield answer
 
 
 async def fetch_from_runner(
-    context: GatewayContext, runner: Registration, call: Call, timeout_s: float
+    context: GatewayContext,
+    runner: Registration,
+    call: Call,
+    timeout_s: float,
+    may_relay: bool = True,
 ) -> tuple[AnswerHead, bytes]:
     """Make a call of this host's own to a runner; return the whole answer.
 
@@ -77,6 +88,8 @@
     call : Call
     timeout_s : float
         Seconds until the whole answer must have arrived.
+    may_relay : bool, default=True
+        Whether another host may send it.
 
     Raises
     ------
@@ -84,10 +97,15 @@
         Raised when the runner wants no requests now; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
+    _check_pause(context, runner)
     try:
         async with asyncio.timeout(timeout_s):
-            async with _judged_exchange(context, runner, call) as answer:
-                context.note_statements(runner.key, answer.head)
+            if may_relay:
+                opened = await open_connection(context, runner, timeout_s)
+            else:
+                opened = await open_direct(context, runner)
+            async with _judged_exchange(context, runner, call, opened) as answer:
+                _note_statements(context, runner.key, opened, answer.head)
                 return answer.head, await answer.read(MAX_ANSWER_BYTES)
     except TimeoutError as error:
         message = f"no answer within {timeout_s:g} s"
@@ -96,12 +114,15 @@
 
 @asynccontextmanager
 async def _judged_exchange(
-    context: GatewayContext, runner: Registration, call: Call, job: Job | None = None
+    context: GatewayContext,
+    runner: Registration,
+    call: Call,
+    opened: RunnerConnection,
+    job: Job | None = None,
 ) -> AsyncIterator[Exchange]:
-    _check_pause(context, runner)
     fields: dict[str, str | int | float] = {}
     try:
-        async with exchange(runner.address, call) as answer:
+        async with exchange(opened.connection, call) as answer:
             began_at = monotonic()
             try:
                 yield answer
@@ -126,6 +147,32 @@
         raise
 
 
+def _note_statements(
+    context: GatewayContext,
+    runner: RunnerKey,
+    opened: RunnerConnection,
+    head: AnswerHead,
+    sent_at: float | None = None,
+) -> None:
+    """Record what a runner states, and tell the host of which it wants a pause."""
+    statement = context.note_statements(runner, head, sent_at)
+    if opened.helper is None or statement is None or statement.pause_s is None:
+        return
+    message = peer_pb2.RunnerPause(
+        runner=to_runner(runner), pause_ms=int(statement.pause_s * MS_PER_S)
+    )
+    telling = _tell_pause(context, opened.helper.peers_address, message)
+    context.tasks.start(telling, "tell-pause")
+
+
+async def _tell_pause(
+    context: GatewayContext, address: str, message: peer_pb2.RunnerPause
+) -> None:
+    # The link counts a failure. The other host then hears of the pause from the runner.
+    with suppress(PeerError):
+        await context.peers.call_address(address, "NotePause", message)
+
+
 def _count(context: GatewayContext, verdict: Verdict, end: AnswerEnd | None) -> None:
     context.metrics.count(
         "answers", verdict=verdict.value, end=end.value if end else "unknown"
--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -14,16 +14,12 @@
 
 import h11
 
-from ..exceptions import AnswerBrokenError, ConnectFailedError
+from ..exceptions import AnswerBrokenError
 from .answer_end import AnswerEnd, Framing, judge
-from .sockets import enable_transport_keepalive, split_address, was_reset
+from .connection import Connection, connect
 
 Header = tuple[bytes, bytes]
 
-READ_BYTES = 65_536
-# Hosts are 1 ms apart. The kernel retransmits a lost SYN only after 1 s, so opening
-# another connection is faster.
-CONNECT_TIMEOUT_S = 0.2
 # Larger than the limit for callers' headers, since runners add a few headers.
 MAX_ANSWER_HEAD_BYTES = 65_536
 # Seconds from the first byte of a head to its end.
@@ -130,13 +126,11 @@
     def __init__(
         self,
         parser: h11.Connection,
-        reader: asyncio.StreamReader,
-        transport: asyncio.BaseTransport,
+        connection: Connection,
         method: bytes,
     ) -> None:
         self._parser = parser
-        self._reader = reader
-        self._transport = transport
+        self._connection = connection
         self._method = method
         self._head_ends_at: float | None = None
         self.framing: Framing | None = None
@@ -168,7 +162,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self._read()
-            if not data and was_reset(self._transport):
+            if not data and self._connection.was_reset():
                 raise self._broken(AnswerEnd.RESET, "connection reset")
             self._parser.receive_data(data)
 
@@ -182,12 +176,12 @@
     def _end_of(self, error: h11.RemoteProtocolError) -> AnswerEnd:
         if error.error_status_hint == HEADERS_TOO_LARGE:
             return AnswerEnd.OVERSIZED
-        return AnswerEnd.CLOSED if self._reader.at_eof() else AnswerEnd.MALFORMED
+        return AnswerEnd.CLOSED if self._connection.at_eof() else AnswerEnd.MALFORMED
 
     async def _read(self) -> bytes:
         try:
             async with asyncio.timeout_at(self._head_deadline()):
-                return await self._reader.read(READ_BYTES)
+                return await self._connection.read()
         except TimeoutError as error:
             message = f"the head took longer than {HEAD_TIMEOUT_S:g} s"
             raise self._broken(AnswerEnd.SILENT, message) from error
@@ -221,7 +215,7 @@
 
 
 @asynccontextmanager
-async def exchange(address: str, call: Call) -> AsyncIterator[Exchange]:
+async def exchange(connection: Connection, call: Call) -> AsyncIterator[Exchange]:
     """Send a call on a new connection.
 
     When the block ends, the connection is closed, or reset if the call is still
@@ -229,26 +223,23 @@
 
     Raises
     ------
-    ConnectFailedError
-        The connection could not be opened, so nothing was sent.
     AnswerBrokenError
         The call was sent, at least in part, and has no complete answer.
     """
-    reader, writer = await _connect(address)
     drain_task = None
     try:
         parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
         )
-        writer.write(_serialize(parser, call))
+        connection.write(_serialize(parser, call))
         # The server may answer before it has read the whole body.
-        drain_task = asyncio.ensure_future(_drain(writer))
-        answer = _AnswerReader(parser, reader, writer.transport, call.method)
+        drain_task = asyncio.ensure_future(_drain(connection))
+        answer = _AnswerReader(parser, connection, call.method)
         yield Exchange(await answer.head(), answer)
     finally:
         if drain_task is not None:
             drain_task.cancel()
-        writer.transport.abort() if _is_unfinished(drain_task) else writer.close()
+        connection.abort() if _is_unfinished(drain_task) else connection.close()
 
 
 async def fetch(
@@ -275,39 +266,13 @@
     """
     try:
         async with asyncio.timeout(timeout_s):
-            async with exchange(address, call) as answer:
+            async with exchange(await connect(address), call) as answer:
                 return answer.head, await answer.read(limit_bytes)
     except TimeoutError as error:
         message = f"no answer within {timeout_s:g} s"
         raise AnswerBrokenError(message, end=AnswerEnd.SILENT) from error
 
 
-async def refuses_connections(address: str) -> bool:
-    """Return whether no process listens at an address that can be reached."""
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(*split_address(address))
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
-
-
-async def _connect(
-    address: str,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    host, port = split_address(address)
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
-    except (OSError, TimeoutError) as error:
-        raise ConnectFailedError(f"no connection to {address}: {error!r}") from error
-    enable_transport_keepalive(writer.transport)
-    return reader, writer
-
-
 def _serialize(parser: h11.Connection, call: Call) -> bytes:
     headers = list(call.headers)
     if call.body or call.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -320,9 +285,9 @@
     return b"".join(part for part in parts if part)
 
 
-async def _drain(writer: asyncio.StreamWriter) -> None:
+async def _drain(connection: Connection) -> None:
     with suppress(OSError):
-        await writer.drain()
+        await connection.drain()
 
 
 def _is_unfinished(drain_task: asyncio.Future[None] | None) -> bool:
--- a/src/siskinlever/_internal/peers/link.py
+++ b/src/siskinlever/_internal/peers/link.py
@@ -1,4 +1,4 @@
-"""Calls to peers over one HTTP/2 connection each, replaced when it is unresponsive."""
+"""Calls to peers over HTTP/2 connections, replaced when they are unresponsive."""
 
 from __future__ import annotations
 
@@ -16,7 +16,8 @@
 from ..models.ids import HostName
 from ..network.sockets import split_address
 from ..utils.clock import monotonic
-from . import peer_grpc
+from . import peer_grpc, peer_pb2
+from .relayed import RelayChannel, RelayedConnection
 
 CALL_TIMEOUT_S = 0.5
 MAX_TRIES = 2
@@ -48,6 +49,7 @@
         self._tls = tls
         self._metrics = metrics
         self._channel: Channel | None = None
+        self._relays = RelayChannel(address, key, tls)
         self._last_answered_at = 0.0
 
     async def call(
@@ -99,6 +101,18 @@
         self._metrics.count("peer_calls_failed", rpc=rpc)
         raise PeerError(f"{rpc} at {self.address}: {cause!r}") from cause
 
+    async def open_relay(
+        self, request: peer_pb2.RelayOpen, timeout_s: float
+    ) -> RelayedConnection:
+        """Let the peer open a connection to a runner; raises `PeerError`."""
+        self._metrics.count("peer_calls", rpc="Relay")
+        try:
+            return await self._relays.open(request, timeout_s)
+        except PeerError as error:
+            self._metrics.count("peer_calls_failed", rpc="Relay")
+            error.message = f"{self.address}: {error.message}"
+            raise
+
     async def _call_once(
         self, channel: Channel, rpc: str, message: Any, timeout_s: float
     ) -> Any:
@@ -134,7 +148,8 @@
         self._channel = None
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connections."""
+        self._relays.close()
         channel, self._channel = self._channel, None
         if channel is not None:
             channel.close()
@@ -195,11 +210,20 @@
         tries: int = MAX_TRIES,
     ) -> Any:
         """Call a peer by its address; raises `PeerError`."""
+        return await self._link(address).call(rpc, message, timeout_s, tries)
+
+    async def open_relay(
+        self, address: str, request: peer_pb2.RelayOpen, timeout_s: float
+    ) -> RelayedConnection:
+        """Let the peer at an address open a connection; raises `PeerError`."""
+        return await self._link(address).open_relay(request, timeout_s)
+
+    def _link(self, address: str) -> PeerLink:
         link = self._link_by_address.get(address)
         if link is None:
             link = PeerLink(address, self._key, self._tls, self._metrics)
             self._link_by_address[address] = link
-        return await link.call(rpc, message, timeout_s, tries)
+        return link
 
     def forget(self, host: HostName) -> None:
         """Close the link to a host that is dead or whose address has changed."""
--- a/src/siskinlever/_internal/peers/peer_grpc.py
+++ b/src/siskinlever/_internal/peers/peer_grpc.py
@@ -90,6 +90,14 @@
     async def FetchFleetDocuments(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.FleetDocumentsRequest, siskinlever._internal.peers.peer_pb2.FleetDocuments]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Relay(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.RelayFrame, siskinlever._internal.peers.peer_pb2.RelayFrame]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def NotePause(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.RunnerPause, siskinlever._internal.peers.peer_pb2.Nothing]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/siskinlever.peers.Peer/Exchange': grpclib.const.Handler(
@@ -206,6 +214,18 @@
                 siskinlever._internal.peers.peer_pb2.FleetDocumentsRequest,
                 siskinlever._internal.peers.peer_pb2.FleetDocuments,
             ),
+            '/siskinlever.peers.Peer/Relay': grpclib.const.Handler(
+                self.Relay,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                siskinlever._internal.peers.peer_pb2.RelayFrame,
+                siskinlever._internal.peers.peer_pb2.RelayFrame,
+            ),
+            '/siskinlever.peers.Peer/NotePause': grpclib.const.Handler(
+                self.NotePause,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.RunnerPause,
+                siskinlever._internal.peers.peer_pb2.Nothing,
+            ),
         }
 
 
@@ -326,3 +346,15 @@
             siskinlever._internal.peers.peer_pb2.FleetDocumentsRequest,
             siskinlever._internal.peers.peer_pb2.FleetDocuments,
         )
+        self.Relay = grpclib.client.StreamStreamMethod(
+            channel,
+            '/siskinlever.peers.Peer/Relay',
+            siskinlever._internal.peers.peer_pb2.RelayFrame,
+            siskinlever._internal.peers.peer_pb2.RelayFrame,
+        )
+        self.NotePause = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/NotePause',
+            siskinlever._internal.peers.peer_pb2.RunnerPause,
+            siskinlever._internal.peers.peer_pb2.Nothing,
+        )
--- a/src/siskinlever/_internal/peers/server.py
+++ b/src/siskinlever/_internal/peers/server.py
@@ -17,6 +17,8 @@
 from . import peer_grpc
 
 Handler = Callable[[Any], Awaitable[Any]]
+# Methods whose handlers get the stream of the call in place of its message.
+STREAMING_RPCS = frozenset({"Relay"})
 
 
 class PeerService(peer_grpc.PeerBase):
@@ -26,12 +28,15 @@
         self._handler_by_rpc = handler_by_rpc
 
     async def _serve(self, rpc: str, stream: Any) -> None:
-        message = await stream.recv_message()
-        if message is None:
-            raise GRPCError(Status.INVALID_ARGUMENT, "the message is missing")
         handler = self._handler_by_rpc.get(rpc)
         if handler is None:
             raise GRPCError(Status.UNIMPLEMENTED, rpc)
+        if rpc in STREAMING_RPCS:
+            await handler(stream)
+            return
+        message = await stream.recv_message()
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "the message is missing")
         await stream.send_message(await handler(message))
 
 
--- a/tests/lib/cuts.py
+++ b/tests/lib/cuts.py
@@ -7,13 +7,28 @@
 from contextlib import ExitStack, contextmanager
 from dataclasses import replace
 from enum import Enum
+from unittest.mock import patch
 
 from lib.platform_world import World
+from siskinlever._internal.network import connection
+from siskinlever._internal.network.sockets import split_address
 
 # Connections that fill the queue of a socket that listens with a backlog of 0.
 QUEUE_LENGTH = 4
 
 
+class CutAddress(str):
+    """The address of a runner that the host which connects to it can't reach."""
+
+    dead = ""
+
+
+def connected_address(address: str) -> tuple[str, int]:
+    """Return the host and port at which to connect, as `split_address`."""
+    is_cut = isinstance(address, CutAddress)
+    return split_address(address.dead if is_cut else address)
+
+
 class Cut(Enum):
     """What becomes of a new connection to a runner."""
 
@@ -37,7 +52,12 @@
         ]
         reached = [runner.registration.address for runner in known]
         for runner in known:
-            runner.registration = replace(runner.registration, address=address)
+            cut_address = CutAddress(runner.registration.address)
+            cut_address.dead = address
+            runner.registration = replace(runner.registration, address=cut_address)
+        stack.enter_context(
+            patch.object(connection, "split_address", connected_address)
+        )
         yield
         for runner, before in zip(known, reached, strict=True):
             runner.registration = replace(runner.registration, address=before)
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -5,11 +5,13 @@
 import asyncio
 import socket
 import struct
+from unittest.mock import Mock
 
 import h11
 import pytest
 
 from siskinlever._internal.exceptions import AnswerBrokenError
+from siskinlever._internal.network.connection import TcpConnection
 from siskinlever._internal.network.http1_client import _AnswerReader
 from siskinlever._internal.network.sockets import was_reset
 
@@ -68,7 +70,8 @@
     parser = h11.Connection(h11.CLIENT)
     parser.send(h11.Request(method="GET", target="/", headers=[("Host", "h")]))
     parser.send(h11.EndOfMessage())
-    answer = _AnswerReader(parser, stream, Transport(near), b"GET")
+    connection = TcpConnection(stream, Mock(transport=Transport(near)))
+    answer = _AnswerReader(parser, connection, b"GET")
     assert (await answer.head()).status == 200
     assert bytes((await answer.next_event()).data) == b"part of a body"
     if reset:
