Leave room for a request's own trait among those of its prompt's parts

Cause: a prompt of 64 or more shared parts has 65 traits, of which another host takes 64: the last, which is the request's own, was dropped, so that hosts disagreed for good and the request was known only where it had crashed its runner.

--- a/src/siskinlever/_internal/models/traits.py
+++ b/src/siskinlever/_internal/models/traits.py
@@ -18,14 +18,14 @@
 
 PART, REQUEST = "part", "request"
 DIGEST_BYTES = 8
-# Further parts of a prompt are not looked at.
+# Traits of one request, its own included. Further parts of a prompt are not looked at.
 MAX_TRAITS = 64
 
 
 def part_traits(service: ServiceName, parts: Iterable[str]) -> tuple[Trait, ...]:
     """Return the traits of the first parts of a prompt for a service."""
     return tuple(
-        _trait(PART, service, part.encode()) for part in islice(parts, MAX_TRAITS)
+        _trait(PART, service, part.encode()) for part in islice(parts, MAX_TRAITS - 1)
     )
 
 
