--- a/src/siskinlever/_internal/gateway/runner_connections.py
+++ b/src/siskinlever/_internal/gateway/runner_connections.py
@@ -23,8 +23,9 @@
 # Seconds after which another host is asked while a direct connection is being opened.
 # Hosts are 1 ms apart.
 RELAY_DELAY_S = 0.1
-# Seconds that a helper may take, which itself waits for `connection.CONNECT_TIMEOUT_S`.
-HELPER_TIMEOUT_S = 0.5
+# Seconds that all helpers together may take. One that doesn't reach the runner either
+# takes `connection.CONNECT_TIMEOUT_S`, so that there is time for the next.
+HELPERS_TIMEOUT_S = 0.35
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +84,7 @@
     if not await refuses_connections(runner.address):
         return False
     try:
-        opened = await _open_relayed(context, runner, HELPER_TIMEOUT_S)
+        opened = await _open_relayed(context, runner, HELPERS_TIMEOUT_S)
     except ConnectFailedError:
         return True
     opened.connection.abort()
@@ -140,19 +141,21 @@
         runner=to_runner(runner.key), lifetime_ms=max(1, int(lifetime_s * MS_PER_S))
     )
     reasons = []
-    for helper in context.helpers_for(runner.key):
-        try:
-            connection = await context.peers.open_relay(
-                helper.peers_address, request, HELPER_TIMEOUT_S
-            )
-        except PeerError as error:
-            context.runner_paths.note_helper_failed(helper.host, runner.key)
-            context.metrics.count("relays", outcome="failed")
-            reasons.append(f"{helper.host}: {error.message}")
-            continue
-        context.metrics.count("relays", outcome="opened")
-        return RunnerConnection(connection, helper)
-    message = "; ".join(reasons) or "no other host reaches it"
+    with suppress(TimeoutError):
+        async with asyncio.timeout(HELPERS_TIMEOUT_S):
+            for helper in context.helpers_for(runner.key):
+                try:
+                    connection = await context.peers.open_relay(
+                        helper.peers_address, request, HELPERS_TIMEOUT_S
+                    )
+                except PeerError as error:
+                    context.runner_paths.note_helper_failed(helper.host, runner.key)
+                    reasons.append(f"{helper.host}: {error.message}")
+                    continue
+                context.metrics.count("relays", outcome="opened")
+                return RunnerConnection(connection, helper)
+    context.metrics.count("relays", outcome="failed")
+    message = "; ".join(reasons) or "no other host reaches it in time"
     raise ConnectFailedError(f"no connection to {runner.address}: {message}")
 
 
--- a/src/siskinlever/_internal/peers/relayed.py
+++ b/src/siskinlever/_internal/peers/relayed.py
@@ -237,7 +237,8 @@
             await connection.open(timeout_s)
         except RelayRefusedError:
             raise
-        except PeerError:
+        except BaseException:
+            # Also if the caller has given up.
             if self._channel is channel:
                 self._channel = None
             raise
