--- a/src/siskinlever/_internal/dispatch/runner_paths.py
+++ b/src/siskinlever/_internal/dispatch/runner_paths.py
@@ -131,23 +131,25 @@
         """
         candidates = list(hosts)
         random.shuffle(candidates)
-
-        def cost(helper: Helper, other_than: ZoneName | None) -> tuple[bool, ...]:
-            has_failed = self._has_failed(helper, runner)
-            is_own_zone = helper.zone == self._own_zone
-            is_preferred = (
-                is_own_zone if other_than is None else helper.zone != other_than
+        candidates.sort(
+            key=lambda helper: (
+                *self._doubts(helper, runner),
+                helper.zone != self._own_zone,
             )
-            return (has_failed, helper.is_suspect, not is_preferred)
-
-        candidates.sort(key=lambda helper: cost(helper, None))
+        )
         first, others = candidates[:1], candidates[1:]
-        others.sort(key=lambda helper: cost(helper, first[0].zone))
+        others.sort(
+            key=lambda helper: (
+                *self._doubts(helper, runner),
+                helper.zone == first[0].zone,
+            )
+        )
         return (first + others)[:MAX_HELPERS]
 
-    def _has_failed(self, helper: Helper, runner: RunnerKey) -> bool:
+    def _doubts(self, helper: Helper, runner: RunnerKey) -> tuple[bool, bool]:
+        """Return whether a host has failed to help, and whether it may be lost."""
         failed_at = self._failed_at_by_helper.get((helper.host, runner), -math.inf)
-        return self._now() - failed_at < FAILED_HELPER_S
+        return self._now() - failed_at < FAILED_HELPER_S, helper.is_suspect
 
     def forget(self, runner: RunnerKey) -> None:
         """Remove what is known of a process that is gone."""
--- a/src/siskinlever/_internal/gateway/runner_connections.py
+++ b/src/siskinlever/_internal/gateway/runner_connections.py
@@ -23,9 +23,29 @@
 # Seconds after which another host is asked while a direct connection is being opened.
 # Hosts are 1 ms apart.
 RELAY_DELAY_S = 0.1
-# Seconds that all helpers together may take. One that doesn't reach the runner either
-# takes `connection.CONNECT_TIMEOUT_S`, so that there is time for the next.
-HELPERS_TIMEOUT_S = 0.35
+
+
+@dataclass(frozen=True, slots=True)
+class HelperTimeouts:
+    """Seconds that helpers may take to open a connection.
+
+    Each waits for `connection.CONNECT_TIMEOUT_S` itself.
+
+    Parameters
+    ----------
+    each_s : float
+    all_s : float
+        For the helpers that are asked one after the other.
+    """
+
+    each_s: float
+    all_s: float
+
+
+# While it isn't known whether the runner is down, in which case others may serve.
+SHORT_TIMEOUTS = HelperTimeouts(each_s=0.25, all_s=0.35)
+# For a runner that is lost, so that direct connections have little chance.
+LONG_TIMEOUTS = HelperTimeouts(each_s=0.5, all_s=1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +91,7 @@
     if context.runner_paths.claim_trial(runner.key):
         context.tasks.start(_try_direct(context, runner), "try-runner")
     try:
-        return await _open_relayed(context, runner, lifetime_s)
+        return await _open_relayed(context, runner, lifetime_s, LONG_TIMEOUTS)
     except ConnectFailedError:
         return await open_direct(context, runner)
 
@@ -84,7 +104,9 @@
     if not await refuses_connections(runner.address):
         return False
     try:
-        opened = await _open_relayed(context, runner, HELPERS_TIMEOUT_S)
+        opened = await _open_relayed(
+            context, runner, SHORT_TIMEOUTS.all_s, SHORT_TIMEOUTS
+        )
     except ConnectFailedError:
         return True
     opened.connection.abort()
@@ -102,7 +124,9 @@
     try:
         await asyncio.wait({direct}, timeout=RELAY_DELAY_S)
         if not _has_succeeded(direct):
-            relayed = asyncio.ensure_future(_open_relayed(context, runner, lifetime_s))
+            relayed = asyncio.ensure_future(
+                _open_relayed(context, runner, lifetime_s, SHORT_TIMEOUTS)
+            )
             tasks.append(relayed)
             await _wait_for_success(tasks)
             if _has_succeeded(relayed) and not _has_succeeded(direct):
@@ -135,18 +159,21 @@
 
 
 async def _open_relayed(
-    context: GatewayContext, runner: Registration, lifetime_s: float
+    context: GatewayContext,
+    runner: Registration,
+    lifetime_s: float,
+    timeouts: HelperTimeouts,
 ) -> RunnerConnection:
     request = peer_pb2.RelayOpen(
         runner=to_runner(runner.key), lifetime_ms=max(1, int(lifetime_s * MS_PER_S))
     )
     reasons = []
     with suppress(TimeoutError):
-        async with asyncio.timeout(HELPERS_TIMEOUT_S):
+        async with asyncio.timeout(timeouts.all_s):
             for helper in context.helpers_for(runner.key):
                 try:
                     connection = await context.peers.open_relay(
-                        helper.peers_address, request, HELPERS_TIMEOUT_S
+                        helper.peers_address, request, timeouts.each_s
                     )
                 except PeerError as error:
                     context.runner_paths.note_helper_failed(helper.host, runner.key)
--- a/tests/functional/test_lost_runners.py
+++ b/tests/functional/test_lost_runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 from lib.cuts import Cut, cut_off
@@ -115,9 +116,12 @@
             task = asyncio.create_task(call)
             await until(lambda: run_count(world, "left") == 1)
             await asyncio.sleep(0.2)
+            left_at = time.time()
             task.cancel()
-            cancelled = lambda: any("left" in r.cancelled for r in world.runners)
-            await until(cancelled, 0.5)
+            await until(lambda: any("left" in r.cancelled for r in world.runners))
+            took_s = time.time() - left_at
+        (gone,) = world.lines("request.caller_gone")
+        assert took_s <= 0.5, f"this host heard of it after {gone['time'] - left_at} s"
 
 
 async def test_request_that_was_passed_on_is_not_sent_again(log_path):
