--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -59,10 +59,12 @@
     ConnectFailedError, AnswerBrokenError
     """
     _check_pause(context, runner)
+    began_at = monotonic()
     opened = await open_connection(context, runner, job.time_left_s)
     if opened.helper is not None:
         job.log_fields["relayed_by"] = opened.helper.host
     sent_at = monotonic()
+    call = wire.with_less_time(call, sent_at - began_at)
     async with _judged_exchange(context, runner, call, opened, job) as answer:
         if not wire.is_answer_to_other(answer.head, job.request):
             _note_statements(context, runner.key, opened, answer.head, sent_at)
@@ -121,6 +123,12 @@
     job: Job | None = None,
 ) -> AsyncIterator[Exchange]:
     fields: dict[str, str | int | float] = {}
+    try:
+        # Another answer may have asked for a pause while the connection was opened.
+        _check_pause(context, runner)
+    except RunnerPausedError:
+        opened.connection.close()
+        raise
     try:
         async with exchange(opened.connection, call) as answer:
             began_at = monotonic()
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -8,7 +8,7 @@
 import json
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -223,6 +223,19 @@
     return Call(request.method, request.target, headers, request.body)
 
 
+def with_less_time(call: Call, seconds: float) -> Call:
+    """Return a call whose runner may take less time, after a delay before its send."""
+    headers = [
+        (name, _less_time(value, seconds) if name.lower() == TIME_LEFT else value)
+        for name, value in call.headers
+    ]
+    return replace(call, headers=headers)
+
+
+def _less_time(value: bytes, seconds: float) -> bytes:
+    return str(max(1, int(value) - int(seconds * MS_PER_S))).encode()
+
+
 def _option_headers(options: SendOptions) -> list[Header]:
     values: list[tuple[bytes, str | None]] = [
         (b"Expected-Instance", options.runner.name),
