Bound what a relaying host keeps of a request, and drop an unused field

RelayOpened.unreachable was sent and read by nobody but a test; the reason says the same. abort() repeated close().

--- a/src/siskinlever/_internal/gateway/relay_service.py
+++ b/src/siskinlever/_internal/gateway/relay_service.py
@@ -64,7 +64,7 @@
                 connection = (await open_direct(self._context, registration)).connection
                 opened.opened = True
             except ConnectFailedError as error:
-                opened.reason, opened.unreachable = error.message, True
+                opened.reason = error.message
         self._context.metrics.count("relays_served", opened=str(opened.opened))
         if connection is None:
             await stream.send_message(peer_pb2.RelayFrame(opened=opened))
--- a/src/siskinlever/_internal/peers/relayed.py
+++ b/src/siskinlever/_internal/peers/relayed.py
@@ -24,25 +24,15 @@
 FRAME_BYTES = 65_536
 # Frames that have arrived and were not read; the peer sends no more meanwhile.
 MAX_UNREAD_FRAMES = 2
-# Bytes of one relayed connection, and of all to a peer, that it sends ahead.
-CONFIGURATION = Configuration(
+# Bytes of one call, and of all on an HTTP/2 connection, that are sent ahead of their
+# reader. A relayed connection whose reader is slow keeps no more in memory.
+FLOW_CONTROL = Configuration(
     http2_stream_window_size=FRAME_BYTES, http2_connection_window_size=16_777_216
 )
 
 
 class RelayRefusedError(PeerError):
-    """Raised when a peer doesn't open a connection; nothing was sent to the runner.
-
-    Parameters
-    ----------
-    message : str
-    is_unreachable : bool
-        Whether the peer could not reach the runner itself.
-    """
-
-    def __init__(self, message: str, is_unreachable: bool) -> None:
-        super().__init__(message)
-        self.is_unreachable = is_unreachable
+    """Raised when a peer doesn't open a connection; nothing was sent to the runner."""
 
 
 class RelayedConnection:
@@ -131,9 +121,7 @@
         """End the call; the peer then closes its connection to the runner."""
         self._task.cancel()
 
-    def abort(self) -> None:
-        """End the call; the peer then closes its connection to the runner."""
-        self._task.cancel()
+    abort = close
 
     async def _wait_for_change(self) -> None:
         self._changed.clear()
@@ -172,9 +160,9 @@
     async def _await_opened(self, stream: Any) -> None:
         frame = await stream.recv_message()
         if frame is None:
-            raise RelayRefusedError("the peer gave no answer", is_unreachable=False)
+            raise RelayRefusedError("the peer gave no answer")
         if not frame.opened.opened:
-            raise RelayRefusedError(frame.opened.reason, frame.opened.unreachable)
+            raise RelayRefusedError(frame.opened.reason)
         if not self._opened.done():
             self._opened.set_result(None)
 
@@ -228,7 +216,7 @@
         """
         if self._channel is None:
             host, port = split_address(self._address)
-            self._channel = Channel(host, port, ssl=self._tls, config=CONFIGURATION)
+            self._channel = Channel(host, port, ssl=self._tls, config=FLOW_CONTROL)
         channel = self._channel
         connection = RelayedConnection(channel, self._metadata, request)
         self._connections_by_channel[channel] += 1
--- a/src/siskinlever/_internal/peers/server.py
+++ b/src/siskinlever/_internal/peers/server.py
@@ -15,6 +15,7 @@
 
 from ..network.sockets import split_address
 from . import peer_grpc
+from .relayed import FLOW_CONTROL
 
 Handler = Callable[[Any], Awaitable[Any]]
 # Methods whose handlers get the stream of the call in place of its message.
@@ -71,7 +72,7 @@
         Handlers by method name.
     """
     service: Any = PeerService  # mypy does not see the methods set by setattr.
-    server = Server([service(handler_by_rpc)])
+    server = Server([service(handler_by_rpc)], config=FLOW_CONTROL)
     expected = f"Bearer {key}"
 
     async def check_key(event: RecvRequest) -> None:
