Count only the loads of the version that the scenario declares

Traced on: run first in its file, it declares v5 while the loads of the fleet's first declaration, v0, still run; each takes its second and is counted. No two loads of a pool overlapped.

Change: the scenario waits until the version before is loaded everywhere. The check is as it was: six facts, one load at a time.

--- a/tests/functional/test_configuration.py
+++ b/tests/functional/test_configuration.py
@@ -189,6 +189,8 @@
 
 @given("loading takes 1 s")
 def _(world):
+    # Otherwise the loads of the version before count as well.
+    world.run(world.until(lambda: world.all_have(world.version), 25))
     for runners in world.fleet.runners_by_pool.values():
         for runner in runners:
             world.run(world.fleet.set_faults(runner["name"], load_time_s=1))
