Test what a relaying host refuses, bounds and reports

Each mechanism of docs/design/lost-runners.md was to have a test that fails without it; refusals, the lifetime, one hop, the reports of lost runners, the longer times, the early second way and the replacement of an HTTP/2 connection had none. A generation that a limit holds back was not tested to come back to its engine either.

Shares the set-up of the tests (lost_world, begin_generations); names two tests for what they check. No check is eased: the stream's test also waits for the engines to be free.

--- a/tests/functional/test_lost_runners.py
+++ b/tests/functional/test_lost_runners.py
@@ -4,21 +4,26 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 from lib.cuts import Cut, cut_off
-from lib.platform_world import event_text, platform_world, run_count, until
+from lib.platform_world import World, event_text, platform_world, run_count, until
 
 from siskinlever._internal.exceptions import ConnectFailedError
+from siskinlever._internal.fleet.messages import to_runner
+from siskinlever._internal.gateway import relay_service, runner_connections
 from siskinlever._internal.gateway.engine_calls import order_stage
 from siskinlever._internal.models.upstreams import Stage
+from siskinlever._internal.network import connection
+from siskinlever._internal.peers.peer_pb2 import RelayOpen
+from siskinlever._internal.peers.relayed import RelayRefusedError
 from siskinlever_testbed.standins.platform.runner_answers import RunnerFault
 
 HOSTS = 4
-# Callers at hosts that were cut off are served at least this much as often as others,
-# from this many seconds after the cut on.
+# Callers at hosts that were cut off are served at least this much as often as others.
 LEAST_SHARE = 0.9
-NOTICE_S = 1.0
 # Runners that a host tries at least: both plain ones, and an engine of each stage.
 LEAST_LOST = 4
 # Seconds between two plain requests to a host; all hosts share one event loop.
@@ -77,6 +82,15 @@
     raise AssertionError(f"lost only {context.runner_paths.lost()}")
 
 
+@asynccontextmanager
+async def lost_world(log_path, hosts: int = 2) -> AsyncIterator[World]:
+    """Run hosts of which the first knows that it has lost all runners."""
+    async with platform_world(log_path, hosts=hosts) as world:
+        with cut_off(world, [0], Cut.REFUSED):
+            await lose_runners(world, 0)
+            yield world
+
+
 async def test_host_is_back_on_its_own_links_when_they_work_again(log_path):
     async with platform_world(log_path, hosts=2) as world:
         paths = world.hosts[0].context.runner_paths
@@ -92,45 +106,38 @@
         assert "relayed_by" not in ended[0]
 
 
-async def test_stream_through_another_host_is_whole_and_its_end_frees_the_engine(
-    log_path,
-):
-    async with platform_world(log_path, hosts=2) as world:
-        with cut_off(world, [0], Cut.REFUSED):
-            await lose_runners(world, 0)
-            answer = await world.send(
-                "/stream/x", "POST", "whole", b"p", headers=STREAM
-            )
+async def test_stream_through_another_host_is_whole_and_leaves_nothing_behind(log_path):
+    async with lost_world(log_path) as world:
+        answer = await world.send("/stream/x", "POST", "whole", b"p", headers=STREAM)
         assert answer.complete
         assert answer.body.decode() == "".join(map(event_text, range(1, 11)))
         assert run_count(world, "whole") == 1
+        helper = world.hosts[1]
+        await until(lambda: not any(r.running or r.held_by_id for r in world.runners))
+        await until(lambda: not helper.shutdown.requests)
 
 
 async def test_caller_that_leaves_ends_its_run_behind_another_host(log_path):
     long_stream = STREAM | {"Token-Usage": "100,7000", "Length-Hint": "7000"}
-    async with platform_world(log_path, hosts=2) as world:
-        with cut_off(world, [0], Cut.REFUSED):
-            await lose_runners(world, 0)
-            call = world.send("/stream/x", "POST", "left", b"p", headers=long_stream)
-            task = asyncio.create_task(call)
-            await until(lambda: run_count(world, "left") == 1)
-            await asyncio.sleep(0.2)
-            left_at = time.time()
-            task.cancel()
-            await until(lambda: any("left" in r.cancelled for r in world.runners))
-            took_s = time.time() - left_at
+    async with lost_world(log_path) as world:
+        call = world.send("/stream/x", "POST", "left", b"p", headers=long_stream)
+        task = asyncio.create_task(call)
+        await until(lambda: run_count(world, "left") == 1)
+        await asyncio.sleep(0.2)
+        left_at = time.time()
+        task.cancel()
+        await until(lambda: any("left" in r.cancelled for r in world.runners))
+        took_s = time.time() - left_at
         (gone,) = world.lines("request.caller_gone")
         assert took_s <= 0.5, f"this host heard of it after {gone['time'] - left_at} s"
 
 
 async def test_request_that_was_passed_on_is_not_sent_again(log_path):
     """The runner resets the connection to the host that relays it."""
-    async with platform_world(log_path, hosts=2) as world:
-        with cut_off(world, [0], Cut.REFUSED):
-            await lose_runners(world, 0)
-            for runner in world.runners:
-                runner.fault = RunnerFault.RESET_AFTER_RUN
-            answer = await world.send("/once/x", identifier="once")
+    async with lost_world(log_path) as world:
+        for runner in world.runners:
+            runner.fault = RunnerFault.RESET_AFTER_RUN
+        answer = await world.send("/once/x", identifier="once")
         assert answer.status == 502
         assert run_count(world, "once") == 1
 
@@ -138,26 +145,20 @@
 async def test_answer_without_a_length_that_is_reset_behind_a_host_is_not_whole(
     log_path,
 ):
-    async with platform_world(log_path, hosts=2) as world:
-        with cut_off(world, [0], Cut.REFUSED):
-            await lose_runners(world, 0)
-            for runner in world.runners:
-                runner.fault = RunnerFault.UNFRAMED_RESET
-            answer = await world.send("/once/x", identifier="cut")
+    async with lost_world(log_path) as world:
+        for runner in world.runners:
+            runner.fault = RunnerFault.UNFRAMED_RESET
+        answer = await world.send("/once/x", identifier="cut")
         assert not (answer.status == 200 and answer.complete)
 
 
-async def test_runner_that_is_paused_for_the_relaying_host_gets_nothing_from_it(
-    log_path,
-):
-    async with platform_world(log_path, hosts=2) as world:
-        with cut_off(world, [0], Cut.REFUSED):
-            await lose_runners(world, 0)
-            for runner in world.runners:
-                runner.fault, runner.retry_after = RunnerFault.SHED, "5"
-            await world.send("/safe/x", identifier="p-0")
-            helper = world.hosts[1].context.limits
-            await until(lambda: any(helper.are_paused([k]) for k in helper.by_runner))
+async def test_pause_stated_in_a_relayed_answer_is_told_to_the_relaying_host(log_path):
+    async with lost_world(log_path) as world:
+        for runner in world.runners:
+            runner.fault, runner.retry_after = RunnerFault.SHED, "5"
+        await world.send("/safe/x", identifier="p-0")
+        helper = world.hosts[1].context.limits
+        await until(lambda: any(helper.are_paused([k]) for k in helper.by_runner))
 
 
 async def test_host_that_is_cut_off_accuses_no_request_of_crashing_runners(log_path):
@@ -177,17 +178,11 @@
 
 
 async def test_order_is_sent_by_no_other_host(log_path):
-    async with platform_world(log_path, hosts=2) as world:
-        with cut_off(world, [0], Cut.REFUSED):
-            await lose_runners(world, 0)
-            context = world.hosts[0].context
-            engine = next(
-                r for k, r in context.runners.by_key.items() if k.name == "e-2"
-            )
-            with pytest.raises(ConnectFailedError):
-                await order_stage(
-                    context, engine.registration, Stage.PREFILL, 1 << 40, 0
-                )
+    async with lost_world(log_path) as world:
+        context = world.hosts[0].context
+        engine = next(r for k, r in context.runners.by_key.items() if k.name == "e-2")
+        with pytest.raises(ConnectFailedError):
+            await order_stage(context, engine.registration, Stage.PREFILL, 1 << 40, 0)
         assert not world.runner_named("e-2").orders
 
 
@@ -225,3 +220,124 @@
                 context.limits.note_pause(key, 5.0)
             assert (await sending).status == 503
         assert run_count(world, "late") == 0
+
+
+async def open_at(world, host: int, runner: str, lifetime_s: float = 5.0):
+    """Ask a host to open a connection to a runner; return the connection."""
+    asking, asked = world.hosts[1 - host], world.hosts[host]
+    key = next(k for k in asked.context.runners.by_key if k.name == runner)
+    request = RelayOpen(runner=to_runner(key), lifetime_ms=int(lifetime_s * 1000))
+    address = asked.settings.listeners.peers
+    return await asking.context.peers.open_relay(address, request, 1.0)
+
+
+def make_draining(world, monkeypatch) -> None:
+    runners = world.hosts[1].context.runners
+    key = next(key for key in runners.by_key if key.name == "p-1")
+    runners.mark_draining(key.name, key.started_at, "the test")
+
+
+def make_paused(world, monkeypatch) -> None:
+    context = world.hosts[1].context
+    key = next(key for key in context.runners.by_key if key.name == "p-1")
+    context.limits.note_pause(key, 5.0)
+
+
+def make_stopping(world, monkeypatch) -> None:
+    monkeypatch.setattr(world.hosts[1].shutdown, "_drain_started_at", time.monotonic())
+
+
+def make_full(world, monkeypatch) -> None:
+    monkeypatch.setattr(relay_service, "MAX_RELAYS", 0)
+
+
+def cut_off_too(world, monkeypatch) -> None:
+    async def fail(address: str):
+        raise ConnectFailedError("no connection")
+
+    monkeypatch.setattr(runner_connections, "connect", fail)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "reason"),
+    [
+        (make_draining, "may get no requests"),
+        (make_paused, "wants no requests"),
+        (make_stopping, "stopping"),
+        (make_full, "relays 0 connections"),
+        (cut_off_too, "no connection"),
+    ],
+)
+async def test_host_refuses_to_relay(log_path, monkeypatch, prepare, reason):
+    async with platform_world(log_path, hosts=2) as world:
+        prepare(world, monkeypatch)
+        with pytest.raises(RelayRefusedError, match=reason):
+            await open_at(world, 1, "p-1")
+
+
+async def test_host_that_is_cut_off_too_asks_no_other_host(log_path):
+    async with platform_world(log_path, hosts=2) as world:
+        with cut_off(world, [0, 1], Cut.REFUSED):
+            answer = await world.send("/safe/x", identifier="nowhere")
+        assert answer.status == 503
+        served = [
+            host.context.metrics.value("relays_served", opened="False")
+            for host in world.hosts
+        ]
+        assert served[0] == 0
+        assert served[1] >= 1
+
+
+async def test_host_does_not_stop_while_it_relays(log_path):
+    async with platform_world(log_path, hosts=2) as world:
+        shutdown = world.hosts[1].shutdown
+        relayed = await open_at(world, 1, "p-1")
+        assert shutdown.requests == 1
+        relayed.close()
+        await until(lambda: not shutdown.requests)
+
+
+async def test_relayed_connection_ends_with_the_request_that_it_was_opened_for(
+    log_path, monkeypatch
+):
+    monkeypatch.setattr(relay_service, "LIFETIME_MARGIN_S", 0.1)
+    async with platform_world(log_path, hosts=2) as world:
+        relayed = await open_at(world, 1, "p-1", lifetime_s=0.1)
+        async with asyncio.timeout(2.0):
+            assert await relayed.read() == b""
+        assert relayed.was_reset()
+        assert not world.hosts[1].shutdown.requests
+
+
+async def test_host_is_asked_for_no_runner_that_it_reports_as_lost(log_path):
+    async with lost_world(log_path, hosts=3) as world:
+        context = world.hosts[1].context
+        lost = world.hosts[0].context.runner_paths.lost()
+        for key in lost:
+            names = lambda key=key: {h.host for h in context.helpers_for(key)}
+            await until(lambda names=names: names() == {"edge-2"})
+
+
+async def test_helper_that_is_slow_still_helps_with_a_lost_runner(
+    log_path, monkeypatch
+):
+    open_direct = relay_service.open_direct
+
+    async def open_slowly(context, runner):
+        await asyncio.sleep(0.4)
+        return await open_direct(context, runner)
+
+    async with lost_world(log_path) as world:
+        monkeypatch.setattr(relay_service, "open_direct", open_slowly)
+        answer = await world.send("/once/x", identifier="slowly")
+        assert answer.status == 200
+
+
+async def test_another_host_is_asked_before_a_silent_connection_times_out(
+    log_path, monkeypatch
+):
+    monkeypatch.setattr(connection, "CONNECT_TIMEOUT_S", 10.0)
+    async with platform_world(log_path, hosts=2) as world:
+        with cut_off(world, [0], Cut.SILENT):
+            answer = await world.send("/once/x", identifier="r-1", deadline_ms=2000)
+            assert answer.status == 200
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from lib.platform_world import PLAIN, configuration, platform_world, until
+from lib.platform_world import ENGINES, PLAIN, configuration, platform_world, until
 
 from siskinlever._internal.dispatch.runner_limits import SAFETY_FACTOR, sender_share
 from siskinlever._internal.fleet import store_follower
@@ -27,6 +27,7 @@
 # More than `serving_set.MAX_SMALL_FLEET`; three of them serve, since all are in a zone.
 LARGE_FLEET_HOSTS = 14
 LOW_LIMIT_PER_S = 1.0
+GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
 
 
 @pytest.fixture
@@ -45,6 +46,19 @@
     return await asyncio.gather(*tasks)
 
 
+async def begin_generations(
+    world, count: int, headers: dict[str, str], period_s: float = 0.0
+) -> list[asyncio.Task]:
+    """Send generations to all hosts in turn; return the tasks that await answers."""
+    tasks = []
+    for number in range(count):
+        host = number % len(world.hosts)
+        call = world.send("/stream/x", "POST", f"g-{number}", b"p", host, headers)
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(period_s)
+    return tasks
+
+
 def most_in_window(times: list[float], since: float) -> int:
     """Return the largest number of times after ``since`` in one window."""
     counted = [at for at in times if at >= since]
@@ -118,13 +132,13 @@
         assert [answer.status for answer in answers] == [200] * len(answers)
 
 
-ANSWER_BODY = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+ANSWER_START = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
 SIGNED_END = b"Server-Signature: s\r\nContent-Length: 2\r\n\r\nok"
 
 
 def answer_after(seconds: float, identifier: str) -> RawAnswer:
     """Return an answer without a limit whose head ends after some seconds."""
-    start = ANSWER_BODY % identifier.encode()
+    start = ANSWER_START % identifier.encode()
     return RawAnswer((start, SIGNED_END), RawEnd.CLOSE, seconds)
 
 
@@ -165,19 +179,12 @@
 
 async def test_generations_exceed_the_limit_of_no_engine(log_path):
     """Prefills, decodes and second attempts all count."""
-    headers = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
     async with platform_world(log_path, hosts=HOSTS) as world:
         engines = [world.runner_named(name) for name in ("e-1", "e-2", "e-3")]
         for engine in engines:
             engine.limit = str(LIMIT_PER_S)
         started_at = time.monotonic()
-        tasks = []
-        for number in range(100):
-            call = world.send(
-                "/stream/x", "POST", f"g-{number}", b"p", number % HOSTS, headers
-            )
-            tasks.append(asyncio.create_task(call))
-            await asyncio.sleep(0.05)
+        tasks = await begin_generations(world, 100, GENERATION, 0.05)
         answers = await asyncio.gather(*tasks)
         for engine in engines:
             since = started_at + NOTICE_S
@@ -208,19 +215,12 @@
 
 
 async def test_attempts_to_reserve_at_full_engines_stay_within_their_limits(log_path):
-    headers = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
     async with platform_world(log_path, hosts=HOSTS) as world:
         decoding = [r for r in world.runners if r.stage == "decode"]
         for runner in decoding:
             runner.refuses_holds, runner.limit = True, str(LIMIT_PER_S)
         started_at = time.monotonic()
-        tasks = []
-        for number in range(100):
-            call = world.send(
-                "/stream/x", "POST", f"g-{number}", b"p", number % HOSTS, headers
-            )
-            tasks.append(asyncio.create_task(call))
-            await asyncio.sleep(0.05)
+        tasks = await begin_generations(world, 100, GENERATION, 0.05)
         await asyncio.gather(*tasks)
         for runner in decoding:
             attempts = [at for at, _, path in runner.arrivals if path == "/hold-take"]
@@ -231,7 +231,7 @@
 async def test_generations_reserved_before_a_limit_do_not_exceed_it(log_path):
     """A limit is stated while prompts of many reserved generations are prefilled."""
     limit_per_s = 1.0
-    headers = {"Model": "m", "Token-Usage": "1200,70", "Length-Hint": "70"}
+    headers = GENERATION | {"Token-Usage": "1200,70"}
     async with platform_world(log_path, hosts=HOSTS) as world:
         statements = [host.context.limits for host in world.hosts]
         document = configuration(version=2)
@@ -246,12 +246,7 @@
         for runner in world.runners:
             if runner.stage == "prefill":
                 runner.work_s = 1.2
-        tasks = []
-        for number in range(40):
-            call = world.send(
-                "/stream/x", "POST", f"g-{number}", b"p", number % HOSTS, headers
-            )
-            tasks.append(asyncio.create_task(call))
+        tasks = await begin_generations(world, 40, headers)
         await until(lambda: all(len(r.held_by_id) >= 12 for r in decoding))
         for runner in decoding:
             runner.limit = str(limit_per_s)
@@ -266,3 +261,20 @@
             since = stated_at + NOTICE_S
             assert most_in_window(runner.received_at, since) <= allowed
         assert {answer.status for answer in answers} <= {200, 503}
+
+
+async def test_generation_that_a_limit_holds_back_may_use_the_same_engine(log_path):
+    """The only decode engine states a limit while the prompts are prefilled."""
+    async with platform_world(log_path) as world:
+        world.deregister(world.runner_named("e-3"))
+        context = world.hosts[0].context
+        await until(lambda: len(context.runners.usable(ENGINES)) == 2)
+        runner = world.runner_named("e-2")
+        world.runner_named("e-1").work_s = 0.3
+        tasks = await begin_generations(world, 4, GENERATION)
+        await until(lambda: len(runner.held_by_id) == 4)
+        key = next(key for key in context.runners.by_key if key.name == runner.name)
+        runner.limit = "60"
+        context.limits.note(key, 60.0)
+        answers = await asyncio.gather(*tasks)
+        assert [answer.status for answer in answers] == [200] * 4
--- a/tests/unit/test_relayed_connection.py
+++ b/tests/unit/test_relayed_connection.py
@@ -140,3 +140,28 @@
         await asyncio.sleep(0.5)
         assert len(connection._unsent) >= frames - 2
         connection.close()
+
+
+async def test_http2_connection_without_an_answer_is_replaced_and_goes_on():
+    calls_by_peer: dict[object, int] = {}
+
+    async def echo_on_the_first(stream) -> None:
+        await stream.recv_message()
+        calls = calls_by_peer.get(stream.peer.addr(), 0)
+        calls_by_peer[stream.peer.addr()] = calls + 1
+        if calls:
+            await asyncio.sleep(60)
+        await stream.send_message(OPENED)
+        while (frame := await stream.recv_message()) is not None:
+            await stream.send_message(frame)
+
+    async with connected(echo_on_the_first) as open_relay:
+        first = await open_relay()
+        with pytest.raises(PeerError):
+            await open_relay(0.2)
+        second = await open_relay()
+        for opened in (first, second):
+            opened.write(b"still here")
+            assert await opened.read() == b"still here"
+            opened.close()
+        assert len(calls_by_peer) == 2
