--- a/src/siskinlever/_internal/peers/relayed.py
+++ b/src/siskinlever/_internal/peers/relayed.py
@@ -25,7 +25,7 @@
 # Frames that have arrived and were not read; the peer sends no more meanwhile.
 MAX_UNREAD_FRAMES = 2
 # Bytes of one call, and of all on an HTTP/2 connection, that are sent ahead of their
-# reader. A relayed connection whose reader is slow keeps no more in memory.
+# reader, so that relayed connections with slow readers keep little in memory.
 FLOW_CONTROL = Configuration(
     http2_stream_window_size=FRAME_BYTES, http2_connection_window_size=16_777_216
 )
