Decode workspaces, their keys and allowances

Cause: the configuration of two deployments names workspaces; nothing on the platform's path knew them.

Change: the types that the coming parts share (workspaces, allowances, public routes, the bounds of keys and allowances) and their decoders. Keys are kept as digests. An empty list of workspaces knows no key, unlike a configuration without the list. Nothing uses them yet.

--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -12,6 +12,7 @@
 from ..models.routes import Route
 from ..models.traits import Trait, part_traits, request_trait
 from ..models.upstreams import RunnerKey
+from ..models.workspaces import Workspace
 from ..network.http1_server import ReceivedRequest
 from ..platform import wire
 from ..utils.clock import monotonic
@@ -52,6 +53,9 @@
         Additional fields of the request's log line.
     tried_bars : set of frozenset of Trait
         Barred traits in spite of which the request is sent, as a trial.
+    workspace : Workspace or None
+        The workspace of the caller's key; None if the configuration has no
+        workspaces, or the route is public and the request has no known key.
     """
 
     request: ReceivedRequest
@@ -67,6 +71,7 @@
     rejections: int = 0
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
     tried_bars: set[frozenset[Trait]] = field(default_factory=set)
+    workspace: Workspace | None = None
     _part_traits: tuple[Trait, ...] | None = None
     _request_trait: Trait | None = None
 
--- a/src/siskinlever/_internal/models/host_settings.py
+++ b/src/siskinlever/_internal/models/host_settings.py
@@ -74,6 +74,43 @@
     window_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class KeyBounds:
+    """How soon a key that was taken away must stop working.
+
+    Parameters
+    ----------
+    fails_closed : bool
+        Whether a host that can't prove that it has the newest configuration refuses
+        requests with keys.
+    revoke_s : float
+        Seconds after the store acknowledged a configuration without a key, from which
+        no request with that key may run.
+    """
+
+    fails_closed: bool = False
+    revoke_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceBounds:
+    """How far the use of a workspace may exceed its allowance.
+
+    Parameters
+    ----------
+    window_s : float
+        Length in seconds of the sliding window in which use is counted.
+    overage : float
+        Fraction of the allowance in the window.
+    tolerance : float
+        Units in addition.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    tolerance: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetBounds:
     """Durations and limits that apply to the whole fleet.
@@ -91,6 +128,8 @@
     lapse_recovery_s : float
         Seconds after an outage of the store within which the registrations
         that lapsed during the outage are restored.
+    keys : KeyBounds
+    allowance : AllowanceBounds
     """
 
     retry: RetryBounds
@@ -98,6 +137,8 @@
     order_lease_s: float
     lookup_ttl_max_s: float
     lapse_recovery_s: float
+    keys: KeyBounds = KeyBounds()
+    allowance: AllowanceBounds = AllowanceBounds()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinlever/_internal/models/routes.py
+++ b/src/siskinlever/_internal/models/routes.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from .ids import ServiceName
+from .workspaces import KeyDigest, Workspace
 
 
 class RequestKind(Enum):
@@ -59,6 +60,8 @@
         Largest number of runners to which one request may be sent.
     resumable : bool
         Whether a stream may continue at another runner.
+    public : bool
+        Whether requests need no key of a workspace.
     """
 
     name: str
@@ -72,6 +75,7 @@
     shares: tuple[ServiceShare, ...]
     max_attempts: int
     resumable: bool
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -154,12 +158,15 @@
         Longest prefix first.
     service_by_name : dict of ServiceName to Service
     limits : CallerLimits
+    workspace_by_key_digest : dict of KeyDigest to Workspace, or None
+        None if the configuration has no workspaces; requests then need no key.
     """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]
     service_by_name: Mapping[ServiceName, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    workspace_by_key_digest: Mapping[KeyDigest, Workspace] | None = None
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None.
--- a/src/siskinlever/_internal/platform/records.py
+++ b/src/siskinlever/_internal/platform/records.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ..exceptions import InvalidRecordError
-from ..models.ids import RunnerName, ServiceName, ZoneName
+from ..models.ids import RunnerName, ServiceName, WorkspaceName, ZoneName
 from ..models.routes import (
     CallerLimits,
     EngineSpec,
@@ -29,6 +29,13 @@
     Stage,
     StartedAt,
 )
+from ..models.workspaces import (
+    Allowance,
+    AllowanceUnit,
+    KeyDigest,
+    Workspace,
+    key_digest,
+)
 from .fields import (
     MS_PER_S,
     as_mapping,
@@ -51,6 +58,7 @@
     "streaming": RequestKind.STREAM,
 }
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+UNIT_BY_LABEL = {"": AllowanceUnit.REQUESTS, "token_count": AllowanceUnit.TOKENS}
 
 
 def decode_configuration(value: bytes) -> FleetConfiguration:
@@ -82,6 +90,7 @@
         },
         service_by_name={service.name: service for service in services},
         limits=_decode_limits(as_mapping(record.get("limits", {}), "limits")),
+        workspace_by_key_digest=_decode_workspaces(record),
     )
 
 
@@ -179,6 +188,7 @@
         shares=_decode_shares(item),
         max_attempts=max(1, optional_count(item, "max_attempts", 1)),
         resumable=optional_field(item, "resumable", False),
+        public=optional_field(item, "public", False),
     )
 
 
@@ -205,6 +215,55 @@
     )
 
 
+def _decode_workspaces(
+    record: Mapping[str, Any],
+) -> Mapping[KeyDigest, Workspace] | None:
+    """Return the workspace of each key; None if the record names no workspaces.
+
+    An empty list of workspaces is not the same as none: no key is then known.
+    """
+    if record.get("tenants") is None:
+        return None
+    by_key_digest: dict[KeyDigest, Workspace] = {}
+    for item in required_field(record, "tenants", list):
+        workspace = _decode_workspace(as_mapping(item, "tenants"))
+        for digest in workspace.key_digests:
+            other = by_key_digest.setdefault(digest, workspace)
+            if other is not workspace:
+                raise InvalidRecordError(
+                    f"api_keys: {other.name} and {workspace.name} have the same key"
+                )
+    return by_key_digest
+
+
+def _decode_workspace(item: Mapping[str, Any]) -> Workspace:
+    keys = required_field(item, "api_keys", list)
+    if not all(isinstance(key, str) and key for key in keys):
+        raise InvalidRecordError("api_keys: expected a list of non-empty strings")
+    has_priority = item.get("priority") is not None
+    return Workspace(
+        name=WorkspaceName(required_field(item, "name", str)),
+        key_digests=frozenset(key_digest(key.encode()) for key in keys),
+        priority=required_count(item, "priority") if has_priority else None,
+        allowance=_decode_allowance(item),
+    )
+
+
+def _decode_allowance(item: Mapping[str, Any]) -> Allowance | None:
+    label = optional_field(item, "unit", "")
+    if label not in UNIT_BY_LABEL:
+        raise InvalidRecordError(f"unit: found {label!r}")
+    rate_per_s = optional_number(item, "rate_per_s", 0.0)
+    if not rate_per_s:
+        return None
+    return Allowance(
+        unit=UNIT_BY_LABEL[label],
+        rate_per_s=rate_per_s,
+        burst=optional_number(item, "burst", 0.0),
+        default_cost=optional_number(item, "uncached_tokens", 0.0),
+    )
+
+
 def _decode_engine(item: Mapping[str, Any]) -> EngineSpec:
     return EngineSpec(
         slots=required_count(item, "slots"),
--- a/src/siskinlever/_internal/platform/settings.py
+++ b/src/siskinlever/_internal/platform/settings.py
@@ -10,8 +10,10 @@
 
 from ..exceptions import InvalidRecordError, SettingsError
 from ..models.host_settings import (
+    AllowanceBounds,
     FleetBounds,
     HostSettings,
+    KeyBounds,
     Listeners,
     RetryBounds,
     StoreSettings,
@@ -129,4 +131,13 @@
         order_lease_s=optional_number(bounds, "lease_ms", 3000) / MS_PER_S,
         lookup_ttl_max_s=optional_number(bounds, "ttl_max_s", 5.0),
         lapse_recovery_s=LAPSE_RECOVERY_S,
+        keys=KeyBounds(
+            fails_closed=optional_field(bounds, "revoke_fail_closed", False),
+            revoke_s=optional_number(bounds, "revoke_ms", 5000.0) / MS_PER_S,
+        ),
+        allowance=AllowanceBounds(
+            window_s=optional_number(bounds, "quota_window_s", 8.0),
+            overage=optional_number(bounds, "quota_overage", 0.0),
+            tolerance=optional_number(bounds, "quota_tolerance", 0.0),
+        ),
     )
--- a/tests/unit/test_platform_records.py
+++ b/tests/unit/test_platform_records.py
@@ -18,6 +18,11 @@
 from siskinlever._internal.exceptions import InvalidRecordError, SettingsError
 from siskinlever._internal.models.routes import RequestKind
 from siskinlever._internal.models.upstreams import Stage
+from siskinlever._internal.models.workspaces import (
+    Allowance,
+    AllowanceUnit,
+    key_digest,
+)
 from siskinlever._internal.platform import records, settings
 
 SOURCE = Path(__file__).parents[2] / "src" / "siskinlever"
@@ -208,3 +213,62 @@
                 decode(value)
             except InvalidRecordError as error:
                 assert error.message
+
+
+WORKSPACE = {"name": "w", "api_keys": ["k-1", "k-2"], "priority": 1}
+ALLOWANCE = {"unit": "token_count", "uncached_tokens": 200, "rate_per_s": 5, "burst": 7}
+
+
+def decode_workspaces(*workspaces):
+    document = configuration(tenants=list(workspaces))
+    return records.decode_configuration(json.dumps(document).encode())
+
+
+def test_workspaces_are_found_by_the_digest_of_their_keys():
+    found = decode_workspaces(WORKSPACE | ALLOWANCE).workspace_by_key_digest
+    assert found is not None
+    assert set(found) == {key_digest(b"k-1"), key_digest(b"k-2")}
+    workspace = found[key_digest(b"k-1")]
+    assert (workspace.name, workspace.priority) == ("w", 1)
+    assert workspace.allowance == Allowance(AllowanceUnit.TOKENS, 5.0, 7.0, 200.0)
+
+
+def test_workspace_without_a_rate_has_no_allowance_and_the_unit_is_requests():
+    found = decode_workspaces(
+        WORKSPACE, {"name": "v", "api_keys": ["k-3"], "rate_per_s": 2}
+    ).workspace_by_key_digest
+    assert found is not None
+    assert found[key_digest(b"k-1")].allowance is None
+    other = found[key_digest(b"k-3")]
+    assert other.priority is None
+    assert other.allowance == Allowance(AllowanceUnit.REQUESTS, 2.0, 0.0, 0.0)
+
+
+def test_empty_list_of_workspaces_knows_no_key():
+    """Taking the last workspace away must not let requests in without a key."""
+    decode = records.decode_configuration
+    assert decode_workspaces().workspace_by_key_digest == {}
+    without = decode(json.dumps(configuration()).encode())
+    assert without.workspace_by_key_digest is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"api_keys": "k"}, "api_keys"),
+        ({"api_keys": [1]}, "api_keys"),
+        ({"api_keys": [""]}, "api_keys"),
+        ({"name": None}, "name"),
+        ({"priority": "1"}, "priority"),
+        ({"unit": "bytes"}, "unit"),
+        ({"rate_per_s": -1}, "rate_per_s"),
+    ],
+)
+def test_invalid_workspace_is_named_by_its_field(changes, field):
+    with pytest.raises(InvalidRecordError, match=field):
+        decode_workspaces(WORKSPACE | changes)
+
+
+def test_key_of_two_workspaces_is_invalid():
+    with pytest.raises(InvalidRecordError, match="api_keys"):
+        decode_workspaces(WORKSPACE, WORKSPACE | {"name": "v"})
