Read load headers with a fourth figure

Cause: parse_load took exactly three figures. Runners of two deployments send a fourth, so hosts placed plain requests there without any report.

Change: the first three figures are counts, the fourth is how long work takes on the runner's machine; further ones are ignored, and a fourth that is no positive number too.

--- a/src/siskinlever/_internal/models/upstreams.py
+++ b/src/siskinlever/_internal/models/upstreams.py
@@ -131,8 +131,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that a runner of a plain service reports in its answers."""
+    """Load that a runner reports in its answers.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Numbers of requests.
+    work_time : float or None, default=None
+        How long work takes on the runner's machine at this moment, as a multiple of
+        the usual time; None if the runner doesn't report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time: float | None = None
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -7,6 +7,7 @@
 
 import json
 import math
+import re
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
@@ -86,6 +87,8 @@
 EVENT_STREAM = "text/event-stream"
 READINESS_PATH = "/readyz"
 LOOKUP_PATH = "/resolve"
+# A count in the load header; longer ones are not counts of requests.
+COUNT = re.compile(r"[0-9]{1,9}\Z")
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,12 +313,26 @@
 
 
 def parse_load(head: AnswerHead) -> LoadReport | None:
-    """Return the load that an answer reports, or None."""
+    """Return the load that an answer reports, or None.
+
+    Figures after the fourth are ignored, as is a fourth one that is not a positive
+    number.
+    """
+    parts = [part.strip() for part in (head.get(LOAD) or "").split(",")]
+    counts = [int(part) for part in parts[:3] if COUNT.match(part)]
+    if len(counts) < 3:
+        return None
+    running, waiting, slots = counts
+    return LoadReport(running, waiting, slots, _work_time(parts[3:4]))
+
+
+def _work_time(percent: Sequence[str]) -> float | None:
+    """Return the relative duration of work, stated in percent, or None."""
     try:
-        running, waiting, slots = (int(p) for p in (head.get(LOAD) or "").split(","))
-    except ValueError:
+        value = float(percent[0])
+    except (IndexError, ValueError):
         return None
-    return LoadReport(running, waiting, slots)
+    return value / 100 if math.isfinite(value) and value > 0 else None
 
 
 def error_headers(
