Check callers' keys and name their workspace to runners

Cause: a configuration may have workspaces; requests reached runners whatever their key, and with it.

The session checks on arrival, before each send and once more when the connection to the runner is open. platform/wire.py replaces the key by the workspace's name. The proof's age counts suspended time; hosts that follow the store call it each 0.95 s where keys fail closed, others ask these. Records of crashes and of streams have the workspace in their key. Errors of the decoder no longer show keys.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -33,6 +33,7 @@
 from ..gateway.crash_detection import CrashDetection
 from ..gateway.crash_endpoints import CRASHES_PATH, LIFT_PATH, lift, list_crashes
 from ..gateway.endpoints import JSON_HEADERS, TEXT_HEADERS, Answer, connection_handler
+from ..gateway.key_checks import KeyChecks
 from ..gateway.relay_service import RelayService
 from ..gateway.runner_connections import is_down
 from ..gateway.session import Session
@@ -210,7 +211,9 @@
     stack: AsyncExitStack,
 ) -> GatewayHost:
     shutdown = Shutdown(settings.bounds.shutdown_grace_s)
-    configuration = ConfigurationInForce(decode_configuration, log)
+    configuration = ConfigurationInForce(
+        decode_configuration, log, settings.bounds.keys
+    )
     runners = RunnerDirectory(settings.bounds.lapse_recovery_s, log)
     hosts = HostTable(settings.host, log)
     in_progress, demand = InProgress(), DemandMeter()
@@ -324,6 +327,7 @@
             requests_of=lambda key: context.load_of(key).requests,
             reachability_of=lambda key: context.reachability_of(key),
         ),
+        keys=KeyChecks(configuration, settings.bounds.keys, metrics),
         log=log,
         metrics=metrics,
         tasks=tasks,
--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -172,6 +172,10 @@
     """Raised when a runner has asked this host for a pause."""
 
 
+class KeyRefusedError(NotSentError):
+    """Raised when the key of a request may no longer be used."""
+
+
 class AnswerBrokenError(ExchangeError):
     """Raised when a call was sent, at least in part, without a usable answer.
 
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -15,7 +15,7 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..stages.switching import StageSwitches
-from ..utils.clock import MS_PER_S, monotonic
+from ..utils.clock import MS_PER_S, boot_time, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
 from .crash_reports import CrashReports
@@ -35,6 +35,7 @@
     to_runner,
     to_switches,
 )
+from .proof_renewal import ProofRenewal
 from .runners import RunnerDirectory
 from .serving_set import ServingView
 from .store_follower import StoreFollower
@@ -63,9 +64,6 @@
 # Exchange periods without contact after which a host counts as lost, so that one
 # failed exchange is tolerated.
 ALIVE_PERIODS = 3.0
-# Largest value of the uint32 field of the message; sent for an age that is unknown or
-# does not fit.
-AGE_UNKNOWN_MS = 0xFFFFFFFF
 # The fastest level makes a configuration of many routes a tenth of its size.
 ZLIB_LEVEL = 1
 # Larger than the largest value of the store.
@@ -157,6 +155,7 @@
         # Peers with which state is exchanged often; empty in a small fleet.
         self._partners: frozenset[Address] = frozenset()
         self._view_refresh_at = float("-inf")
+        self._proofs = ProofRenewal(configuration, hosts)
         self._announced_version = 0
         self._announced_leaving: set[RunnerKey] = set()
         self._compressed_document = (b"", b"")
@@ -205,6 +204,13 @@
             self._hosts.refresh_liveness()
             self._limits.keep_only(self._runners.by_key)
             self._refresh_view()
+            self._renew_proof()
+
+    def _renew_proof(self) -> None:
+        """Exchange state with a host that has a newer proof, if one is needed."""
+        source = self._proofs.next_source(self._partners)
+        if source in self._urgent_by_address:
+            self._urgent_by_address[source].set()
 
     def _refresh_view(self) -> None:
         if monotonic() < self._view_refresh_at:
@@ -249,6 +255,7 @@
         asks_peers = True
         last_seen_at = monotonic()
         while monotonic() - last_seen_at < HOST_RETENTION_S:
+            called_at = boot_time()
             try:
                 reply = await self._peers.call_address(
                     address,
@@ -258,7 +265,7 @@
                 )
                 asks_peers = False
                 last_seen_at = monotonic()
-                await self._handle_reply(address, reply)
+                await self._handle_reply(address, reply, called_at)
             except PeerError:
                 # The link counts the failure; the host table logs a lost host.
                 self._hosts.mark_suspect(address)
@@ -289,6 +296,7 @@
         address = Address(state.host.peers_address)
         self._called_at_by_address[address] = monotonic()
         self._merge_state(state)
+        self._proofs.note(state, None)
         if state.configuration_version > self._configuration.version:
             self._tasks.start(
                 self._fetch_documents(address, state.configuration_version),
@@ -326,8 +334,11 @@
             self._compressed_document = document, zlib.compress(document, ZLIB_LEVEL)
         return self._compressed_document[1]
 
-    async def _handle_reply(self, address: Address, state: peer_pb2.FleetState) -> None:
+    async def _handle_reply(
+        self, address: Address, state: peer_pb2.FleetState, called_at: float
+    ) -> None:
         self._merge_state(state)
+        self._proofs.note(state, called_at)
         self._crash_reports.note_digest(address, state.crashes_digest)
         if state.serving:
             self._view.note_report(from_host(host) for host in state.serving)
@@ -336,6 +347,7 @@
         is_behind = state.configuration_version > self._configuration.version
         if is_behind or not self._runners.by_key:
             await self._fetch_documents(address, state.configuration_version)
+            self._proofs.note(state, called_at)
 
     async def _fetch_documents(self, address: Address, version: int) -> None:
         """Fetch a host's documents, unless a fetch from another one is in progress.
@@ -395,10 +407,6 @@
                     limit.age_ms / MS_PER_S,
                     f"host {state.host.host}",
                 )
-        same_version = state.configuration_version == self._configuration.version
-        if same_version and state.configuration_age_ms != AGE_UNKNOWN_MS:
-            age_s = state.configuration_age_ms / MS_PER_S
-            self._configuration.confirm(monotonic() - age_s)
 
     def _merge_host(self, state: peer_pb2.FleetState) -> None:
         status = from_host(state.host)
@@ -433,7 +441,7 @@
         return peer_pb2.FleetState(
             host=to_host(self.own_status()),
             configuration_version=self._configuration.version,
-            configuration_age_ms=self._configuration_age_ms(),
+            configuration_age_ms=self._proofs.age_ms(),
             leaving=[
                 to_leaving(runner)
                 for runner in self._runners.recently_unusable(REPEAT_S)
@@ -448,7 +456,3 @@
             peers=self._known_peers() if includes_peers else (),
             asks_peers=asks_peers,
         )
-
-    def _configuration_age_ms(self) -> int:
-        age_ms = self._configuration.confirmed_age_s * MS_PER_S
-        return int(min(age_ms, AGE_UNKNOWN_MS))
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -21,7 +21,7 @@
 from ..models.upstreams import Address, Registration
 from ..platform import records
 from ..platform.store import Item, MetadataStore, Write
-from ..utils.clock import monotonic
+from ..utils.clock import boot_time, monotonic
 from .configuration import ConfigurationInForce
 from .runners import RunnerDirectory
 
@@ -36,6 +36,16 @@
 # broke silently hides a change of the configuration.
 CONFIGURATION_WAIT_S = 1.0
 MAX_CONFIGURATION_WAIT_S = 3.0
+# Where keys fail closed, a host that follows the store calls it this often instead, and
+# only briefly: the age of a proof includes the wait of its call, and a call that stays
+# unanswered is noticed sooner. Some stores take a wait of 0 for their default.
+PROOF_PERIOD_S = 0.9
+PROOF_WAIT_S = 0.05
+# Age in seconds of the proof from which a host that learns from others calls the store
+# itself, and the seconds between such calls if they fail, which they do at all hosts at
+# once when the store is down.
+OWN_PROOF_AGE_S = 2.5
+OWN_PROOF_RETRY_S = 3.0
 # Fraction of the other hosts' reads on which this host relies.
 SHARED_READ_FACTOR = 0.3
 HOSTS_PERIOD_S = 8.0
@@ -166,7 +176,7 @@
         """Keep the configuration up to date until cancelled."""
         revision = era = 0
         while True:
-            requested_at = monotonic()
+            requested_at, called_at = monotonic(), boot_time()
             if era != self._store.era:
                 revision, era = 0, self._store.era
             try:
@@ -175,21 +185,28 @@
                 else:
                     revision = await self._read_configuration()
                 self.link.record_success()
-                self._configuration.confirm(requested_at)
-                await self._wait_for_turn(requested_at)
+                self._configuration.confirm(called_at)
+                if self._configuration.needs_proof:
+                    await self._sleep(PROOF_PERIOD_S)
+                await self._wait_for_turn(requested_at, self._needs_own_proof)
             except HistoryLostError:
                 self._log.write("store.history_lost", revision=revision)
                 revision = 0
             except PlatformError as error:
                 self.link.record_failure(error, requested_at)
-                await asyncio.sleep(_with_jitter(RETRY_S))
+                retry_s = RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S
+                await asyncio.sleep(_with_jitter(retry_s))
+
+    def _needs_own_proof(self) -> bool:
+        """Return whether the proofs of other hosts don't reach this one."""
+        configuration = self._configuration
+        return configuration.needs_proof and configuration.proof_age_s > OWN_PROOF_AGE_S
 
     async def _watch_configuration(self, revision: int) -> int:
-        changes = await self._store.watch(
-            records.OPERATOR_PREFIX,
-            revision,
-            self._shared_period(CONFIGURATION_WAIT_S, MAX_CONFIGURATION_WAIT_S),
-        )
+        wait_s = PROOF_WAIT_S
+        if not self._configuration.needs_proof:
+            wait_s = self._shared_period(CONFIGURATION_WAIT_S, MAX_CONFIGURATION_WAIT_S)
+        changes = await self._store.watch(records.OPERATOR_PREFIX, revision, wait_s)
         for event in changes.events:
             if isinstance(event, Item) and event.key == records.CONFIGURATION_KEY:
                 self._configuration.advance(event.value, "store")
@@ -228,10 +245,20 @@
                 self.link.record_failure(error, requested_at)
                 await asyncio.sleep(_with_jitter(RETRY_S))
 
-    async def _wait_for_turn(self, read_at: float) -> None:
-        """Wait until this host follows the store, or has not read it for long."""
+    async def _wait_for_turn(
+        self, read_at: float, is_urgent: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Wait until this host follows the store, or has not read it for long.
+
+        Parameters
+        ----------
+        read_at : float
+            Monotonic time of the last read.
+        is_urgent : callable, default=never
+            Returns whether to read at once.
+        """
         wait_until = read_at + _with_jitter(STANDBY_PERIOD_S)
-        while not self._is_reader() and monotonic() < wait_until:
+        while not self._is_reader() and monotonic() < wait_until and not is_urgent():
             await asyncio.sleep(ROLE_CHECK_S)
 
     async def _read_runners(self) -> None:
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -157,9 +157,7 @@
             started_at + MAX_WAIT_SHARE * max(0.0, job.time_left_s),
             first_event_timeout_at - EXPECTED_FIRST_EVENT_S,
         )
-        waiter = Waiter(
-            job.route.priority, job.arrived_at, self.on_time_until, self._version
-        )
+        waiter = Waiter(job.priority, job.arrived_at, self.on_time_until, self._version)
         job.log_fields["waiting_before"] = len(queue)
         job.log_fields["needed_tokens"] = self.needed_tokens
         with queue.enqueued(waiter):
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -36,6 +36,7 @@
 from .crash_detection import CrashDetection
 from .errors import barred
 from .job import Job
+from .key_checks import KeyChecks
 
 
 @dataclass(slots=True)
@@ -60,6 +61,7 @@
     crash_detection: CrashDetection
     stream_versions: StreamVersions
     plain_placement: PlainPlacement
+    keys: KeyChecks
     log: LogLines
     metrics: Metrics
     tasks: TaskSet
--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -25,6 +25,9 @@
     NO_CONFIGURATION = "no_configuration"
     CONFIGURATION_UNCERTAIN = "configuration_uncertain"
     NO_ROUTE = "no_route"
+    UNAUTHORIZED = "unauthorized"
+    KEY_UNCERTAIN = "key_uncertain"
+    PROOF_TOO_OLD = "proof_too_old"
     NO_RUNNER = "no_runner"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
@@ -81,6 +84,14 @@
     return EndedError(503, reason, message, retry_after_s * jitter)
 
 
+def unauthorized(message: str) -> EndedError:
+    """Return the error for a request whose key is certainly not valid (status 401).
+
+    Callers don't try again.
+    """
+    return EndedError(401, EndReason.UNAUTHORIZED, message)
+
+
 def limited(service: str, wait_s: float | None) -> EndedError:
     """Return the error for a request while all runners want fewer or none.
 
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -13,6 +13,7 @@
     ConnectFailedError,
     ExchangeError,
     InvalidRecordError,
+    KeyRefusedError,
     RunnerPausedError,
 )
 from ..models.routes import EngineSpec
@@ -122,7 +123,7 @@
         version = None
         if first_attempt:
             job.log_fields["resumes"] = first_attempt
-            version = await context.stream_versions.find(first_attempt)
+            version = await context.stream_versions.find(job.stream_key(first_attempt))
         if version is None:
             version = only_version(context.runners.known(job.service))
         if version is None and context.runners.usable(job.service):
@@ -226,6 +227,7 @@
 
     async def _prefill(self, runner: Registration) -> str | None:
         """Prefill at an engine; return the KV cache's handle, or None on failure."""
+        self._context.keys.check(self._job)
         self._context.check_bars(self._job)
         job, tokens = self._job, self._requested.prompt_tokens
         queued = self._context.load_of(runner.key).prefill_tokens
@@ -235,6 +237,7 @@
             min(timeout_s, job.time_left_s),
             stage=Stage.PREFILL,
             last_event=self._relay.last_event,
+            identity=job.identity,
         )
         started_at = monotonic()
         has_arrived = True
@@ -254,7 +257,7 @@
                 return wire.prefill_handle(body)
             self._placement.failures.note(runner.key)
             reason = f"status {answer.head.status}"
-        except RunnerPausedError as error:
+        except (RunnerPausedError, KeyRefusedError) as error:
             has_arrived = False
             reason = error.message
         except ConnectFailedError as error:
@@ -296,6 +299,7 @@
     ) -> EndedError | None:
         job, runner = self._job, capacity.runner
         job.log_fields["version"] = runner.version
+        self._context.keys.check(job)
         self._context.check_bars(job)
         if self._context.limits.are_paused([runner.key]):
             # Checked here so that no retry is charged for what isn't sent.
@@ -312,6 +316,7 @@
             kv_source=source,
             hold=capacity.hold,
             last_event=self._relay.last_event,
+            identity=job.identity,
         )
         call = wire.runner_call(job.request, options)
         # The request that names a reservation consumes it.
@@ -327,7 +332,7 @@
                     # The engine answers when it has prefilled the prompt.
                     prefilling.close()
                     return await self._process_answer(runner, answer)
-        except RunnerPausedError as error:
+        except (RunnerPausedError, KeyRefusedError) as error:
             return refused(EndReason.REJECTED, error.message, FAILED_RETRY_S)
         except ConnectFailedError as error:
             self._context.unreachable_runners.mark_unreachable(runner.key)
@@ -371,7 +376,9 @@
     async def _forward_stream(self, runner: Registration, answer: Exchange) -> None:
         if self._job.route.resumable:
             attempt = wire.first_attempt_id(self._job.request) or self._job.id
-            await self._context.stream_versions.record(attempt, runner.version)
+            await self._context.stream_versions.record(
+                self._job.stream_key(attempt), runner.version
+            )
         try:
             await self._relay.copy(answer, self._close)
         finally:
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -7,12 +7,13 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from ..dispatch.authorization import Credential
 from ..exceptions import NotSentError
 from ..models.ids import ServiceName
 from ..models.routes import Route
 from ..models.traits import Trait, part_traits, request_trait
 from ..models.upstreams import RunnerKey
-from ..models.workspaces import Workspace
+from ..models.workspaces import CallerIdentity, Workspace
 from ..network.http1_server import ReceivedRequest
 from ..platform import wire
 from ..utils.clock import monotonic
@@ -56,6 +57,9 @@
     workspace : Workspace or None
         The workspace of the caller's key; None if the configuration has no
         workspaces, or the route is public and the request has no known key.
+    identity : CallerIdentity or None
+        What runners are told of the caller; None if the configuration has no
+        workspaces.
     """
 
     request: ReceivedRequest
@@ -72,6 +76,8 @@
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
     tried_bars: set[frozenset[Trait]] = field(default_factory=set)
     workspace: Workspace | None = None
+    identity: CallerIdentity | None = None
+    _credential: Credential | None = None
     _part_traits: tuple[Trait, ...] | None = None
     _request_trait: Trait | None = None
 
@@ -80,6 +86,36 @@
         """Id that the caller assigned to the request."""
         return wire.request_id(self.request)
 
+    @property
+    def credential(self) -> Credential:
+        """The key that the request carries."""
+        if self._credential is None:
+            self._credential = Credential.of(wire.caller_keys(self.request))
+        return self._credential
+
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace or else of the route; 0 is the highest."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+    @property
+    def scope(self) -> str:
+        """Name of the workspace within which records of the request are kept.
+
+        "" if it has none.
+        """
+        return self.workspace.name if self.workspace else ""
+
+    def stream_key(self, attempt: str) -> str:
+        """Return the key under which the version of a stream is recorded.
+
+        Streams of different workspaces have different keys. Neither an attempt's id nor
+        a workspace's name contains a line end.
+        """
+        return f"{attempt}\n{self.scope}" if self.scope else attempt
+
     def note_time(self, name: str) -> None:
         """Set a log field to the seconds since the arrival."""
         self.log_fields[name] = round(monotonic() - self.arrived_at, 3)
@@ -89,7 +125,7 @@
         """The traits of the parts of its prompt that other requests may share."""
         if self._part_traits is None:
             parts = wire.shared_prompt_parts(self.request)
-            self._part_traits = part_traits(self.service, parts)
+            self._part_traits = part_traits(self.service, parts, self.scope)
         return self._part_traits
 
     @property
@@ -100,7 +136,9 @@
         """
         if self._request_trait is None:
             identity = wire.request_identity(self.request)
-            self._request_trait = request_trait(self.service, *identity)
+            self._request_trait = request_trait(
+                self.service, *identity, scope=self.scope
+            )
         return self._request_trait
 
     @property
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -4,7 +4,12 @@
 
 import asyncio
 
-from ..exceptions import AnswerBrokenError, ConnectFailedError, RunnerPausedError
+from ..exceptions import (
+    AnswerBrokenError,
+    ConnectFailedError,
+    KeyRefusedError,
+    RunnerPausedError,
+)
 from ..models.upstreams import Registration, RunnerKey
 from ..network.http1_client import Exchange
 from ..network.http1_server import CallerConnection
@@ -112,16 +117,16 @@
     async def _send_once(self, runner: Registration) -> EndedError | None:
         """Send the request to a runner; return the failure, or None."""
         placement, job = self._context.plain_placement, self._job
+        self._context.keys.check(job)
         self._context.check_bars(job)
-        call = wire.runner_call(
-            job.request, wire.SendOptions(runner.key, job.time_left_s)
-        )
+        options = wire.SendOptions(runner.key, job.time_left_s, identity=job.identity)
+        call = wire.runner_call(job.request, options)
         try:
             with self._context.in_progress.request(runner.key), job.sending(runner.key):
                 sending = run_exchange(self._context, runner, call, job)
                 async with sending as answer:
                     return await self._process_answer(runner, answer)
-        except RunnerPausedError as error:
+        except (RunnerPausedError, KeyRefusedError) as error:
             return refused(EndReason.REJECTED, error.message, RETRY_AFTER_S)
         except ConnectFailedError as error:
             self._connect_failures += 1
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -10,7 +10,12 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
-from ..exceptions import AnswerBrokenError, PeerError, RunnerPausedError
+from ..exceptions import (
+    AnswerBrokenError,
+    NotSentError,
+    PeerError,
+    RunnerPausedError,
+)
 from ..fleet.messages import to_runner
 from ..models.upstreams import Registration, RunnerKey
 from ..network.answer_end import AnswerEnd, Verdict
@@ -56,6 +61,8 @@
     ------
     RunnerPausedError
         Raised when the runner wants no requests now; nothing was sent.
+    KeyRefusedError
+        Raised when the caller's key may no longer be used; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
     _check_pause(context, runner)
@@ -124,9 +131,12 @@
 ) -> AsyncIterator[Exchange]:
     fields: dict[str, str | int | float] = {}
     try:
-        # Another answer may have asked for a pause while the connection was opened.
+        # Another answer may have asked for a pause while the connection was opened, and
+        # the key may have been taken away.
         _check_pause(context, runner)
-    except RunnerPausedError:
+        if job is not None:
+            context.keys.check_before_send(job)
+    except NotSentError:
         opened.connection.close()
         raise
     try:
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -15,6 +15,7 @@
 from .errors import EndedError, EndReason, failed, refused, timed_out
 from .generation import GenerationRequest
 from .job import Job, new_job
+from .key_checks import KEY_REASONS
 from .plain import PlainRequest
 from .shutdown import Shutdown
 
@@ -27,6 +28,9 @@
 # Retry-After in seconds while this host is stopping: another host can serve the
 # caller immediately.
 STOPPING_RETRY_S = 0.05
+# Statuses of errors which state that the request was not run.
+NOT_RUN_STATUSES = frozenset({401, 503})
+KEY_OUTCOMES = frozenset(reason.value for reason in KEY_REASONS)
 
 
 class Session:
@@ -101,6 +105,7 @@
         job = None
         try:
             job = new_job(request, self._find_route(request))
+            self._context.keys.check(job)
             self._context.retry_budget.note_request(job.service)
             self._context.check_bars(job)
             if self._refuses_while_stopping(job):
@@ -181,14 +186,16 @@
             self._log_end(job, request, 0, "broken", failure.message)
             await self._connection.break_off()
             return
-        # Status 503 would state that the request was not run, but an earlier send may
-        # have run it.
-        if failure.status == 503 and job is not None and job.may_have_run:
+        # They would state that the request was not run, but an earlier send may have
+        # run it.
+        if failure.status in NOT_RUN_STATUSES and job is not None and job.may_have_run:
             failure = failed(failure.reason, failure.message)
         self._log_end(
             job, request, failure.status, failure.reason.value, failure.message
         )
         headers = wire.error_headers(request, failure.retry_after_s)
+        if failure.status == 401:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
         await self._connection.answer(
             failure.status,
             headers,
@@ -221,8 +228,11 @@
                 "sent_to": ",".join(sorted(key.name for key in job.sent_to)),
             }
             fields |= job.log_fields
+        # Callers may send unknown keys at any rate. Their lines have a rate limit of
+        # their own, so that those of other requests are written.
+        is_of_key = outcome in KEY_OUTCOMES
         context.log.write(
-            "request.ended",
+            "request.key_refused" if is_of_key else "request.ended",
             wire.request_id(request),
             configuration=context.configuration.version,
             **fields,
--- a/src/siskinlever/_internal/models/traits.py
+++ b/src/siskinlever/_internal/models/traits.py
@@ -22,14 +22,25 @@
 MAX_TRAITS = 64
 
 
-def part_traits(service: ServiceName, parts: Iterable[str]) -> tuple[Trait, ...]:
-    """Return the traits of the first parts of a prompt for a service."""
+def part_traits(
+    service: ServiceName, parts: Iterable[str], scope: str = ""
+) -> tuple[Trait, ...]:
+    """Return the traits of the first parts of a prompt for a service.
+
+    Parameters
+    ----------
+    service : ServiceName
+    parts : iterable of str
+    scope : str, default=""
+        Workspace within which parts of the same id are the same; "" without workspaces.
+    """
     return tuple(
-        _trait(PART, service, part.encode()) for part in islice(parts, MAX_TRAITS - 1)
+        _trait(PART, service, *_scope(scope), part.encode())
+        for part in islice(parts, MAX_TRAITS - 1)
     )
 
 
-def request_trait(service: ServiceName, *identity: bytes) -> Trait:
+def request_trait(service: ServiceName, *identity: bytes, scope: str = "") -> Trait:
     """Return the trait of a request, which is that of its repetitions, too.
 
     Parameters
@@ -37,8 +48,10 @@
     service : ServiceName
     *identity : bytes
         What its repetitions have in common.
+    scope : str, default=""
+        Workspace of its repetitions; "" without workspaces.
     """
-    return _trait(REQUEST, service, *identity)
+    return _trait(REQUEST, service, *_scope(scope), *identity)
 
 
 def is_of_request(trait: Trait) -> bool:
@@ -46,6 +59,10 @@
     return trait.startswith(f"{REQUEST}:")
 
 
+def _scope(scope: str) -> tuple[bytes, ...]:
+    return (scope.encode(),) if scope else ()
+
+
 def _trait(kind: str, service: ServiceName, *values: bytes) -> Trait:
     *parts, last = values
     # HTTP allows no zero bytes in what comes before the body.
--- a/src/siskinlever/_internal/models/workspaces.py
+++ b/src/siskinlever/_internal/models/workspaces.py
@@ -62,6 +62,19 @@
     allowance: Allowance | None
 
 
+@dataclass(frozen=True, slots=True)
+class CallerIdentity:
+    """What runners are told of a caller if the configuration has workspaces.
+
+    Parameters
+    ----------
+    workspace : str or None
+        None if the route is public and the request has no known key.
+    """
+
+    workspace: WorkspaceName | None
+
+
 def key_digest(key: bytes) -> KeyDigest:
     """Return the digest of a key."""
     return KeyDigest(sha256(key).digest())
--- a/src/siskinlever/_internal/platform/records.py
+++ b/src/siskinlever/_internal/platform/records.py
@@ -224,9 +224,12 @@
     """
     if record.get("tenants") is None:
         return None
+    items = record["tenants"]
+    # Errors are logged, so they must not show what contains keys.
+    if not isinstance(items, list) or not all(isinstance(i, Mapping) for i in items):
+        raise InvalidRecordError("tenants: expected a list of tables")
     by_key_digest: dict[KeyDigest, Workspace] = {}
-    for item in required_field(record, "tenants", list):
-        workspace = _decode_workspace(as_mapping(item, "tenants"))
+    for workspace in map(_decode_workspace, items):
         for digest in workspace.key_digests:
             other = by_key_digest.setdefault(digest, workspace)
             if other is not workspace:
@@ -237,18 +240,27 @@
 
 
 def _decode_workspace(item: Mapping[str, Any]) -> Workspace:
-    keys = required_field(item, "api_keys", list)
-    if not all(isinstance(key, str) and key for key in keys):
-        raise InvalidRecordError("api_keys: expected a list of non-empty strings")
+    name = required_field(item, "name", str)
+    if not name or not name.isprintable() or name != name.strip():
+        raise InvalidRecordError(f"name: found {name!r}, expected text for a header")
     has_priority = item.get("priority") is not None
     return Workspace(
-        name=WorkspaceName(required_field(item, "name", str)),
-        key_digests=frozenset(key_digest(key.encode()) for key in keys),
+        name=WorkspaceName(name),
+        key_digests=_decode_keys(item.get("api_keys")),
         priority=required_count(item, "priority") if has_priority else None,
         allowance=_decode_allowance(item),
     )
 
 
+def _decode_keys(keys: object) -> frozenset[KeyDigest]:
+    if not isinstance(keys, list) or not all(isinstance(k, str) and k for k in keys):
+        raise InvalidRecordError("api_keys: expected a list of non-empty strings")
+    try:
+        return frozenset(key_digest(key.encode()) for key in keys)
+    except UnicodeEncodeError as error:
+        raise InvalidRecordError("api_keys: a key is not valid Unicode") from error
+
+
 def _decode_allowance(item: Mapping[str, Any]) -> Allowance | None:
     label = optional_field(item, "unit", "")
     if label not in UNIT_BY_LABEL:
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -17,6 +17,7 @@
 from ..models.ids import HostName, RunnerName, ZoneName
 from ..models.routes import RequestKind
 from ..models.upstreams import Address, LoadReport, RunnerKey, Stage
+from ..models.workspaces import CallerIdentity
 from ..network.http1_client import AnswerHead, Call, Header
 from ..network.http1_server import ReceivedRequest
 from .fields import MS_PER_S, as_mapping, required_field
@@ -44,6 +45,9 @@
 # Address of the runner that has the prompt's KV cache, and its handle there.
 KV_SOURCE = b"kv-source"
 HOLD = b"kv-hold"
+# Names the workspace of the caller's key; callers send the key.
+WORKSPACE = b"tenant"
+CREDENTIALS = b"authorization"
 # Id of the attempt that brought the first event of the stream that a caller takes up.
 FIRST_ATTEMPT = b"resumes"
 
@@ -62,6 +66,9 @@
         b"kv-fetch",
     }
 )
+# Not forwarded either if the configuration has workspaces.
+CALLER_IDENTITY_HEADERS = frozenset({CREDENTIALS, WORKSPACE})
+BEARER = b"bearer"
 # Hop-by-hop headers, and headers that are regenerated together with the body.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -83,7 +90,7 @@
     {b"host", REQUEST_ID, b"model", TOKENS, PROMPT_PARTS, LAST_EVENT, OUTPUT_HINT}
 )
 # Headers that may tell one caller from another.
-CALLER_HEADERS = (b"authorization", b"cookie")
+CALLER_HEADERS = (CREDENTIALS, b"cookie")
 EVENT_STREAM = "text/event-stream"
 READINESS_PATH = "/readyz"
 LOOKUP_PATH = "/resolve"
@@ -130,6 +137,9 @@
         The stream resumes after this event.
     priority : int or None
         From 0, the highest, to 9, the lowest.
+    identity : CallerIdentity or None
+        Replaces the caller's key; None if the configuration has no workspaces, in which
+        case all that the caller sent is forwarded.
     """
 
     runner: RunnerKey
@@ -139,6 +149,7 @@
     hold: str | None = None
     last_event: str | None = None
     priority: int | None = None
+    identity: CallerIdentity | None = None
 
 
 def request_id(request: ReceivedRequest) -> str:
@@ -213,10 +224,35 @@
     ]
 
 
+def caller_keys(request: ReceivedRequest) -> tuple[bytes, ...]:
+    """Return the key that a request carries, in the encodings that a key may have.
+
+    A configuration states keys as text, and callers encode text beyond ASCII in either
+    of two ways. Empty if there is no key. Different keys, and credentials of another
+    scheme, are returned as a text that no header can carry, which is no key.
+    """
+    values = [value for name, value in request.headers if name.lower() == CREDENTIALS]
+    keys = list(dict.fromkeys(key for key in map(_bearer_key, values) if key))
+    if len(keys) != 1:
+        return (b"\r\n".join(keys),) if keys else ()
+    (key,) = keys
+    return (key,) if key.isascii() else (key, key.decode("latin-1").encode())
+
+
+def _bearer_key(value: bytes) -> bytes:
+    scheme, _, key = value.strip(b" \t").partition(b" ")
+    if scheme.lower() == BEARER:
+        return key.strip(b" \t")
+    return b"\r\n" + value if scheme else b""
+
+
 def runner_call(request: ReceivedRequest, options: SendOptions) -> Call:
     """Return the call that sends a caller's request to a runner."""
+    dropped = ROUTER_HEADERS
+    if options.identity is not None:
+        dropped |= CALLER_IDENTITY_HEADERS
     headers = [
-        *_end_to_end_headers(request.headers, ROUTER_HEADERS),
+        *_end_to_end_headers(request.headers, dropped),
         *_option_headers(options),
     ]
     if options.last_event is not None:
@@ -250,6 +286,7 @@
             b"Request-Priority",
             None if options.priority is None else str(options.priority),
         ),
+        (b"Tenant", options.identity.workspace if options.identity else None),
     ]
     return [(name, value.encode()) for name, value in values if value is not None]
 
--- a/tests/unit/test_platform_records.py
+++ b/tests/unit/test_platform_records.py
@@ -258,7 +258,10 @@
         ({"api_keys": "k"}, "api_keys"),
         ({"api_keys": [1]}, "api_keys"),
         ({"api_keys": [""]}, "api_keys"),
+        ({"api_keys": ["\ud800"]}, "api_keys"),
         ({"name": None}, "name"),
+        ({"name": ""}, "name"),
+        ({"name": "w\r\nKv-Hold: 1"}, "name"),
         ({"priority": "1"}, "priority"),
         ({"unit": "bytes"}, "unit"),
         ({"rate_per_s": -1}, "rate_per_s"),
@@ -269,6 +272,19 @@
         decode_workspaces(WORKSPACE | changes)
 
 
+@pytest.mark.parametrize(
+    "tenants",
+    ["secret", {"w": ["secret"]}, ["secret"], [WORKSPACE | {"api_keys": "secret"}]],
+)
+def test_errors_do_not_show_keys(tenants):
+    """The reason for which a configuration is rejected is logged."""
+    with pytest.raises(InvalidRecordError) as raised:
+        records.decode_configuration(
+            json.dumps(configuration(tenants=tenants)).encode()
+        )
+    assert "secret" not in raised.value.message
+
+
 def test_key_of_two_workspaces_is_invalid():
     with pytest.raises(InvalidRecordError, match="api_keys"):
         decode_workspaces(WORKSPACE, WORKSPACE | {"name": "v"})
