Resume a stream only at the version that began it after all hosts were killed

Cause: the versions of streams were kept in the hosts' memory only. Hosts that started after a kill of all used the only version among the runners registered then, which is the new one once the old engines have left.

The store now keeps the versions that are or were lately in service, written before engines of a new version are used, and the streams in progress while there are several. A stream is refused unless one of these tells its version. A request also stays at the version of its first recorded attempt, since a retry at another one could begin the stream before the record is replaced on all hosts.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -27,8 +27,11 @@
 from ..fleet.runners import RunnerDirectory
 from ..fleet.serving_set import ServingView
 from ..fleet.store_follower import StoreFollower, StoreHealth
+from ..fleet.stored_streams import StoredStreams
 from ..fleet.stream_versions import StreamVersions
 from ..fleet.unreachable_runners import UnreachableRunners
+from ..fleet.version_history import VersionHistory
+from ..fleet.version_record import StoredVersions
 from ..gateway.context import GatewayContext
 from ..gateway.crash_detection import CrashDetection
 from ..gateway.crash_endpoints import CRASHES_PATH, LIFT_PATH, lift, list_crashes
@@ -141,6 +144,7 @@
         tasks.start(host.follower.follow_hosts(), "hosts")
         tasks.start(host.sync.announce_updates(), "news")
         tasks.start(host.crash_reports.run(), "forget-crashes")
+        tasks.start(host.context.stored_streams.run(), "write-streams")
         tasks.start(host.lease.run(), "order-lease")
         tasks.start(host.orders.run(), "stage-orders")
         await _listen(host, metrics, stack)
@@ -235,6 +239,14 @@
 
     view = ServingView(settings.host, own_status, hosts)
     links = await stack.enter_async_context(peer_links(PEER_KEY, None, metrics))
+    stored_versions = StoredVersions(
+        store,
+        runners,
+        VersionHistory(settings.is_first_start),
+        log,
+        tasks,
+        is_store_down=lambda: store_health.is_down,
+    )
     follower = StoreFollower(
         settings,
         store,
@@ -245,6 +257,7 @@
         add_peer=lambda address: sync.add_peer(address),
         store_reader_count=hosts.store_reader_count,
         is_reader=lambda: view.is_reader,
+        versions=stored_versions,
     )
     limits = RunnerLimits(
         settings.host,
@@ -319,6 +332,15 @@
         stream_versions=StreamVersions(
             settings.host, lambda: _other_servers(view, hosts), links, log, tasks
         ),
+        stored_streams=StoredStreams(
+            settings.host,
+            store,
+            stored_versions,
+            runners,
+            log,
+            tasks,
+            is_store_down=lambda: store_health.is_down,
+        ),
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -18,12 +18,13 @@
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
 from ..models.ids import HostName
-from ..models.upstreams import Address, Registration
+from ..models.upstreams import Address, Registration, RunnerKey
 from ..platform import records
 from ..platform.store import Item, MetadataStore, Write
 from ..utils.clock import monotonic
 from .configuration import ConfigurationInForce
 from .runners import RunnerDirectory
+from .version_record import StoredVersions
 
 HOSTS_PREFIX = "siskinlever/hosts/"
 # Seconds between two reads of the runners. All hosts must know of a leaving runner
@@ -121,6 +122,8 @@
     is_reader : callable, default=always
         Returns whether this host follows the store. If not, it learns from other hosts
         and reads the store only each `STANDBY_PERIOD_S`.
+    versions : StoredVersions or None, default=None
+        Records the versions of the runners before these are used.
     """
 
     def __init__(
@@ -134,6 +137,7 @@
         add_peer: Callable[[Address], None],
         store_reader_count: Callable[[], int],
         is_reader: Callable[[], bool] = lambda: True,
+        versions: StoredVersions | None = None,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -144,6 +148,7 @@
         self._add_peer = add_peer
         self._readers = store_reader_count
         self._is_reader = is_reader
+        self._versions = versions
         self._restored = asyncio.Event()
         store.on_restoration(self._handle_restoration)
         self._undecodable: set[tuple[str, bytes]] = set()
@@ -237,12 +242,21 @@
     async def _read_runners(self) -> None:
         listing = await self._store.list_prefix(records.RUNNER_PREFIX)
         self.link.record_success()
-        self.runner_items = listing.items
-        decoded = [self._decode_registration(item) for item in listing.items]
-        self._runners.replace_all(
-            [registration for registration in decoded if registration is not None],
-            self.link.outage_ended_at,
-        )
+        item_by_key: dict[RunnerKey, Item] = {}
+        listed: list[Registration] = []
+        for item in listing.items:
+            registration = self._decode_registration(item)
+            if registration is not None:
+                item_by_key[registration.key] = item
+                listed.append(registration)
+        admitted = listed
+        if self._versions is not None:
+            admitted = await self._versions.admit(listed)
+        self.runner_items = tuple(item_by_key[runner.key] for runner in admitted)
+        self._runners.replace_all(admitted, self.link.outage_ended_at)
+        if self._versions is not None:
+            # Versions that have left are known only now.
+            await self._versions.reconcile(listed)
 
     def add_known(self, items: list[tuple[str, bytes]]) -> None:
         """Merge registrations, as (key, value), that another host has read."""
--- a/src/siskinlever/_internal/fleet/stream_versions.py
+++ b/src/siskinlever/_internal/fleet/stream_versions.py
@@ -33,6 +33,14 @@
 FIND_TIMEOUT_S = 0.25
 
 
+def stream_id(attempt: str, workspace: str | None = None) -> str:
+    """Return what identifies a stream among those of all workspaces.
+
+    Callers choose the ids of attempts, so those of two workspaces may be the same.
+    """
+    return attempt if workspace is None else f"{workspace}\0{attempt}"
+
+
 @dataclass(frozen=True, slots=True)
 class BegunStream:
     """The version that began a stream, and when this was recorded."""
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -19,6 +19,7 @@
 from ..fleet.hosts import HostStatus, HostTable, RunnerLoad, total_load
 from ..fleet.in_progress import InProgress
 from ..fleet.runners import RunnerDirectory
+from ..fleet.stored_streams import StoredStreams
 from ..fleet.stream_versions import StreamVersions
 from ..fleet.unreachable_runners import UnreachableRunners
 from ..logs.lines import LogLines
@@ -59,6 +60,7 @@
     crash_causes: CrashCauses
     crash_detection: CrashDetection
     stream_versions: StreamVersions
+    stored_streams: StoredStreams
     plain_placement: PlainPlacement
     log: LogLines
     metrics: Metrics
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import ExitStack, asynccontextmanager
 
-from ..dispatch.engine_versions import at_version, only_version
+from ..dispatch.engine_versions import at_version
 from ..dispatch.retry_accounting import RetryAccounting
 from ..exceptions import (
     AnswerBrokenError,
@@ -15,6 +15,7 @@
     InvalidRecordError,
     RunnerPausedError,
 )
+from ..fleet.stream_versions import stream_id
 from ..models.routes import EngineSpec
 from ..models.upstreams import Registration, RunnerKey, SoftwareVersion, Stage
 from ..network.http1_client import Exchange
@@ -107,29 +108,37 @@
         ):
             return await self._serve()
 
-    async def _find_version(self) -> SoftwareVersion | None:
+    async def _find_version(self) -> SoftwareVersion:
         """Return the version that began the stream that the caller takes up.
 
-        None if the service has no engine.
-
         Raises
         ------
         EndedError
-            Raised when no host knows it and engines of several versions serve.
+            Raised when neither a host nor the store knows it, and the service had
+            several versions lately or that isn't known. Also without any engine: one
+            that registers later may have another version.
         """
         context, job = self._context, self._job
         first_attempt = wire.first_attempt_id(job.request)
         version = None
         if first_attempt:
             job.log_fields["resumes"] = first_attempt
-            version = await context.stream_versions.find(first_attempt)
+            version = await context.stream_versions.find(self._stream_id)
+        if version is None:
+            version = await context.stored_streams.find(job.service, self._stream_id)
+            job.log_fields["stored_version"] = version or ""
         if version is None:
-            version = only_version(context.runners.known(job.service))
-        if version is None and context.runners.usable(job.service):
             message = "the software version that began the stream is not known"
             raise refused(EndReason.VERSION_UNKNOWN, message, FAILED_RETRY_S)
         return version
 
+    @property
+    def _stream_id(self) -> str:
+        """What identifies the stream, also if this request resumes it."""
+        job = self._job
+        attempt = wire.first_attempt_id(job.request) or job.id
+        return stream_id(attempt, job.workspace.name if job.workspace else None)
+
     async def _serve(self) -> str:
         while True:
             async with self._search.reserve(
@@ -369,11 +378,16 @@
         return None
 
     async def _forward_stream(self, runner: Registration, answer: Exchange) -> None:
+        stored = self._context.stored_streams
         if self._job.route.resumable:
-            attempt = wire.first_attempt_id(self._job.request) or self._job.id
-            await self._context.stream_versions.record(attempt, runner.version)
+            # A retry at another version could begin the stream before this record of it
+            # is replaced everywhere.
+            self._version = runner.version
+            stored.note(self._stream_id, runner.version)
+            await self._context.stream_versions.record(self._stream_id, runner.version)
         try:
             await self._relay.copy(answer, self._close)
+            stored.remove(self._stream_id)
         finally:
             self._job.log_fields |= {
                 "framing": answer.framing.value,
--- a/tests/functional/test_software_versions.py
+++ b/tests/functional/test_software_versions.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
 
 import pytest
-from lib.platform_world import HOST, configuration, platform_world, until
-
-from siskinlever_testbed.processes import free_addresses
-from siskinlever_testbed.standins.platform.runner import RunnerStandIn, running_runner
-
-GENERATION = {"Model": "m", "Token-Usage": "100,70", "Length-Hint": "70"}
-OLD, NEW = "v1", "v2"
+from lib.platform_world import configuration, until
+from lib.version_world import (
+    GENERATION,
+    NEW,
+    OLD,
+    begin_stream,
+    knows,
+    take_up,
+    versions_in,
+    versions_world,
+)
 
 
 @pytest.fixture
@@ -20,60 +23,6 @@
     return str(tmp_path / "log")
 
 
-@asynccontextmanager
-async def versions_world(log_path: str, version_by_name: dict[str, str], hosts: int):
-    """Run the default runners at the given versions; e-4 is a second new engine."""
-    async with platform_world(log_path, hosts=hosts) as world:
-        port = int(free_addresses(1)[0].rpartition(":")[2])
-        extra = RunnerStandIn("e-4", "engines", port, stage="decode")
-        async with running_runner(extra):
-            world.runners.append(extra)
-            for name, version in version_by_name.items():
-                # Another version is another process of the runner.
-                runner = world.runner_named(name)
-                runner.version, runner.born = version, 1_800_000_000_000
-            world.register_all()
-            await until(
-                lambda: all(knows(host, version_by_name) for host in world.hosts)
-            )
-            yield world
-
-
-def knows(host, version_by_name: dict[str, str]) -> bool:
-    usable = host.context.runners.usable("engines")
-    version_by_known = {runner.key.name: runner.version for runner in usable}
-    return version_by_known.items() >= version_by_name.items()
-
-
-def versions_in(body: bytes) -> set[str]:
-    """Return the versions that wrote the events of an answer."""
-    lines = [line for line in body.decode().splitlines() if line.startswith("data:")]
-    return {NEW if line.endswith(f"of {NEW}") else OLD for line in lines}
-
-
-async def begin_stream(world, identifier: str, host: int) -> bytes:
-    """Read the first events of a stream at a host, then disconnect."""
-    address, _, port = world.hosts[host].settings.listeners.callers.rpartition(":")
-    reader, writer = await asyncio.open_connection(address, int(port))
-    headers = {"Host": HOST, "Attempt-Id": identifier, "Content-Length": "1"}
-    lines = [f"{name}: {value}" for name, value in (headers | GENERATION).items()]
-    head = "\r\n".join(["POST /resume/x HTTP/1.1", *lines])
-    writer.write(f"{head}\r\n\r\np".encode())
-    received = b""
-    while received.count(b"id: ") < 3:
-        part = await reader.read(1000)
-        assert part, received
-        received += part
-    writer.close()
-    return received[received.index(b"id: ") : received.rindex(b"id: ")]
-
-
-async def take_up(world, first: str, identifier: str, host: int):
-    """Continue a stream after its second event at a host."""
-    headers = GENERATION | {"Last-Event-Id": "2", "Resumes": first}
-    return await world.send("/resume/x", "POST", identifier, b"p", host, headers)
-
-
 async def test_both_stages_of_a_generation_run_at_one_version(log_path):
     versions = {"e-1": OLD, "e-2": NEW, "e-3": OLD, "e-4": NEW}
     async with versions_world(log_path, versions, hosts=1) as world:
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -59,6 +59,26 @@
     runners: list[RunnerStandIn] = field(default_factory=list)
     deregistered: set[str] = field(default_factory=set)
     log_path: str = ""
+    log_descriptor: int = -1
+    _running: list[AsyncExitStack] = field(default_factory=list)
+
+    async def start_host(self, settings: HostSettings) -> None:
+        """Start a host, which is appended to the others."""
+        running = AsyncExitStack()
+        gateway = running_gateway(settings, log_descriptor=self.log_descriptor)
+        self.hosts.append(await running.enter_async_context(gateway))
+        self._running.append(running)
+
+    async def kill_hosts(self) -> list[HostSettings]:
+        """End all hosts at once; return their settings for `start_host`.
+
+        The hosts complete no request and write nothing to the store.
+        """
+        settings = [host.settings for host in self.hosts]
+        running, self._running = self._running, []
+        self.hosts.clear()
+        await asyncio.gather(*(host.aclose() for host in running))
+        return settings
 
     def apply(self, document: dict[str, Any]) -> None:
         """Write a configuration to the store, as an operator does."""
@@ -177,21 +197,23 @@
     async with AsyncExitStack() as stack:
         stack.callback(os.close, descriptor)
         store = await stack.enter_async_context(running_store(store_ports))
-        world = World(store, [], store_ports, log_path=log_path)
+        world = World(
+            store, [], store_ports, log_path=log_path, log_descriptor=descriptor
+        )
         for runner in default_runners(runner_ports):
             world.runners.append(
                 await stack.enter_async_context(running_runner(runner))
             )
         world.apply(configuration())
         world.register_all()
+        stack.push_async_callback(world.kill_hosts)
         seeds = [f"127.0.0.1:{ports[3]}"]
         for number in range(hosts):
             host_ports = ports[number * 5 : number * 5 + 5]
             settings = host_settings(
                 number, host_ports, store_ports[number], seeds, **options
             )
-            gateway = running_gateway(settings, log_descriptor=descriptor)
-            world.hosts.append(await stack.enter_async_context(gateway))
+            await world.start_host(settings)
         if wait_ready:
             await until(lambda: all(is_ready(host, hosts) for host in world.hosts))
         yield world
