--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -249,14 +249,20 @@
             if registration is not None:
                 item_by_key[registration.key] = item
                 listed.append(registration)
-        admitted = listed
-        if self._versions is not None:
-            admitted = await self._versions.admit(listed)
-        self.runner_items = tuple(item_by_key[runner.key] for runner in admitted)
-        self._runners.replace_all(admitted, self.link.outage_ended_at)
-        if self._versions is not None:
-            # Versions that have left are known only now.
-            await self._versions.reconcile(listed)
+        if self._versions is None:
+            self._use(listed, item_by_key)
+            return
+        admitted = self._versions.admitted(listed)
+        self._use(admitted, item_by_key)
+        await self._versions.reconcile(listed)
+        if len(self._versions.admitted(listed)) > len(admitted):
+            self._use(self._versions.admitted(listed), item_by_key)
+
+    def _use(
+        self, listed: list[Registration], item_by_key: dict[RunnerKey, Item]
+    ) -> None:
+        self.runner_items = tuple(item_by_key[runner.key] for runner in listed)
+        self._runners.replace_all(listed, self.link.outage_ended_at)
 
     def add_known(self, items: list[tuple[str, bytes]]) -> None:
         """Merge registrations, as (key, value), that another host has read."""
--- a/src/siskinlever/_internal/fleet/version_history.py
+++ b/src/siskinlever/_internal/fleet/version_history.py
@@ -198,10 +198,16 @@
         living = {k for k, left in self._left_by_version.items() if left.until > now}
         if not self.is_read or UNKNOWN in living:
             return None
-        return frozenset(
-            key.version for key in living | self._serving if key.service == service
+        return (
+            frozenset(k.version for k in living | self._serving if k.service == service)
+            or None
         )
 
+    def lacks(self, service: ServiceName) -> bool:
+        """Return whether the store names no version of a service."""
+        known = {*self._serving, *self._left_by_version}
+        return self.is_read and all(key.service != service for key in known)
+
     def is_recorded(self, version: ServiceVersion) -> bool:
         """Return whether the store says that a version serves."""
         return version in self._serving
--- a/src/siskinlever/_internal/fleet/version_record.py
+++ b/src/siskinlever/_internal/fleet/version_record.py
@@ -31,8 +31,8 @@
 # Several hosts write at once when a release begins; one of them succeeds, and the
 # others then mostly find the record right.
 WRITE_TRIES = 4
-# Seconds by which a listing of the runners is delayed at most to record a change.
-WRITE_TIMEOUT_S = 0.4
+# Seconds for which the next listing of the runners waits at most to record a change.
+WRITE_TIMEOUT_S = 1.6
 
 
 class StoredVersions:
@@ -65,24 +65,20 @@
         self._reading = SharedRead(self._read, tasks, "read-versions", is_store_down)
         self._failure = ""
 
-    async def admit(self, listed: Sequence[Registration]) -> list[Registration]:
-        """Record the versions in a listing; return the runners that may be used.
+    def admitted(self, listed: Sequence[Registration]) -> list[Registration]:
+        """Return the runners of a listing whose version is recorded.
 
-        Those of a version that couldn't be recorded are left out while engines of a
-        recorded version are listed; otherwise the service would have none.
+        Plain runners need no record. Nor does a service that the record lacks
+        altogether, as in a fleet that starts for the first time while the store refuses
+        writes: what streams of such a service begin at is unknown.
         """
-        await self.reconcile(listed)
-        recorded = {
-            key.service
-            for key in engine_versions(listed)
-            if self.history.is_recorded(key)
-        }
+        history = self.history
         return [
             runner
             for runner in listed
             if runner.stage is None
-            or runner.service not in recorded
-            or self.history.is_recorded(ServiceVersion(runner.service, runner.version))
+            or history.is_recorded(ServiceVersion(runner.service, runner.version))
+            or history.lacks(runner.service)
         ]
 
     async def reconcile(self, listed: Iterable[Registration]) -> None:
