--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -340,6 +340,7 @@
             log,
             tasks,
             is_store_down=lambda: store_health.is_down,
+            is_reader=lambda: view.is_reader,
         ),
         plain_placement=PlainPlacement(
             settings.zone,
--- a/src/siskinlever/_internal/fleet/stored_streams.py
+++ b/src/siskinlever/_internal/fleet/stored_streams.py
@@ -31,6 +31,9 @@
 # seconds. 8 hosts write 16 times per second, 400 hosts 800 times; the store allows 400
 # and 1,200 writes per second.
 PERIOD_S = 0.5
+# Seconds between two reads of the record by a host that doesn't follow the store, while
+# engines leave. Engines are replaced at the same version more often than released.
+DEPARTURES_PERIOD_S = 2.0
 # A value then takes about 64 KB.
 MAX_STREAMS_PER_HOST = 1_000
 
@@ -56,6 +59,8 @@
     tasks : TaskSet
     is_store_down : callable
         Returns whether this host's calls to the store fail.
+    is_reader : callable
+        Returns whether this host follows the store.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         log: LogLines,
         tasks: TaskSet,
         is_store_down: Callable[[], bool],
+        is_reader: Callable[[], bool],
     ) -> None:
         self._key = STREAMS_PREFIX + own_host
         self._store = store
@@ -83,6 +89,8 @@
         # earlier process of the host may have written it.
         self._revision: int | None = None
         self._failure = ""
+        self._is_reader = is_reader
+        self._read_from = float("-inf")
 
     def __len__(self) -> int:
         return len(self._served_by_attempt)
@@ -133,13 +141,17 @@
         self._revision, self._written = None, {}
 
     async def _read_record_after_a_departure(self) -> None:
-        """Read the record if an engine has left since the period before.
+        """Read the record if an engine has left recently, which may be a release.
 
         In a large fleet, few hosts follow the store, and tell the others of engines
         that leave but not of new ones.
         """
-        leaving = self._runners.recently_unusable(PERIOD_S)
+        now = monotonic()
+        if self._is_reader() or not self._served_by_attempt or now < self._read_from:
+            return
+        leaving = self._runners.recently_unusable(DEPARTURES_PERIOD_S)
         if any(runner.registration.stage is not None for runner in leaving):
+            self._read_from = now + DEPARTURES_PERIOD_S
             await self._versions.refresh()
 
     async def _write_if_changed(self) -> None:
