--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -100,22 +100,6 @@
             return self.route.priority
         return self.workspace.priority
 
-    @property
-    def scope(self) -> str:
-        """Name of the workspace within which records of the request are kept.
-
-        "" if it has none.
-        """
-        return self.workspace.name if self.workspace else ""
-
-    def stream_key(self, attempt: str) -> str:
-        """Return the key under which the version of a stream is recorded.
-
-        Streams of different workspaces have different keys. Neither an attempt's id nor
-        a workspace's name contains a line end.
-        """
-        return f"{attempt}\n{self.scope}" if self.scope else attempt
-
     def note_time(self, name: str) -> None:
         """Set a log field to the seconds since the arrival."""
         self.log_fields[name] = round(monotonic() - self.arrived_at, 3)
@@ -125,7 +109,7 @@
         """The traits of the parts of its prompt that other requests may share."""
         if self._part_traits is None:
             parts = wire.shared_prompt_parts(self.request)
-            self._part_traits = part_traits(self.service, parts, self.scope)
+            self._part_traits = part_traits(self.service, parts)
         return self._part_traits
 
     @property
@@ -136,9 +120,7 @@
         """
         if self._request_trait is None:
             identity = wire.request_identity(self.request)
-            self._request_trait = request_trait(
-                self.service, *identity, scope=self.scope
-            )
+            self._request_trait = request_trait(self.service, *identity)
         return self._request_trait
 
     @property
