--- a/tests/functional/test_rejoined_streams.py
+++ b/tests/functional/test_rejoined_streams.py
@@ -17,6 +17,7 @@
 import pytest
 from lib.platform_world import is_ready, until
 from lib.version_world import (
+    GENERATION,
     NEW,
     OLD,
     begin_stream,
@@ -251,3 +252,19 @@
     print(f"calm {dict(calm)} release {dict(used)} in {periods:.1f} periods")
     assert used["transact"] <= HOSTS * (periods + 3)
     assert used["read"] + used["list_prefix"] <= 4 * HOSTS
+
+
+async def test_request_is_not_repeated_at_another_version_before_its_first_event(
+    log_path,
+):
+    """Hosts could keep the record of the first try while the second begins."""
+    async with versions_world(log_path, MIXED, 1) as world:
+        world.deregister(world.runner_named("e-4"))
+        usable = world.hosts[0].context.runners.usable
+        await until(lambda: len(usable("engines")) == 3)
+        engines = [world.runner_named("e-2"), world.runner_named("e-3")]
+        for engine in engines:
+            engine.crashes_on = lambda request: True
+        call = ("g-0", b"p", 0, GENERATION)
+        await world.send("/resume/x", "POST", *call)
+        assert sum(engine.ran.count("g-0") for engine in engines) == 1
