--- a/tests/unit/test_stored_versions.py
+++ b/tests/unit/test_stored_versions.py
@@ -129,6 +129,43 @@
     assert value == {"v1": [f"s-{number}" for number in range(20, 29)]}
 
 
+async def test_only_hosts_that_serve_streams_write_and_only_while_versions_differ():
+    """400 hosts that wrote each half second would take most of the store's writes."""
+    fleet = Fleet()
+    fleet.register(e1="v1", e2="v2")
+    idle, serving = await fleet.started(0, True), await fleet.started(1, True)
+    serving.stored.note("s-1", "v1")
+    before = fleet.store.writes
+    for _ in range(3):
+        await idle.stored._write_if_changed()
+        await serving.stored._write_if_changed()
+    assert fleet.store.writes == before + 1
+    fleet = Fleet()
+    fleet.register(e1="v1")
+    alone = await fleet.started(0, True)
+    before = fleet.store.writes
+    alone.stored.note("s-1", "v1")
+    await alone.stored._write_if_changed()
+    assert fleet.store.writes == before
+
+
+async def test_host_that_only_learns_from_peers_reads_the_record_when_engines_leave():
+    """Otherwise it would write no streams until its next listing, in 30 s."""
+    fleet = Fleet()
+    fleet.register(e1="v1", e3="v1")
+    reader, other = await fleet.started(1, True), await fleet.started(0, True)
+    fleet.register(e2="v2")
+    await reader.follower._read_runners()
+    other.stored.note("s-1", "v1")
+    reads = fleet.store.reads
+    await other.stored._read_record_after_a_departure()
+    assert fleet.store.reads == reads and not other.versions.history.is_mixed
+    other.runners.mark_draining("e3", 1, "a peer")
+    for _ in range(3):
+        await other.stored._read_record_after_a_departure()
+    assert fleet.store.reads == reads + 1 and other.versions.history.is_mixed
+
+
 def history_at(now: list[float], *present: ServiceVersion) -> VersionHistory:
     history = VersionHistory(True, lambda: now[0])
     history.adopt(None, 1)
--- a/tests/unit/test_stream_versions.py
+++ b/tests/unit/test_stream_versions.py
@@ -13,7 +13,11 @@
 from siskinlever._internal.exceptions import PeerError
 from siskinlever._internal.fleet import stream_versions
 from siskinlever._internal.fleet.hosts import HostStatus
-from siskinlever._internal.fleet.stream_versions import StreamVersions, VersionMemory
+from siskinlever._internal.fleet.stream_versions import (
+    StreamVersions,
+    VersionMemory,
+    stream_id,
+)
 from siskinlever._internal.models.upstreams import SoftwareVersion, Stage
 from siskinlever._internal.utils.tasks import task_set
 
@@ -117,6 +121,11 @@
     assert len(memory) == 1
 
 
+def test_streams_of_two_workspaces_with_the_same_attempt_are_told_apart():
+    ids = {stream_id("a"), stream_id("a", "one"), stream_id("a", "two")}
+    assert len(ids) == 3 and stream_id("a") == "a"
+
+
 def test_only_version_is_known_if_all_engines_agree():
     runners = [engine("e-1", Stage.DECODE), engine("e-2", Stage.PREFILL)]
     assert only_version(runners) == "v1"
