Pass on a listing of the runners only as a whole

Cause: a host published the runners of a listing before it had recorded the versions of the engines.

test_host_passes_on_no_part_of_a_listing_while_it_writes_the_versions failed before.

--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -249,20 +249,22 @@
             if registration is not None:
                 item_by_key[registration.key] = item
                 listed.append(registration)
+        admitted = await self._use(listed)
+        # Set last: a host that starts fetches these once, and must not get a part.
+        self.runner_items = tuple(item_by_key[runner.key] for runner in admitted)
+
+    async def _use(self, listed: list[Registration]) -> list[Registration]:
+        """Update the directory from a listing; return the runners that may be used."""
         if self._versions is None:
-            self._use(listed, item_by_key)
-            return
-        admitted = self._versions.admitted(listed)
-        self._use(admitted, item_by_key)
+            self._runners.replace_all(listed, self.link.outage_ended_at)
+            return listed
+        before = self._versions.admitted(listed)
+        self._runners.replace_all(before, self.link.outage_ended_at)
         await self._versions.reconcile(listed)
-        if len(self._versions.admitted(listed)) > len(admitted):
-            self._use(self._versions.admitted(listed), item_by_key)
-
-    def _use(
-        self, listed: list[Registration], item_by_key: dict[RunnerKey, Item]
-    ) -> None:
-        self.runner_items = tuple(item_by_key[runner.key] for runner in listed)
-        self._runners.replace_all(listed, self.link.outage_ended_at)
+        admitted = self._versions.admitted(listed)
+        if len(admitted) > len(before):
+            self._runners.replace_all(admitted, self.link.outage_ended_at)
+        return admitted
 
     def add_known(self, items: list[tuple[str, bytes]]) -> None:
         """Merge registrations, as (key, value), that another host has read."""
--- a/tests/unit/test_stored_versions.py
+++ b/tests/unit/test_stored_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -63,6 +64,26 @@
     assert usable(host) == {"v1", "v2"}
 
 
+async def test_host_passes_on_no_part_of_a_listing_while_it_writes_the_versions():
+    """A host without the store fetches the runners once and would lack the engines."""
+    fleet = Fleet()
+    fleet.register(e1="v1")
+    host = await fleet.started(0, is_first_start=True)
+    fleet.register(e2="v2")
+    plain = json.loads(registration_entry("p1", "v1", 1, 1))
+    del plain["stage"]
+    plain["service"] = "plain"
+    fleet.store.put("servers/p1", json.dumps(plain).encode())
+    starting = Host(fleet, 1, False)
+    reading = asyncio.ensure_future(starting.follower._read_runners())
+    seen = set()
+    while not reading.done():
+        seen.add(len(starting.follower.runner_items))
+        await asyncio.sleep(0.001)
+    assert seen <= {0, 3} and len(starting.follower.runner_items) == 3
+    assert usable(host) == {"v1"} and usable(starting) == {"v1", "v2"}
+
+
 async def test_fleet_serves_at_its_first_start_though_the_store_refuses_writes():
     fleet = Fleet()
     fleet.store.refuses_writes = True
