--- a/src/siskinlever/_internal/fleet/configuration.py
+++ b/src/siskinlever/_internal/fleet/configuration.py
@@ -50,7 +50,7 @@
         self._decode = decode
         self._log = log
         self._fails_closed = keys.fails_closed
-        self._now = now
+        self.now = now
         self.current: FleetConfiguration | None = None
         self.document = b""
         self._proved_at = float("-inf")
@@ -91,12 +91,12 @@
         """
         if self.has_workspaces:
             return self.proof_age_s
-        return self._now() - max(self._proved_at, self._reported_at)
+        return self.now() - max(self._proved_at, self._reported_at)
 
     @property
     def proof_age_s(self) -> float:
         """Seconds since the version in force was last proved to be the newest."""
-        return self._now() - self._proved_at
+        return self.now() - self._proved_at
 
     def confirm(self, requested_at: float) -> None:
         """Record a proof that no newer version existed.
@@ -106,7 +106,7 @@
         Parameters
         ----------
         requested_at : float
-            Time of `boot_time` at which the store was called that had no newer version.
+            Time of `now` at which the store was called that had no newer version.
         """
         self._proved_at = max(self._proved_at, requested_at)
 
@@ -119,8 +119,7 @@
         Parameters
         ----------
         confirmed_at : float
-            Time of `boot_time` at which the version was the newest, if the call took
-            no time.
+            Time of `now` at which the version was the newest, if the call took no time.
         """
         self._reported_at = max(self._reported_at, confirmed_at)
 
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -15,7 +15,7 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..stages.switching import StageSwitches
-from ..utils.clock import MS_PER_S, boot_time, monotonic
+from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
 from .crash_reports import CrashReports
@@ -255,7 +255,7 @@
         asks_peers = True
         last_seen_at = monotonic()
         while monotonic() - last_seen_at < HOST_RETENTION_S:
-            called_at = boot_time()
+            called_at = self._configuration.now()
             try:
                 reply = await self._peers.call_address(
                     address,
--- a/src/siskinlever/_internal/fleet/proof_renewal.py
+++ b/src/siskinlever/_internal/fleet/proof_renewal.py
@@ -14,7 +14,7 @@
 
 from ..models.upstreams import Address
 from ..peers import peer_pb2
-from ..utils.clock import MS_PER_S, boot_time, monotonic
+from ..utils.clock import MS_PER_S, monotonic
 from .configuration import ConfigurationInForce
 from .hosts import HostStatus, HostTable
 
@@ -77,8 +77,8 @@
         ----------
         state : FleetState
         called_at : float or None
-            Time of `boot_time` at which this host asked for the state; None if the
-            other host sent it by itself, so that it may be older than it says.
+            Time of `configuration.now` at which this host asked for the state; None if
+            the other host sent it by itself, so that it may be older than it says.
         """
         configuration = self._configuration
         is_same_version = state.configuration_version == configuration.version
@@ -86,7 +86,7 @@
             return
         age_s = state.configuration_age_ms / MS_PER_S
         if called_at is None:
-            configuration.note_report(boot_time() - age_s)
+            configuration.note_report(configuration.now() - age_s)
         elif configuration.has_workspaces:
             configuration.confirm(called_at - age_s)
         else:
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -21,7 +21,7 @@
 from ..models.upstreams import Address, Registration
 from ..platform import records
 from ..platform.store import Item, MetadataStore, Write
-from ..utils.clock import boot_time, monotonic
+from ..utils.clock import monotonic
 from .configuration import ConfigurationInForce
 from .runners import RunnerDirectory
 
@@ -176,7 +176,7 @@
         """Keep the configuration up to date until cancelled."""
         revision = era = 0
         while True:
-            requested_at, called_at = monotonic(), boot_time()
+            requested_at, called_at = monotonic(), self._configuration.now()
             if era != self._store.era:
                 revision, era = 0, self._store.era
             try:
--- a/src/siskinlever_testbed/platform_fleet.py
+++ b/src/siskinlever_testbed/platform_fleet.py
@@ -38,6 +38,7 @@
 [bounds]
 grace_period_s = 8
 lease_ms = 1000
+{bounds}
 [platform]
 address = "{store}"
 form = "kv"
@@ -160,12 +161,14 @@
     ]
 
 
-def node_file(number: int, store: str) -> str:
+def node_file(number: int, store: str, bounds: str = "") -> str:
     """Return the content of a host's node file, in the format of the platform."""
     ip = host_ip(number)
     listen = "\n".join(f'{name} = "{ip}:{port}"' for name, port in PORTS.items())
     seed = f"{host_ip(0)}:{PORTS['control_plane']}"
-    return NODE_FILE.format(number=number, ip=ip, listen=listen, store=store, seed=seed)
+    return NODE_FILE.format(
+        number=number, ip=ip, listen=listen, store=store, seed=seed, bounds=bounds
+    )
 
 
 def host_ip(number: int) -> str:
@@ -216,10 +219,19 @@
 
 
 @asynccontextmanager
-async def platform_fleet(directory: Path, count: int) -> AsyncIterator[PlatformFleet]:
+async def platform_fleet(
+    directory: Path, count: int, bounds: str = ""
+) -> AsyncIterator[PlatformFleet]:
     """Run stand-ins and `count` hosts for the duration of a `with` block.
 
     The hosts accept connections when the block starts.
+
+    Parameters
+    ----------
+    directory : Path
+    count : int
+    bounds : str, default=""
+        Further lines of the section ``bounds`` of each node file.
     """
     addresses = free_addresses(6)
     ports = [int(address.rpartition(":")[2]) for address in addresses]
@@ -236,7 +248,7 @@
         stack.callback(registration_task.cancel)
         for number in range(count):
             path = directory / f"edge-{number}.toml"
-            path.write_text(node_file(number, addresses[0]))
+            path.write_text(node_file(number, addresses[0], bounds))
             process = Process(
                 f"edge-{number}",
                 [*DAEMON, "--platform"],
--- a/tests/functional/test_workspace_keys.py
+++ b/tests/functional/test_workspace_keys.py
@@ -11,7 +11,9 @@
 from lib.platform_world import configuration, platform_world, run_count, until
 
 from siskinlever._internal.exceptions import PeerError
+from siskinlever._internal.fleet.serving_set import MAX_SMALL_FLEET
 from siskinlever._internal.models.workspaces import key_digest
+from siskinlever_testbed.platform_fleet import HOST, platform_fleet, send_raw
 from siskinlever_testbed.standins.platform.runner_answers import (
     RunnerFault,
     StreamEnd,
@@ -280,6 +282,74 @@
     assert answer.status == 502
 
 
+@pytest.mark.system
+async def test_key_that_is_removed_while_the_process_is_suspended_runs_nowhere(
+    tmp_path,
+):
+    """Requests wait in the sockets of the suspended process."""
+    bounds = f"revoke_fail_closed = true\nrevoke_ms = {REVOKE_MS}"
+    async with platform_fleet(tmp_path, 2, bounds) as fleet:
+        fleet.store.put("op/config", json.dumps(with_workspaces(2)).encode())
+
+        async def ask_fleet(identifier: str, path="/once/x", key=KEY):
+            headers = {"Host": HOST, "Attempt-Id": identifier} | bearer(key)
+            headers["Content-Length"] = "0"
+            return await send_raw(fleet.address(0), "POST", path, headers, b"")
+
+        async with asyncio.timeout(10):
+            while not (await fleet.is_ready(0) and await fleet.is_ready(1)):
+                await asyncio.sleep(0.05)
+            while (await ask_fleet("unknown", key=UNKNOWN_KEY)).status != 401:
+                await asyncio.sleep(0.05)
+        assert (await ask_fleet("before")).status == 200
+        fleet.hosts[0].freeze()
+        try:
+            document = with_workspaces(3, acme=["new-key"])
+            fleet.store.put("op/config", json.dumps(document).encode())
+            await asyncio.sleep(REVOKE_S + 0.1)
+            waiting = [
+                asyncio.create_task(ask_fleet(f"late-{number}")) for number in range(20)
+            ]
+            public = asyncio.create_task(ask_fleet("public", "/open/x"))
+            await asyncio.sleep(0.2)
+        finally:
+            fleet.hosts[0].thaw()
+        answers = await asyncio.gather(*waiting)
+        assert (await public).status == 200
+        ran = {identifier for runner in fleet.runners for identifier in runner.ran}
+    assert ran == {"before", "public"}
+    assert {answer.status for answer in answers} <= {401, 503}
+
+
+async def test_hosts_of_a_large_fleet_keep_their_proofs(log_path):
+    """Most hosts of a large fleet learn from others; one reaches no other host."""
+    bounds = {"revoke_fail_closed": True, "revoke_ms": 5000}
+    hosts = MAX_SMALL_FLEET + 2
+    options = {"hosts": hosts, "wait_ready": False} | bounds
+    async with platform_world(log_path, **options) as world:
+        world.apply(with_workspaces(2))
+        settled = lambda: all(
+            host.view.is_large and host.context.configuration.needs_proof
+            for host in world.hosts
+        )
+        await until(settled, 12.0)
+        await until(lambda: all(map(is_current, world.hosts)), 5.0)
+        alone = next(h for h in world.hosts if not h.view.is_serving)
+
+        async def no_call(*arguments, **options):
+            raise PeerError("cut off")
+
+        alone.sync._peers.call_address = no_call
+        ages = []
+        until_at = time.monotonic() + 10
+        while time.monotonic() < until_at:
+            ages += [h.context.configuration.proof_age_s for h in world.hosts]
+            await asyncio.sleep(0.05)
+        number = world.hosts.index(alone)
+        assert (await ask(world, KEY, host=number)).status == 200
+    assert max(ages) < 4.75
+
+
 async def test_unknown_keys_leave_the_log_to_other_requests(log_path):
     async with platform_world(log_path, **BOUNDS) as world:
         await started(world)
