Show operators workspaces, keys by digest, and refusals

Cause: from a 401 or 503 for a key, operators had no way to the host's knowledge.

Change: /workspaces at the metrics address and `siskinlever workspaces`.

--- a/src/siskinlever/_internal/cli/main.py
+++ b/src/siskinlever/_internal/cli/main.py
@@ -22,6 +22,8 @@
   show      Show the declaration in force at each host.
   status    Show the state of the hosts.
   crashes   Show what crashes runners, and lift wrong verdicts.
+  workspaces
+            Show workspaces, the digests of their keys, and what was refused.
   timeline  Show events of all hosts in causal order.
   explain   Show the log lines of the hosts about one request.
   version   Show the version.
--- a/src/siskinlever/_internal/commands/__init__.py
+++ b/src/siskinlever/_internal/commands/__init__.py
@@ -1,7 +1,7 @@
 """The commands, one module each, imported only when the command is run.
 
 Commands that call hosts use the administration interface, which only
-`siskinleverd --settings` has; `crashes` uses the metrics interface of
+`siskinleverd --settings` has; `crashes` and `workspaces` use the metrics interface of
 `siskinleverd --platform`.
 """
 
@@ -22,6 +22,7 @@
     "timeline": "timeline",
     "validate": "validate",
     "version": "version",
+    "workspaces": "workspaces",
 }
 
 
--- /dev/null
+++ b/src/siskinlever/_internal/commands/workspaces.py
@@ -0,0 +1,69 @@
+"""Shows the workspaces of the users' platform, their keys and what was refused.
+
+Usage:
+  siskinlever workspaces [<name>...]
+
+Prints, for each host given by its metrics address, the version of the configuration,
+the age of the proof that it is the newest, and the requests refused without a known
+key; for each workspace, or only those named, its priority, the digests of its keys and
+its refused requests by cause.
+
+Exit codes:
+  0  done
+  5  a host was unreachable
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..cli.exit_codes import ExitCode
+from ..exceptions import SiskinleverError
+from .base import CommandContext, admin_client, print_json
+
+
+async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
+    """Run the command."""
+    async with admin_client(context) as client:
+        results = await client.get_all("/workspaces")
+    names = set(arguments["<name>"])
+    for found in results.values():
+        if names and not isinstance(found, SiskinleverError):
+            found["workspaces"] = [w for w in found["workspaces"] if w["name"] in names]
+    if context.json:
+        print_json({address: _as_json(found) for address, found in results.items()})
+    else:
+        for address, found in results.items():
+            print(_format(address, found))
+    reached = all(not isinstance(r, SiskinleverError) for r in results.values())
+    return ExitCode.OK if reached else ExitCode.UNREACHABLE
+
+
+def _as_json(found: dict[str, Any] | SiskinleverError) -> dict[str, Any]:
+    return {"error": found.message} if isinstance(found, SiskinleverError) else found
+
+
+def _format(address: str, found: dict[str, Any] | SiskinleverError) -> str:
+    if isinstance(found, SiskinleverError):
+        return f"{address}  unreachable: {found.message}"
+    age_s = found["proof_age_s"]
+    lines = [
+        f"{address}  version {found['version']}"
+        f"  proved {'never' if age_s is None else f'{age_s:.1f} s ago'}"
+        f" ({found['confirmation']})"
+        f"  without a known key refused {_format_counts(found)}"
+    ]
+    lines += [
+        f"  {workspace['name']}  priority {workspace['priority']}"
+        f"  keys {','.join(workspace['keys'])}"
+        f"  refused {_format_counts(workspace, 'refusals')}"
+        for workspace in found["workspaces"]
+    ]
+    return "\n".join(lines)
+
+
+def _format_counts(
+    found: dict[str, Any], field: str = "refusals_without_workspace"
+) -> str:
+    counts = found[field]
+    return ",".join(f"{cause}={counts[cause]}" for cause in sorted(counts)) or "none"
--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -38,6 +38,7 @@
 from ..gateway.runner_connections import is_down
 from ..gateway.session import Session
 from ..gateway.shutdown import Shutdown
+from ..gateway.workspace_endpoints import WORKSPACES_PATH, list_workspaces
 from ..logs.lines import STANDARD_OUTPUT, LogLines, log_lines
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
@@ -397,6 +398,7 @@
 
 async def _listen(host: GatewayHost, metrics: Metrics, stack: AsyncExitStack) -> None:
     context, listeners = host.context, host.settings.listeners
+    settings = context.settings
 
     async def serve_caller(connection: CallerConnection) -> None:
         await Session(context, host.shutdown, connection).run()
@@ -427,6 +429,9 @@
                 METRICS_PATH: exposition,
                 CRASHES_PATH: lambda request: list_crashes(host.crash_reports),
                 LIFT_PATH: lambda request: lift(host.crash_reports, request),
+                WORKSPACES_PATH: lambda request: list_workspaces(
+                    context.configuration, settings.bounds.keys, context.refusals
+                ),
             }
         ),
     }
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -37,6 +37,7 @@
 from .errors import barred
 from .job import Job
 from .key_checks import KeyChecks
+from .workspace_endpoints import WorkspaceRefusals
 
 
 @dataclass(slots=True)
@@ -69,6 +70,7 @@
         default_factory=dict
     )
     caller_waits: CallerWaitTracker = field(default_factory=CallerWaitTracker)
+    refusals: WorkspaceRefusals = field(default_factory=WorkspaceRefusals)
     queue_by_service: dict[ServiceName, WaitQueue] = field(default_factory=dict)
 
     def check_bars(self, job: Job) -> None:
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -190,6 +190,8 @@
         # run it.
         if failure.status in NOT_RUN_STATUSES and job is not None and job.may_have_run:
             failure = failed(failure.reason, failure.message)
+        if job is not None and job.identity is not None:
+            self._context.refusals.note(job.workspace, failure.reason)
         self._log_end(
             job, request, failure.status, failure.reason.value, failure.message
         )
--- a/tests/functional/test_workspace_keys.py
+++ b/tests/functional/test_workspace_keys.py
@@ -10,6 +10,7 @@
 import pytest
 from lib.platform_world import configuration, platform_world, run_count, until
 
+from siskinlever._internal.cli.main import main
 from siskinlever._internal.exceptions import PeerError
 from siskinlever._internal.fleet.serving_set import MAX_SMALL_FLEET
 from siskinlever._internal.models.workspaces import key_digest
@@ -368,6 +369,31 @@
     assert refused < 800 and size < 400_000
 
 
+async def test_operators_see_workspaces_and_refusals_without_keys(log_path, capsys):
+    async with platform_world(log_path, **BOUNDS) as world:
+        await started(world)
+        assert (await ask(world, UNKNOWN_KEY)).status == 401
+        assert (await ask(world, KEY)).status == 200
+        world.store.fault_by_port[world.store_ports[0]] = StoreFault.BUSY
+        await asyncio.sleep(REVOKE_S)
+        assert (await ask(world, KEY)).status == 503
+        addresses = f"{world.hosts[0].settings.listeners.metrics},127.0.0.1:1"
+        run = lambda *arguments: asyncio.to_thread(
+            main, ["workspaces", *arguments, "--hosts", addresses]
+        )
+        assert await run("acme") == 5
+        printed = capsys.readouterr().out
+        assert await run("--json") == 5
+        document = json.loads(capsys.readouterr().out)
+    digest = key_digest(KEY.encode())[:6].hex()
+    assert f"acme  priority 0  keys {digest}  refused proof_too_old=1" in printed
+    assert "unauthorized=1" in printed and "(old)" in printed
+    assert "bell" not in printed and "unreachable" in printed
+    host = next(found for found in document.values() if "workspaces" in found)
+    assert [w["name"] for w in host["workspaces"]] == ["acme", "bell"]
+    assert not any(key in printed + str(document) for key in (KEY, UNKNOWN_KEY))
+
+
 async def test_streams_and_crashes_are_not_shared_between_workspaces(log_path):
     """The same attempt id and prompt part in two workspaces."""
     async with platform_world(log_path, **BOUNDS) as world:
