--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -208,6 +208,13 @@
         """Return the hosts whose state is recent."""
         return [known for known in self.by_host.values() if known.is_alive]
 
+    def at_address(self, address: Address) -> tuple[HostName, Incarnation]:
+        """Return the host at a peer address, or an empty name if it is not known."""
+        for known in self.by_host.values():
+            if known.status.peers_address == address:
+                return known.status.host, known.status.incarnation
+        return HostName(""), Incarnation(0)
+
     def mark_suspect(self, address: Address) -> None:
         """Mark the host at an address as suspect because it did not answer a call."""
         for known in self.by_host.values():
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -15,7 +15,7 @@
 from ..peers import peer_pb2
 from ..peers.link import Peers
 from ..stages.switching import StageSwitches
-from ..utils.clock import MS_PER_S, boot_time, monotonic
+from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
 from .crash_reports import CrashReports
@@ -36,6 +36,7 @@
     to_switches,
 )
 from .proof_renewal import ProofRenewal
+from .registrations import FetchedChanges
 from .runners import RunnerDirectory
 from .serving_set import ServingView
 from .store_follower import StoreFollower
@@ -64,6 +65,9 @@
 # Exchange periods without contact after which a host counts as lost, so that one
 # failed exchange is tolerated.
 ALIVE_PERIODS = 3.0
+# Minimum seconds between two announcements of changed registrations, which come in
+# series when a fleet starts or a release goes on.
+MIN_ANNOUNCE_PERIOD_S = 0.3
 # The fastest level makes a configuration of many routes a tenth of its size.
 ZLIB_LEVEL = 1
 # Larger than the largest value of the store.
@@ -158,6 +162,9 @@
         self._proofs = ProofRenewal(configuration, hosts)
         self._announced_version = 0
         self._announced_leaving: set[RunnerKey] = set()
+        self._announced_change = 0
+        self._registrations_announced_at = float("-inf")
+        self._fetched = FetchedChanges()
         self._compressed_document = (b"", b"")
         # A fetch of documents is in progress until then, at the latest.
         self._fetching_until = float("-inf")
@@ -195,6 +202,7 @@
             version = self._configuration.version
             if leaving - self._announced_leaving or version > self._announced_version:
                 self.announce()
+            self._announce_registrations()
             self._announced_leaving = leaving
             self._announced_version = version
             peers = len(self._partners or self._urgent_by_address)
@@ -206,6 +214,19 @@
             self._refresh_view()
             self._renew_proof()
 
+    def _announce_registrations(self) -> None:
+        """Announce changes of the registrations that this host has read itself.
+
+        Those that it fetched were announced by the host that read them.
+        """
+        change = self._follower.registrations.change
+        is_due = monotonic() >= self._registrations_announced_at + MIN_ANNOUNCE_PERIOD_S
+        is_reader = self._view.is_large and self.own_status().reads_store
+        if change > self._announced_change and is_due and is_reader:
+            self._announced_change = change
+            self._registrations_announced_at = monotonic()
+            self.announce()
+
     def _renew_proof(self) -> None:
         """Exchange state with a host that has a newer proof, if one is needed."""
         source = self._proofs.next_source(self._partners)
@@ -255,7 +276,7 @@
         asks_peers = True
         last_seen_at = monotonic()
         while monotonic() - last_seen_at < HOST_RETENTION_S:
-            called_at = boot_time()
+            called_at = self._configuration.now()
             try:
                 reply = await self._peers.call_address(
                     address,
@@ -297,7 +318,7 @@
         self._called_at_by_address[address] = monotonic()
         self._merge_state(state)
         self._proofs.note(state, None)
-        if state.configuration_version > self._configuration.version:
+        if self._lacks_documents_of(state):
             self._tasks.start(
                 self._fetch_documents(address, state.configuration_version),
                 "fetch-configuration",
@@ -318,12 +339,17 @@
             configuration = {"configuration_zlib": self._compressed(document)}
         else:
             configuration = {"configuration": document}
+        known, own = self._follower.registrations, self.own_status()
+        is_same = request.incarnation == own.incarnation
+        above = request.above_registrations_change if is_same else 0
         return peer_pb2.FleetDocuments(
             **configuration,
             registrations=[
                 peer_pb2.FleetRegistration(key=item.key, value=item.value)
-                for item in self._follower.runner_items
+                for item in known.since(above)
             ],
+            registrations_change=known.change,
+            incarnation=own.incarnation,
         )
 
     def _compressed(self, document: bytes) -> bytes:
@@ -344,11 +370,34 @@
             self._view.note_report(from_host(host) for host in state.serving)
         for peer in state.peers:
             self.add_peer(Address(peer))
-        is_behind = state.configuration_version > self._configuration.version
-        if is_behind or not self._runners.by_key:
+        if self._lacks_documents_of(state) or not self._runners.by_key:
             await self._fetch_documents(address, state.configuration_version)
             self._proofs.note(state, called_at)
 
+    def _lacks_documents_of(self, state: peer_pb2.FleetState) -> bool:
+        """Return whether another host has documents that this one should fetch."""
+        if state.configuration_version > self._configuration.version:
+            return True
+        host = from_host(state.host)
+        fetched = self._fetched.latest(host.host, host.incarnation)
+        return state.registrations_change > fetched and self._learns_from(host)
+
+    def _learns_from(self, host: HostStatus) -> bool:
+        """Return whether to fetch registrations from another host.
+
+        A host of a large fleet that doesn't read the store fetches them from partners
+        that do, or from any partner if none does.
+        """
+        own = self.own_status()
+        is_partner = host.peers_address in self._partners
+        if not is_partner or own.reads_store:
+            return False
+        return host.reads_store or not any(
+            known.status.reads_store
+            for known in self._hosts.alive()
+            if known.status.peers_address in self._partners
+        )
+
     async def _fetch_documents(self, address: Address, version: int) -> None:
         """Fetch a host's documents, unless a fetch from another one is in progress.
 
@@ -367,8 +416,12 @@
             await self._fetch_documents(address, version)
 
     async def _fetch_from(self, address: Address) -> None:
+        host, incarnation = self._hosts.at_address(address)
         request = peer_pb2.FleetDocumentsRequest(
-            above_version=self._configuration.version, accepts_zlib=True
+            above_version=self._configuration.version,
+            accepts_zlib=True,
+            above_registrations_change=self._fetched.latest(host, incarnation),
+            incarnation=incarnation,
         )
         try:
             documents = await self._peers.call_address(
@@ -390,6 +443,10 @@
             if self._view.is_large:
                 self._announced_version = self._configuration.version
         self._follower.add_known([(i.key, i.value) for i in documents.registrations])
+        if host:
+            self._fetched.note(
+                host, documents.incarnation, documents.registrations_change
+            )
 
     def _merge_state(self, state: peer_pb2.FleetState) -> None:
         self._merge_host(state)
@@ -453,6 +510,7 @@
             unreachable=[to_runner(key) for key in work.unreachable],
             limits=to_limits(self._limits.recent(), monotonic()),
             crashes_digest=self._crash_reports.causes.digest,
+            registrations_change=self._follower.registrations.change,
             peers=self._known_peers() if includes_peers else (),
             asks_peers=asks_peers,
         )
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 
 from ..exceptions import (
@@ -18,11 +18,12 @@
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
 from ..models.ids import HostName
-from ..models.upstreams import Address, Registration, RunnerKey
+from ..models.upstreams import Address, Registration
 from ..platform import records
 from ..platform.store import Item, MetadataStore, Write
-from ..utils.clock import boot_time, monotonic
+from ..utils.clock import monotonic
 from .configuration import ConfigurationInForce
+from .registrations import KnownRegistrations
 from .runners import RunnerDirectory
 from .version_record import StoredVersions
 
@@ -162,7 +163,7 @@
         self._restored = asyncio.Event()
         store.on_restoration(self._handle_restoration)
         self._undecodable: set[tuple[str, bytes]] = set()
-        self.runner_items: tuple[Item, ...] = ()
+        self.registrations = KnownRegistrations(runners)
         # By the newest listing of the store; empty before the first one.
         self.registered_hosts: frozenset[HostName] = frozenset()
 
@@ -181,7 +182,7 @@
         """Keep the configuration up to date until cancelled."""
         revision = era = 0
         while True:
-            requested_at, called_at = monotonic(), boot_time()
+            requested_at, called_at = monotonic(), self._configuration.now()
             if era != self._store.era:
                 revision, era = 0, self._store.era
             try:
@@ -269,16 +270,15 @@
     async def _read_runners(self) -> None:
         listing = await self._store.list_prefix(records.RUNNER_PREFIX)
         self.link.record_success()
-        item_by_key: dict[RunnerKey, Item] = {}
-        listed: list[Registration] = []
-        for item in listing.items:
-            registration = self._decode_registration(item)
-            if registration is not None:
-                item_by_key[registration.key] = item
-                listed.append(registration)
-        admitted = await self._use(listed)
-        # Set last: a host that starts fetches these once, and must not get a part.
-        self.runner_items = tuple(item_by_key[runner.key] for runner in admitted)
+        listed = list(self._decoded(listing.items))
+        admitted = await self._use([registration for registration, _ in listed])
+        usable = {registration.key for registration in admitted}
+        # Set last: a host that starts fetches these, and must not get a part.
+        self.registrations.replace_all(
+            (registration, item)
+            for registration, item in listed
+            if registration.key in usable
+        )
 
     async def _use(self, listed: list[Registration]) -> list[Registration]:
         """Update the directory from a listing; return the runners that may be used."""
@@ -295,10 +295,16 @@
 
     def add_known(self, items: list[tuple[str, bytes]]) -> None:
         """Merge registrations, as (key, value), that another host has read."""
-        decoded = [
-            self._decode_registration(Item(key, value, 0, 0)) for key, value in items
-        ]
-        self._runners.add_known(r for r in decoded if r is not None)
+        found = list(self._decoded(Item(key, value, 0, 0) for key, value in items))
+        self._runners.add_known(registration for registration, _ in found)
+        self.registrations.merge(found)
+
+    def _decoded(self, items: Iterable[Item]) -> Iterator[tuple[Registration, Item]]:
+        """Yield the registrations that can be decoded, each with its item."""
+        for item in items:
+            registration = self._decode_registration(item)
+            if registration is not None:
+                yield registration, item
 
     def _decode_registration(self, item: Item) -> Registration | None:
         try:
--- a/src/siskinlever/_internal/fleet/stored_streams.py
+++ b/src/siskinlever/_internal/fleet/stored_streams.py
@@ -27,10 +27,10 @@
 from .version_record import StoredVersions
 
 STREAMS_PREFIX = "siskinlever/streams/"
-# Half a second of unknown streams is a small part of those in progress, which last for
-# seconds. 8 hosts write 16 times per second, 400 hosts 800 times; the store allows 400
-# and 1,200 writes per second.
-PERIOD_S = 0.5
+# A second of unknown streams is a small part of those in progress, which last for
+# seconds. 8 hosts write 8 times per second, 400 hosts 400 times; the store allows 400
+# and 1,200 writes per second, and each call costs.
+PERIOD_S = 1.0
 # Seconds between two reads of the record by a host that doesn't follow the store, while
 # engines leave. Engines are replaced at the same version more often than released.
 DEPARTURES_PERIOD_S = 2.0
--- a/tests/functional/test_gateway_large_fleet.py
+++ b/tests/functional/test_gateway_large_fleet.py
@@ -10,10 +10,16 @@
 from lib.platform_world import HOST, configuration, platform_world, send_raw, until
 
 from siskinlever._internal.fleet.serving_set import MAX_SMALL_FLEET, MIN_SERVING_HOSTS
+from siskinlever._internal.models.upstreams import Stage
+from siskinlever_testbed.processes import free_addresses
+from siskinlever_testbed.standins.platform.runner import RunnerStandIn, running_runner
 
 HOSTS = MAX_SMALL_FLEET + 2
 # Seconds within which a change must be known to all hosts.
 CHANGE_KNOWN_S = 2.0
+# Seconds within which all hosts must know a new runner: the longest time between two
+# reads of the store by one host, and two exchanges.
+RUNNER_KNOWN_S = 4.0
 # Seconds within which a fleet that starts must serve.
 START_S = 12.0
 
@@ -75,6 +81,30 @@
         assert (await world.send("/safe/x", host=number)).status == 200
 
 
+async def test_new_and_changed_runners_are_known_to_hosts_that_do_not_read(log_path):
+    """A host fetched the runners only once, and then read them every 30 s."""
+    async with platform_world(log_path, hosts=HOSTS, wait_ready=False) as world:
+        await until(lambda: is_settled(world), START_S)
+        port = int(free_addresses(1)[0].rpartition(":")[2])
+        added = RunnerStandIn("e-9", "engines", port, stage="decode")
+        async with running_runner(added):
+            world.runners.append(added)
+            world.register_all()
+            await until(lambda: stages(world, "e-9") == {Stage.DECODE}, RUNNER_KNOWN_S)
+            added.stage = "prefill"
+            world.register_all()
+            await until(lambda: stages(world, "e-9") == {Stage.PREFILL}, RUNNER_KNOWN_S)
+
+
+def stages(world, name: str) -> set:
+    """Return the stages that the hosts know of a runner, with None for unknown."""
+    known = [
+        {r.key.name: r.stage for r in host.context.runners.usable("engines")}
+        for host in world.hosts
+    ]
+    return {stage_by_name.get(name) for stage_by_name in known}
+
+
 async def test_stopping_host_is_replaced_in_lookups(log_path):
     async with platform_world(log_path, hosts=HOSTS, wait_ready=False) as world:
         await until(lambda: is_settled(world), START_S)
--- a/tests/unit/test_stored_versions.py
+++ b/tests/unit/test_stored_versions.py
@@ -58,7 +58,7 @@
     fleet.register(e2="v2")
     fleet.store.refuses_writes = True
     await host.follower._read_runners()
-    assert usable(host) == {"v1"} and len(host.follower.runner_items) == 1
+    assert usable(host) == {"v1"} and len(host.follower.registrations.since(0)) == 1
     fleet.store.refuses_writes = False
     await host.follower._read_runners()
     assert usable(host) == {"v1", "v2"}
@@ -78,9 +78,9 @@
     reading = asyncio.ensure_future(starting.follower._read_runners())
     seen = set()
     while not reading.done():
-        seen.add(len(starting.follower.runner_items))
+        seen.add(len(starting.follower.registrations.since(0)))
         await asyncio.sleep(0.001)
-    assert seen <= {0, 3} and len(starting.follower.runner_items) == 3
+    assert seen <= {0, 3} and len(starting.follower.registrations.since(0)) == 3
     assert usable(host) == {"v1"} and usable(starting) == {"v1", "v2"}
 
 
