Ask engines that refuse reservations less often

A refusal now counts until the known load falls or it expires; after three in a row it counts for up to 2 s and the engine is ranked last.

--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -16,13 +16,10 @@
 from ..models.ids import ZoneName
 from ..models.routes import EngineSpec
 from ..models.upstreams import Registration, RunnerKey, Stage
-from ..utils.clock import monotonic
 from .reachability import Reachability
 from .recent_failures import RecentFailures
+from .refused_reservations import RefusedReservations
 
-# Seconds for which an engine that refused for lack of capacity is skipped. On a
-# full engine a generation ends about every 0.2 s.
-FULL_SKIP_S = 0.08
 # Share of the capacity that is added to the free share of engines in this host's
 # zone.
 SAME_ZONE_BONUS = 0.1
@@ -73,9 +70,8 @@
         Returns the `Reachability` of a runner.
     prefill_rate : float, default=INITIAL_PREFILL_RATE
         Estimated prompt tokens per second of a prefill engine.
-    full_until_by_runner : dict of RunnerKey to float
-        Monotonic time until which an engine that refused for lack of capacity
-        is skipped.
+    refused : RefusedReservations
+        Reservations that engines refused for lack of capacity.
     failures : RecentFailures
         Generations that the engines lost or rejected.
     output_tokens, output_events : float
@@ -86,7 +82,7 @@
     load_of: Callable[[RunnerKey], RunnerLoad]
     reachability_of: Callable[[RunnerKey], Reachability]
     prefill_rate: float = INITIAL_PREFILL_RATE
-    full_until_by_runner: dict[RunnerKey, float] = field(default_factory=dict)
+    refused: RefusedReservations = field(default_factory=RefusedReservations)
     failures: RecentFailures = field(
         default_factory=lambda: RecentFailures(FAILURE_HALF_LIFE_S)
     )
@@ -117,14 +113,19 @@
         """
         share = LATE_CAPACITY_SHARE if is_late else ON_TIME_CAPACITY_SHARE
         candidates = [
-            (self.reachability_of(runner.key), -self._free_share(runner, spec), runner)
+            (
+                self.reachability_of(runner.key),
+                self.refused.is_doubtful(runner.key),
+                -self._free_share(runner, spec),
+                runner,
+            )
             for runner in runners
             if runner.stage is Stage.DECODE
             and runner.key not in excluded
-            and self._is_available(runner.key)
+            and self._is_reachable(runner.key)
             and self._has_capacity(runner, spec, tokens, share)
         ]
-        return [runner for *_, runner in sorted(candidates, key=lambda item: item[:2])]
+        return [runner for *_, runner in sorted(candidates, key=lambda item: item[:3])]
 
     def prefill_candidate(
         self,
@@ -163,7 +164,7 @@
             for runner in runners
             if runner.stage is Stage.PREFILL
             and runner.key not in excluded
-            and self._is_available(runner.key)
+            and self._is_reachable(runner.key)
         ]
         if not choices:
             return None
@@ -213,13 +214,24 @@
             self.output_tokens += likely_tokens - OUTPUT_WEIGHT * self.output_tokens
             self.output_events += events - OUTPUT_WEIGHT * self.output_events
 
-    def mark_full(self, key: RunnerKey) -> None:
-        """Skip an engine that refused for lack of capacity for `FULL_SKIP_S`."""
-        self.full_until_by_runner[key] = monotonic() + FULL_SKIP_S
+    def note_refused(self, key: RunnerKey, tokens: int) -> None:
+        """Record that an engine refused a generation for lack of capacity.
+
+        Parameters
+        ----------
+        key : RunnerKey
+        tokens : int
+            Expected final KV cache use of the generation, in tokens.
+        """
+        self.refused.note_refused(key, self.load_of(key).decode_tokens + tokens)
+
+    def note_granted(self, key: RunnerKey) -> None:
+        """Record that an engine granted a reservation."""
+        self.refused.note_granted(key)
 
     def forget(self, runner: RunnerKey) -> None:
         """Remove what is known of a process that is gone."""
-        self.full_until_by_runner.pop(runner, None)
+        self.refused.forget(runner)
 
     def update_prefill_rate(self, tokens: int, duration_s: float) -> None:
         """Update the prefill rate from a prompt that did not have to queue.
@@ -233,17 +245,19 @@
         rate = tokens / max(duration_s, 1e-3)
         self.prefill_rate += PREFILL_RATE_WEIGHT * (rate - self.prefill_rate)
 
-    def _is_available(self, key: RunnerKey) -> bool:
-        if self.reachability_of(key) is Reachability.UNREACHABLE:
-            return False
-        return monotonic() >= self.full_until_by_runner.get(key, float("-inf"))
+    def _is_reachable(self, key: RunnerKey) -> bool:
+        return self.reachability_of(key) is not Reachability.UNREACHABLE
 
     def _has_capacity(
         self, runner: Registration, spec: EngineSpec, tokens: int, share: float
     ) -> bool:
         load = self.load_of(runner.key)
-        has_slot = load.requests < spec.slots
-        return has_slot and load.decode_tokens + tokens <= share * spec.kv_capacity
+        if load.requests >= spec.slots:
+            return False
+        final_tokens = load.decode_tokens + tokens
+        return final_tokens <= share * spec.kv_capacity and self.refused.may_fit(
+            runner.key, final_tokens
+        )
 
     def _free_share(self, runner: Registration, spec: EngineSpec) -> float:
         used = self.load_of(runner.key).decode_tokens / max(1, spec.kv_capacity)
--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -27,8 +27,8 @@
 # Fraction of the time left until the deadline that a request may wait for
 # capacity; the rest is needed to produce the answer.
 MAX_WAIT_SHARE = 0.4
-# Seconds between attempts to reserve capacity. After an engine reported that it
-# is full, the placement skips it for `engine_placement.FULL_SKIP_S` (0.08 s).
+# Seconds between attempts to reserve capacity. Engines that have refused are skipped
+# for longer (`dispatch.refused_reservations`).
 POLL_S = 0.025
 # Retry-After in seconds when no capacity became available: about the duration of
 # one generation.
@@ -286,7 +286,9 @@
             job.log_fields["holds_refused"] = (
                 int(job.log_fields.get("holds_refused", 0)) + 1
             )
-            self._placement.mark_full(runner.key)
+            self._placement.note_refused(runner.key, self.needed_tokens)
+        else:
+            self._placement.note_granted(runner.key)
         return hold
 
 
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -347,7 +347,7 @@
             self._job.mark_not_run()
             if wire.is_other_runner(head, runner.key.name):
                 self._context.runners.mark_replaced(runner.key)
-            self._placement.mark_full(runner.key)
+            self._placement.note_refused(runner.key, self._search.needed_tokens)
             self._placement.failures.note(runner.key)
             message = f"{runner.key.name} answered {head.status}"
             return refused(EndReason.REJECTED, message, FAILED_RETRY_S)
--- a/src/siskinlever_testbed/model/deployments.py
+++ b/src/siskinlever_testbed/model/deployments.py
@@ -11,13 +11,33 @@
 from .serving import Objectives
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """Engines that leave while the store is out, so that no host knows of it.
+
+    They finish what they run and refuse new reservations.
+
+    Parameters
+    ----------
+    engines : tuple of int
+        Numbers of the engines.
+    from_s, until_s : float
+        Seconds since the beginning of the simulation. The hosts know at `until_s`.
+    """
+
+    engines: tuple[int, ...]
+    from_s: float
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """Hosts, engines and arrivals of a deployment, with the figures of its site file.
 
     Engines with a number below `prefill_engines` prefill, the others decode.
     `stage_switch_s` is the duration of a stage switch, and `max_hold_s` the longest
-    time that a reservation is held, both in seconds.
+    time that a reservation is held, both in seconds. `speed_pattern` repeats over the
+    engines by number; 1.0 is the speed of the site file.
     """
 
     zones: tuple[ZoneName, ...]
@@ -29,6 +49,8 @@
     objectives: Objectives = Objectives()
     stage_switch_s: float = 6.0
     max_hold_s: float = 2.0
+    speed_pattern: tuple[float, ...] = (1.0,)
+    leaving: Leaving | None = None
 
     def zone(self, number: int) -> ZoneName:
         """Return the zone of a host or an engine by its number."""
@@ -125,4 +147,27 @@
         ),
         objectives=Objectives(patience_spread=0.15),
     ),
+    # The hosts are those of the serving set, which callers use.
+    "bookshop": Deployment(
+        zones=_zones("karen", "kasarani", "upper-hill", "westlands"),
+        hosts=12,
+        engines=45,
+        prefill_engines=10,
+        speed=EngineSpeed(
+            batch=12,
+            capacity=26_153,
+            step_ms=5.95,
+            step_ms_per_run=0.12,
+            prefill_tokens_per_ms=33.333,
+            prefill_overhead_ms=2.7,
+            transfer_ms_per_token=transfer_ms_per_token(327_680, 3_300e9),
+            transfer_overhead_ms=2.7,
+        ),
+        arrivals=replace(
+            _arrivals(39.5, Sizes(66, 0.7, 160), tokens_per_event=7),
+            bursts=(Burst(6.0, 5.0, 1.6), Burst(17.0, 4.0, 2.0), Burst(27.0, 4.0, 1.9)),
+        ),
+        objectives=Objectives(first_event_s=0.913, caller_timeout_s=3.65),
+        speed_pattern=(0.55, 1.2, 1.2, 1.2),
+    ),
 }
--- a/src/siskinlever_testbed/model/engines.py
+++ b/src/siskinlever_testbed/model/engines.py
@@ -118,6 +118,8 @@
         Tokens prefilled, including those prefilled again after a preemption.
     preempted : int
         Number of preemptions for lack of memory.
+    is_leaving : bool
+        Whether it finishes what it runs and refuses reservations.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         self.decodes = decodes
         self.tokens_prefilled = 0
         self.preempted = 0
+        self.is_leaving = False
         self._now = now
         self._runs: list[Run] = []
         self._tokens_by_hold: dict[HoldId, int] = {}
@@ -153,11 +156,12 @@
     def take_hold(self, tokens: int) -> HoldId:
         """Reserve a slot and memory for a number of tokens.
 
-        Raises `EngineFullError` if either is not available.
+        Raises `EngineFullError` if either is not available, or if it leaves.
         """
         used_slots = len(self._runs) + len(self._tokens_by_hold)
         if (
-            used_slots >= self.speed.batch
+            self.is_leaving
+            or used_slots >= self.speed.batch
             or self.used_tokens + tokens > self.speed.capacity
         ):
             raise EngineFullError(self.name)
@@ -166,6 +170,10 @@
         self._tokens_by_hold[hold] = tokens
         return hold
 
+    def leave(self) -> None:
+        """Refuse reservations from now on."""
+        self.is_leaving = True
+
     def drop_hold(self, hold: HoldId) -> None:
         """Release a reservation."""
         self._tokens_by_hold.pop(hold, None)
--- a/src/siskinlever_testbed/model/experiment.py
+++ b/src/siskinlever_testbed/model/experiment.py
@@ -11,8 +11,8 @@
 from siskinlever._internal.utils.clock import monotonic
 
 from .arrivals import draw
-from .deployments import Deployment
-from .engines import Engine
+from .deployments import Deployment, Leaving
+from .engines import Engine, EngineSpeed
 from .policies import Policy
 from .serving import Fleet, Outcome, OutcomeKind
 from .virtual_time import VirtualTimeLoop
@@ -43,6 +43,8 @@
         Share of the prefilled tokens that no served generation needed.
     preempted : int
         Number of preemptions.
+    holds_refused : int
+        Number of reservations that engines refused.
     worth_by_window : tuple of float
         Share of worth earned in each window of two seconds with arrivals.
     """
@@ -55,6 +57,7 @@
     largest_served: float
     read_in_vain: float
     preempted: int
+    holds_refused: int
     worth_by_window: tuple[float, ...]
 
 
@@ -93,6 +96,8 @@
         deployment.arrivals, rate_per_s=deployment.arrivals.rate_per_s * load
     )
     started_at = monotonic()
+    if deployment.leaving is not None:
+        _schedule_leaving(fleet, engines, deployment.leaving)
     arrival_by_task = {}
     with _background_tasks(fleet, engines):
         for arrival in draw(arrivals, seed):
@@ -106,6 +111,16 @@
     return _result(fleet, arrivals.length_s)
 
 
+def _schedule_leaving(
+    fleet: Fleet, engines: Sequence[Engine], leaving: Leaving
+) -> None:
+    loop = asyncio.get_running_loop()
+    for number in leaving.engines:
+        engine = engines[number]
+        loop.call_later(leaving.from_s, engine.leave)
+        loop.call_later(leaving.until_s, fleet.remove, engine)
+
+
 @contextmanager
 def _background_tasks(fleet: Fleet, engines: Sequence[Engine]) -> Iterator[None]:
     tasks = [asyncio.create_task(engine.run_steps()) for engine in engines]
@@ -122,7 +137,7 @@
         Engine(
             f"engine-{number}",
             deployment.zone(number),
-            deployment.speed,
+            _speed(deployment, number),
             number >= deployment.prefill_engines,
             monotonic,
         )
@@ -130,6 +145,17 @@
     ]
 
 
+def _speed(deployment: Deployment, number: int) -> EngineSpeed:
+    factor = deployment.speed_pattern[number % len(deployment.speed_pattern)]
+    speed = deployment.speed
+    return replace(
+        speed,
+        step_ms=speed.step_ms / factor,
+        step_ms_per_run=speed.step_ms_per_run / factor,
+        prefill_tokens_per_ms=speed.prefill_tokens_per_ms * factor,
+    )
+
+
 def _engine_spec(deployment: Deployment) -> EngineSpec:
     speed = deployment.speed
     return EngineSpec(
@@ -163,6 +189,7 @@
         largest_served=_share(largest, *SERVED),
         read_in_vain=max(0.0, 1 - needed / prefilled),
         preempted=sum(engine.preempted for engine in fleet.engine_by_runner.values()),
+        holds_refused=fleet.holds_refused,
         worth_by_window=tuple(windows),
     )
 
--- a/src/siskinlever_testbed/model/serving.py
+++ b/src/siskinlever_testbed/model/serving.py
@@ -109,12 +109,19 @@
         self.random = random.Random(seed)
         self.patience_random = random.Random(seed + 1)
         self.outcomes: list[Outcome] = []
+        self.holds_refused = 0
         queue = WaitQueue()
         self.hosts = [
             Host(self, zone, queue if policy.shares_queue else WaitQueue())
             for zone in zones
         ]
 
+    def remove(self, engine: Engine) -> None:
+        """Let no host use an engine any more."""
+        self.registrations = [
+            r for r in self.registrations if r.key.name != engine.name
+        ]
+
     async def exchange_loads(self) -> None:
         """Update the hosts' view of each other's load periodically until cancelled."""
         if math.isinf(self.policy.load_update_period_s):
@@ -275,12 +282,15 @@
             monotonic() > on_time_until,
         ):
             await asyncio.sleep(ROUND_TRIP_S)
+            engine = self.fleet.engine_by_runner[runner.key]
             try:
-                return runner, self.fleet.engine_by_runner[runner.key].take_hold(
-                    reserved_tokens
-                )
+                hold = engine.take_hold(reserved_tokens)
             except EngineFullError:
-                self.placement.mark_full(runner.key)
+                self.fleet.holds_refused += 1
+                self.placement.note_refused(runner.key, arrival.prompt + arrival.hint)
+            else:
+                self.placement.note_granted(runner.key)
+                return runner, hold
         return None
 
     async def _prefill(
--- a/tests/functional/test_runner_statements.py
+++ b/tests/functional/test_runner_statements.py
@@ -169,7 +169,7 @@
             world.deregister(world.runner_named(name))
 
         def known() -> set[str]:
-            engines = context.placement_for("engines").full_until_by_runner
+            engines = context.placement_for("engines").refused.by_engine
             stats = context.plain_placement.stats_by_runner
             stated = context.limits.by_runner
             return {key.name for keys in (engines, stats, stated) for key in keys}
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -13,6 +13,11 @@
 from siskinlever._internal.dispatch.plain_placement import PlainPlacement
 from siskinlever._internal.dispatch.reachability import Reachability
 from siskinlever._internal.dispatch.recent_failures import RecentFailures
+from siskinlever._internal.dispatch.refused_reservations import (
+    FIRST_SKIP_S,
+    MAX_SKIP_S,
+    RefusedReservations,
+)
 from siskinlever._internal.dispatch.retry_accounting import RetryAccounting
 from siskinlever._internal.dispatch.retry_budget import SharedRetryBudget
 from siskinlever._internal.dispatch.stage_plan import StageWork, next_change
@@ -147,14 +152,51 @@
 
 def test_full_engine_is_retried_soon_and_excluded_engine_never():
     engines = [engine("e-1", Stage.DECODE), engine("e-2", Stage.DECODE)]
+    clock = Clock()
     placement = placement_with({})
-    placement.mark_full(engines[0].key)
+    placement.refused = RefusedReservations(clock)
+    placement.note_refused(engines[0].key, 10)
     found = placement.decode_candidates(engines, SPEC, 10, False, {engines[1].key})
     assert found == []
-    placement.full_until_by_runner[engines[0].key] = monotonic()
+    clock.now += FIRST_SKIP_S
     assert placement.decode_candidates(engines, SPEC, 10)
 
 
+def test_engine_that_refuses_everything_is_asked_rarely_and_last():
+    """An engine leaves while the store is out, and no host knows of load there."""
+    clock = Clock()
+    refusing, serving = engine("e-1", Stage.DECODE), engine("e-2", Stage.DECODE)
+    placement = placement_with({serving.key: RunnerLoad(4, 16_000)})
+    placement.refused = RefusedReservations(clock)
+    asked_at = []
+    for _ in range(400):
+        clock.now += 0.025
+        first = placement.decode_candidates([refusing, serving], SPEC, 4000)[0]
+        if first is refusing:
+            asked_at.append(clock.now)
+            placement.note_refused(refusing.key, 4000)
+    # Three refusals in a row, then one every 4 s of the 10 s.
+    assert len(asked_at) <= 5
+    # It is asked even so when nothing else has capacity.
+    waits = placement.decode_candidates([refusing], SPEC, 4000)
+    clock.now += MAX_SKIP_S
+    assert waits or placement.decode_candidates([refusing], SPEC, 4000)
+    placement.note_granted(refusing.key)
+    assert placement.decode_candidates([refusing, serving], SPEC, 4000)[0] is refusing
+
+
+def test_smaller_generation_may_fit_where_a_larger_one_was_refused():
+    """Other hosts have just filled an engine, and one of its generations ends."""
+    loads = {engine("e-1", Stage.DECODE).key: RunnerLoad(4, 30_000)}
+    engines = [engine("e-1", Stage.DECODE)]
+    placement = placement_with(loads)
+    placement.note_refused(engines[0].key, 5_000)
+    assert not placement.decode_candidates(engines, SPEC, 5_000)
+    assert placement.decode_candidates(engines, SPEC, 2_000)
+    loads[engines[0].key] = RunnerLoad(3, 26_000)
+    assert placement.decode_candidates(engines, SPEC, 5_000)
+
+
 def test_prompt_goes_to_shortest_prefill_queue_or_decode_engine():
     engines = [engine("e-1", Stage.PREFILL), engine("e-2", Stage.PREFILL)]
     placement = placement_with({engines[0].key: RunnerLoad(prefill_tokens=3000)})
--- a/tests/unit/test_load_model.py
+++ b/tests/unit/test_load_model.py
@@ -10,7 +10,8 @@
 
 from siskinlever._internal.dispatch.caller_waits import CallerWaitTracker
 from siskinlever_testbed.model import run
-from siskinlever_testbed.model.deployments import DEPLOYMENT_BY_NAME
+from siskinlever_testbed.model.arrivals import draw
+from siskinlever_testbed.model.deployments import DEPLOYMENT_BY_NAME, Leaving
 from siskinlever_testbed.model.engines import Engine
 from siskinlever_testbed.model.experiment import simulate
 from siskinlever_testbed.model.policies import POLICY_BY_NAME
@@ -54,6 +55,22 @@
     assert mean(r.worth for r in estimated) > mean(r.worth for r in mistaken)
 
 
+def test_engines_that_refuse_everything_cost_few_reservations():
+    """The bookshop's day `trouble-3`: engines leave while the store is out.
+
+    Without a memory of refusals, hosts ask them first: 5,275 refusals for 1,740 generations.
+    """
+    leaving = replace(
+        DEPLOYMENT_BY_NAME["bookshop"],
+        leaving=Leaving(tuple(range(11, 44, 4)), 18.0, 26.0),
+    )
+    result = simulate(leaving, POLICY_BY_NAME["told-at-once"], 1, 1.0)
+    arrived = sum(1 for _ in draw(leaving.arrivals, 1))
+    # Each refusal costs a connection; generations need two without any.
+    assert result.holds_refused < arrived
+    assert result.refused < 0.01
+
+
 def test_simulation_is_deterministic():
     deployment = DEPLOYMENT_BY_NAME["brosur-kl"]
     policy = POLICY_BY_NAME["told-at-once"]
