--- a/tests/unit/test_load_model.py
+++ b/tests/unit/test_load_model.py
@@ -58,7 +58,8 @@
 def test_engines_that_refuse_everything_cost_few_reservations():
     """The bookshop's day `trouble-3`: engines leave while the store is out.
 
-    Without a memory of refusals, hosts ask them first: 5,275 refusals for 1,740 generations.
+    Without a memory of refusals, hosts ask them first: 5,275 refusals for 1,740
+    generations.
     """
     leaving = replace(
         DEPLOYMENT_BY_NAME["bookshop"],
