Prefill in the zone of the decode engine where that costs little waiting

The zone only decided between equal waits, which are rare, so that three of four KV caches crossed zones, and all hosts ranked the prefill engines alike.

Another zone is now used if it saves more than 0.1 s.

--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -23,6 +23,9 @@
 # Share of the capacity that is added to the free share of engines in this host's
 # zone.
 SAME_ZONE_BONUS = 0.1
+# Seconds that a prompt waits longer for a prefill engine in the zone of the decode
+# engine, so that its KV cache doesn't cross zones. About the time of one prompt.
+OTHER_ZONE_WAIT_S = 0.1
 # Tokens per second assumed until prefills have been timed. Each host then adjusts
 # its rate to the prefills that it observes.
 INITIAL_PREFILL_RATE = 25_000.0
@@ -158,7 +161,6 @@
                 self.reachability_of(runner.key),
                 self._prefill_wait_s(runner)
                 + FAILURE_WAIT_PENALTY_S * self.failures.count_of(runner.key),
-                runner.zone != decode_zone,
                 runner,
             )
             for runner in runners
@@ -168,7 +170,14 @@
         ]
         if not choices:
             return None
-        _, wait_s, _, runner = min(choices, key=lambda item: item[:3])
+        # Another zone is used if it saves more than `OTHER_ZONE_WAIT_S`.
+        _, wait_s, runner = min(
+            choices,
+            key=lambda choice: (
+                choice[0],
+                choice[1] + OTHER_ZONE_WAIT_S * (choice[2].zone != decode_zone),
+            ),
+        )
         allowed_s = slack_s if slack_s >= 0 else MAX_LATE_PREFILL_WAIT_S
         return runner if wait_s <= allowed_s or not allows_direct else None
 
--- a/src/siskinlever_testbed/model/experiment.py
+++ b/src/siskinlever_testbed/model/experiment.py
@@ -45,6 +45,8 @@
         Number of preemptions.
     holds_refused : int
         Number of reservations that engines refused.
+    across_zones : float
+        Share of the tokens transferred between engines that crossed zones.
     worth_by_window : tuple of float
         Share of worth earned in each window of two seconds with arrivals.
     """
@@ -58,6 +60,7 @@
     read_in_vain: float
     preempted: int
     holds_refused: int
+    across_zones: float
     worth_by_window: tuple[float, ...]
 
 
@@ -190,6 +193,7 @@
         read_in_vain=max(0.0, 1 - needed / prefilled),
         preempted=sum(engine.preempted for engine in fleet.engine_by_runner.values()),
         holds_refused=fleet.holds_refused,
+        across_zones=fleet.tokens_across_zones / max(1, fleet.tokens_transferred),
         worth_by_window=tuple(windows),
     )
 
--- a/src/siskinlever_testbed/model/serving.py
+++ b/src/siskinlever_testbed/model/serving.py
@@ -110,6 +110,8 @@
         self.patience_random = random.Random(seed + 1)
         self.outcomes: list[Outcome] = []
         self.holds_refused = 0
+        self.tokens_transferred = 0
+        self.tokens_across_zones = 0
         queue = WaitQueue()
         self.hosts = [
             Host(self, zone, queue if policy.shares_queue else WaitQueue())
@@ -308,6 +310,8 @@
             await source.prefill(arrival.prompt)
         if queued == 0:
             self.placement.update_prefill_rate(arrival.prompt, monotonic() - started_at)
+        self.fleet.tokens_transferred += arrival.prompt
+        self.fleet.tokens_across_zones += arrival.prompt * (source.zone != engine.zone)
         await asyncio.sleep(engine.transfer_s(arrival.prompt, source.zone))
         return True
 
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -4,12 +4,17 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from lib.runners import engine, plain
 
 from siskinlever._internal.dispatch.caller_waits import CallerWaitTracker
-from siskinlever._internal.dispatch.engine_placement import EnginePlacement
+from siskinlever._internal.dispatch.engine_placement import (
+    INITIAL_PREFILL_RATE,
+    OTHER_ZONE_WAIT_S,
+    EnginePlacement,
+)
 from siskinlever._internal.dispatch.plain_placement import PlainPlacement
 from siskinlever._internal.dispatch.reachability import Reachability
 from siskinlever._internal.dispatch.recent_failures import RecentFailures
@@ -207,6 +212,17 @@
     assert placement.prefill_candidate([], "a", 0.5) is None
 
 
+def test_prompt_is_prefilled_in_zone_of_decode_engine_unless_it_would_wait_long():
+    """KV caches that cross zones are the largest part of the canal hire's bytes."""
+    here, there = engine("e-1", Stage.PREFILL), engine("e-2", Stage.PREFILL)
+    there = replace(there, zone="b")
+    rate = INITIAL_PREFILL_RATE
+    for wait_s, chosen in ((OTHER_ZONE_WAIT_S / 2, here), (0.15, there)):
+        load = RunnerLoad(prefill_tokens=int(wait_s * rate))
+        placement = placement_with({here.key: load})
+        assert placement.prefill_candidate([here, there], "a", 0.4) is chosen
+
+
 def test_long_prompt_is_not_prefilled_on_decode_engine_with_running_streams():
     """A prefill on a decode engine pauses the streams that run there.
 
--- a/tests/unit/test_load_model.py
+++ b/tests/unit/test_load_model.py
@@ -72,6 +72,15 @@
     assert result.refused < 0.01
 
 
+def test_few_prompts_cross_zones_at_usual_load():
+    """Twelve hosts and 45 engines in four zones; 0.76 crossed when zones only decided
+    between equal waits."""
+    bookshop = DEPLOYMENT_BY_NAME["bookshop"]
+    result = simulate(bookshop, POLICY_BY_NAME["told-at-once"], 1, 1.0)
+    assert result.across_zones < 0.25
+    assert result.on_time > 0.97
+
+
 def test_simulation_is_deterministic():
     deployment = DEPLOYMENT_BY_NAME["brosur-kl"]
     policy = POLICY_BY_NAME["told-at-once"]
