--- a/src/siskinlever_testbed/model/serving.py
+++ b/src/siskinlever_testbed/model/serving.py
@@ -109,12 +109,21 @@
         self.random = random.Random(seed)
         self.patience_random = random.Random(seed + 1)
         self.outcomes: list[Outcome] = []
+        self.holds_refused = 0
+        self.tokens_transferred = 0
+        self.tokens_across_zones = 0
         queue = WaitQueue()
         self.hosts = [
             Host(self, zone, queue if policy.shares_queue else WaitQueue())
             for zone in zones
         ]
 
+    def remove(self, engine: Engine) -> None:
+        """Let no host use an engine any more."""
+        self.registrations = [
+            r for r in self.registrations if r.key.name != engine.name
+        ]
+
     async def exchange_loads(self) -> None:
         """Update the hosts' view of each other's load periodically until cancelled."""
         if math.isinf(self.policy.load_update_period_s):
@@ -275,12 +284,15 @@
             monotonic() > on_time_until,
         ):
             await asyncio.sleep(ROUND_TRIP_S)
+            engine = self.fleet.engine_by_runner[runner.key]
             try:
-                return runner, self.fleet.engine_by_runner[runner.key].take_hold(
-                    reserved_tokens
-                )
+                hold = engine.take_hold(reserved_tokens)
             except EngineFullError:
-                self.placement.mark_full(runner.key)
+                self.fleet.holds_refused += 1
+                self.placement.note_refused(runner.key, arrival.prompt + arrival.hint)
+            else:
+                self.placement.note_granted(runner.key)
+                return runner, hold
         return None
 
     async def _prefill(
@@ -298,6 +310,8 @@
             await source.prefill(arrival.prompt)
         if queued == 0:
             self.placement.update_prefill_rate(arrival.prompt, monotonic() - started_at)
+        self.fleet.tokens_transferred += arrival.prompt
+        self.fleet.tokens_across_zones += arrival.prompt * (source.zone != engine.zone)
         await asyncio.sleep(engine.transfer_s(arrival.prompt, source.zone))
         return True
 
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -4,15 +4,25 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from lib.runners import engine, plain
 
 from siskinlever._internal.dispatch.caller_waits import CallerWaitTracker
-from siskinlever._internal.dispatch.engine_placement import EnginePlacement
+from siskinlever._internal.dispatch.engine_placement import (
+    INITIAL_PREFILL_RATE,
+    OTHER_ZONE_WAIT_S,
+    EnginePlacement,
+)
 from siskinlever._internal.dispatch.plain_placement import PlainPlacement
 from siskinlever._internal.dispatch.reachability import Reachability
 from siskinlever._internal.dispatch.recent_failures import RecentFailures
+from siskinlever._internal.dispatch.refused_reservations import (
+    FIRST_SKIP_S,
+    MAX_SKIP_S,
+    RefusedReservations,
+)
 from siskinlever._internal.dispatch.retry_accounting import RetryAccounting
 from siskinlever._internal.dispatch.retry_budget import SharedRetryBudget
 from siskinlever._internal.dispatch.stage_plan import StageWork, next_change
@@ -138,6 +148,30 @@
     assert names == ["e-2", "e-1"]
 
 
+def test_hosts_of_different_zones_ask_different_engines_first():
+    """Twelve hosts that place at the same time, with equal knowledge of the loads."""
+    engines = [
+        replace(engine(f"e-{zone}{number}", Stage.DECODE), zone=zone)
+        for zone in "ab"
+        for number in range(3)
+    ]
+    loads = {
+        runner.key: RunnerLoad(number, 2_000 * number)
+        for number, runner in enumerate(engines)
+    }
+    placement = placement_with(loads)
+    first = {}
+    for zone in "ab":
+        placement.zone = zone
+        first[zone] = placement.decode_candidates(engines, SPEC, 4000)[0].zone
+    assert first == {"a": "a", "b": "b"}
+    # Engines of other zones are used before those of this one are full.
+    loads[engines[0].key] = loads[engines[1].key] = RunnerLoad(6, 24_000)
+    loads[engines[2].key] = RunnerLoad(6, 24_000)
+    placement.zone = "a"
+    assert placement.decode_candidates(engines, SPEC, 4000)[0].zone == "b"
+
+
 def test_late_generation_leaves_capacity_for_on_time_ones():
     engines = [engine("e-1", Stage.DECODE)]
     placement = placement_with({engines[0].key: RunnerLoad(8, 28_000)})
@@ -147,14 +181,51 @@
 
 def test_full_engine_is_retried_soon_and_excluded_engine_never():
     engines = [engine("e-1", Stage.DECODE), engine("e-2", Stage.DECODE)]
+    clock = Clock()
     placement = placement_with({})
-    placement.mark_full(engines[0].key)
+    placement.refused = RefusedReservations(clock)
+    placement.note_refused(engines[0].key, 10)
     found = placement.decode_candidates(engines, SPEC, 10, False, {engines[1].key})
     assert found == []
-    placement.full_until_by_runner[engines[0].key] = monotonic()
+    clock.now += FIRST_SKIP_S
     assert placement.decode_candidates(engines, SPEC, 10)
 
 
+def test_engine_that_refuses_everything_is_asked_rarely_and_last():
+    """An engine leaves while the store is out, and no host knows of load there."""
+    clock = Clock()
+    refusing, serving = engine("e-1", Stage.DECODE), engine("e-2", Stage.DECODE)
+    placement = placement_with({serving.key: RunnerLoad(4, 16_000)})
+    placement.refused = RefusedReservations(clock)
+    asked_at = []
+    for _ in range(400):
+        clock.now += 0.025
+        first = placement.decode_candidates([refusing, serving], SPEC, 4000)[0]
+        if first is refusing:
+            asked_at.append(clock.now)
+            placement.note_refused(refusing.key, 4000)
+    # Three refusals in a row, then one every 4 s of the 10 s.
+    assert len(asked_at) <= 5
+    # It is asked even so when nothing else has capacity.
+    waits = placement.decode_candidates([refusing], SPEC, 4000)
+    clock.now += MAX_SKIP_S
+    assert waits or placement.decode_candidates([refusing], SPEC, 4000)
+    placement.note_granted(refusing.key)
+    assert placement.decode_candidates([refusing, serving], SPEC, 4000)[0] is refusing
+
+
+def test_smaller_generation_may_fit_where_a_larger_one_was_refused():
+    """Other hosts have just filled an engine, and one of its generations ends."""
+    loads = {engine("e-1", Stage.DECODE).key: RunnerLoad(4, 30_000)}
+    engines = [engine("e-1", Stage.DECODE)]
+    placement = placement_with(loads)
+    placement.note_refused(engines[0].key, 5_000)
+    assert not placement.decode_candidates(engines, SPEC, 5_000)
+    assert placement.decode_candidates(engines, SPEC, 2_000)
+    loads[engines[0].key] = RunnerLoad(3, 26_000)
+    assert placement.decode_candidates(engines, SPEC, 5_000)
+
+
 def test_prompt_goes_to_shortest_prefill_queue_or_decode_engine():
     engines = [engine("e-1", Stage.PREFILL), engine("e-2", Stage.PREFILL)]
     placement = placement_with({engines[0].key: RunnerLoad(prefill_tokens=3000)})
@@ -165,6 +236,17 @@
     assert placement.prefill_candidate([], "a", 0.5) is None
 
 
+def test_prompt_is_prefilled_in_zone_of_decode_engine_unless_it_would_wait_long():
+    """KV caches that cross zones are the largest part of the canal hire's bytes."""
+    here, there = engine("e-1", Stage.PREFILL), engine("e-2", Stage.PREFILL)
+    there = replace(there, zone="b")
+    rate = INITIAL_PREFILL_RATE
+    for wait_s, chosen in ((OTHER_ZONE_WAIT_S / 2, here), (0.15, there)):
+        load = RunnerLoad(prefill_tokens=int(wait_s * rate))
+        placement = placement_with({here.key: load})
+        assert placement.prefill_candidate([here, there], "a", 0.4) is chosen
+
+
 def test_long_prompt_is_not_prefilled_on_decode_engine_with_running_streams():
     """A prefill on a decode engine pauses the streams that run there.
 
