Order waiting generations by the usage of their workspaces

In order of arrival, one workspace at a multiple of its usual load took the capacity of all others. Among generations of the same lateness and priority, the one goes first whose workspace has got least relative to its usual usage; one that is served less than 0.4 times as often as all goes before them. Waiters have a workspace and the tokens that they need. Waiters that poll no longer each reorder the queue. Without workspaces the order is that of arrival.

--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -159,7 +159,12 @@
         )
         self._placement.priorities.note(_priority(job))
         waiter = Waiter(
-            _priority(job), job.arrived_at, self.on_time_until, self._version
+            _priority(job),
+            job.arrived_at,
+            self.on_time_until,
+            self._version,
+            job.workspace.name if job.workspace is not None else None,
+            self.needed_tokens,
         )
         job.log_fields["waiting_before"] = len(queue)
         job.log_fields["needed_tokens"] = self.needed_tokens
@@ -168,10 +173,11 @@
             while True:
                 self._context.check_bars(job)
                 waiter.has_engines = self._has_engines(excluded)
-                queue.reorder()
+                queue.reorder_if_due()
                 if waiter.at_head.is_set():
                     capacity = await self._try_engines(excluded)
                     if capacity is not None:
+                        queue.note_served(waiter)
                         job.note_time("room_s")
                         return capacity
                 if monotonic() >= give_up_at:
