Merge the order of waiting generations by workspace, and room for urgent ones

Cause: one workspace at five times its usual load took the room of the others; less urgent generations on one host took the room that urgent ones on another waited for.

--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -157,7 +157,15 @@
             started_at + MAX_WAIT_SHARE * max(0.0, job.time_left_s),
             first_event_timeout_at - EXPECTED_FIRST_EVENT_S,
         )
-        waiter = Waiter(job.priority, job.arrived_at, self.on_time_until, self._version)
+        self._placement.priorities.note(job.priority)
+        waiter = Waiter(
+            job.priority,
+            job.arrived_at,
+            self.on_time_until,
+            self._version,
+            job.workspace.name if job.workspace is not None else None,
+            self.needed_tokens,
+        )
         job.log_fields["waiting_before"] = len(queue)
         job.log_fields["needed_tokens"] = self.needed_tokens
         with queue.enqueued(waiter):
@@ -165,10 +173,11 @@
             while True:
                 self._context.check_bars(job)
                 waiter.has_engines = self._has_engines(excluded)
-                queue.reorder()
+                queue.reorder_if_due()
                 if waiter.at_head.is_set():
                     capacity = await self._try_engines(excluded)
                     if capacity is not None:
+                        queue.note_served(waiter)
                         job.note_time("room_s")
                         return capacity
                 if monotonic() >= give_up_at:
@@ -194,7 +203,7 @@
             context.not_switching(sendable),
             self._spec,
             self.needed_tokens,
-            is_late,
+            self._placement.priorities.capacity_share(_priority(self._job), is_late),
             excluded,
         ):
             # An attempt that an engine in need refuses counts against its limit, too.
@@ -290,6 +299,14 @@
         return hold
 
 
+def _priority(job: Job) -> int:
+    """Return the priority of a request; that of its workspace comes first."""
+    workspace = job.workspace
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return job.route.priority
+
+
 def _first_event_timeout_s(route: Route) -> float:
     """Return the seconds that a caller waits for the first event of a stream."""
     return max(
