--- a/src/siskinlever/_internal/gateway/capacity.py
+++ b/src/siskinlever/_internal/gateway/capacity.py
@@ -203,7 +203,7 @@
             context.not_switching(sendable),
             self._spec,
             self.needed_tokens,
-            self._placement.priorities.capacity_share(_priority(self._job), is_late),
+            self._placement.priorities.capacity_share(self._job.priority, is_late),
             excluded,
         ):
             # An attempt that an engine in need refuses counts against its limit, too.
@@ -299,14 +299,6 @@
         return hold
 
 
-def _priority(job: Job) -> int:
-    """Return the priority of a request; that of its workspace comes first."""
-    workspace = job.workspace
-    if workspace is not None and workspace.priority is not None:
-        return workspace.priority
-    return job.route.priority
-
-
 def _first_event_timeout_s(route: Route) -> float:
     """Return the seconds that a caller waits for the first event of a stream."""
     return max(
