Test each check of a key by a change that only it sees

Cause: of 26 mechanisms taken away one at a time, six left all tests green: the removal of headers (the test listed them in Connection too), the check before a plain send, the one when the connection is open, the workspace in a request's trait, in the search for a stream, and the workspace's priority.

Measured: each of the six now fails a test (tests/functional/test_workspace_keys.py, tests/unit/test_authorization.py).

--- a/tests/functional/test_workspace_keys.py
+++ b/tests/functional/test_workspace_keys.py
@@ -13,6 +13,9 @@
 from siskinlever._internal.cli.main import main
 from siskinlever._internal.exceptions import PeerError
 from siskinlever._internal.fleet.serving_set import MAX_SMALL_FLEET
+from siskinlever._internal.gateway import runner_calls
+from siskinlever._internal.gateway.engine_calls import CALL_TIMEOUT_S
+from siskinlever._internal.gateway.runner_connections import open_connection
 from siskinlever._internal.models.workspaces import key_digest
 from siskinlever_testbed.platform_fleet import HOST, platform_fleet, send_raw
 from siskinlever_testbed.standins.platform.runner_answers import (
@@ -267,6 +270,55 @@
     assert answer.status == 200
 
 
+async def test_retry_names_the_workspace_that_the_key_has_by_then(log_path):
+    async with platform_world(log_path, **BOUNDS) as world:
+        await started(world)
+        for name in ("p-1", "p-2"):
+            runner = world.runner_named(name)
+            runner.next_faults, runner.work_s = [RunnerFault.RESET_AFTER_RUN], 1.3
+        waiting = asyncio.create_task(ask(world, KEY, identifier="m-1"))
+        await until(lambda: run_count(world, "m-1"))
+        first = next(r for r in world.runners if r.ran)
+        for runner in world.runners:
+            runner.next_faults = [] if runner is not first else runner.next_faults
+            runner.work_s = 0.01
+        world.apply(with_workspaces(3, acme=[], bell=[KEY, OTHER_KEY]))
+        await until(lambda: versions(world) == {3})
+        answer = await waiting
+        names = [request.get("tenant") for request in received(world)]
+    assert answer.status == 200 and sorted(names) == ["acme", "bell"]
+
+
+@pytest.mark.parametrize("moves", [False, True], ids=["removed", "moved"])
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
+async def test_key_that_changes_while_a_connection_is_opened(
+    log_path, monkeypatch, path, moves
+):
+    """Nothing has been sent then, and the headers name the workspace of before."""
+    opened_at = []
+
+    async with platform_world(log_path, **BOUNDS) as world:
+        await started(world)
+
+        async def open_late(context, runner, lifetime_s):
+            opened = await open_connection(context, runner, lifetime_s)
+            # Calls that don't carry the request have less time.
+            if not opened_at and lifetime_s > CALL_TIMEOUT_S:
+                opened_at.append(time.monotonic())
+                bell = [KEY, OTHER_KEY] if moves else [OTHER_KEY]
+                document = with_workspaces(3, acme=[], bell=bell)
+                found = world.hosts[0].context.configuration
+                assert found.advance(json.dumps(document).encode(), "a peer")
+            return opened
+
+        monkeypatch.setattr(runner_calls, "open_connection", open_late)
+        headers = GENERATION | bearer(KEY)
+        answer = await world.send(path, "POST", "c-1", b"p", headers=headers)
+        assert opened_at and tenants(world) <= {"bell"}
+        assert run_count(world, "c-1") == (1 if answer.status == 200 else 0)
+    assert answer.status in ((200, 503) if moves else (401, 503))
+
+
 async def test_retry_after_a_key_was_removed_may_have_run(log_path):
     """The first send was allowed, so neither 401 nor 503 would be true."""
     async with platform_world(log_path, **BOUNDS) as world:
@@ -394,6 +446,18 @@
     assert not any(key in printed + str(document) for key in (KEY, UNKNOWN_KEY))
 
 
+async def test_stream_of_another_workspace_is_not_found(log_path):
+    async with platform_world(log_path, **BOUNDS) as world:
+        await started(world)
+        resume = {"Resumes": "begun", "Last-Event-Id": "2"}
+        for key, extra in ((KEY, {}), (OTHER_KEY, resume), (KEY, resume)):
+            headers = GENERATION | bearer(key) | extra
+            identifier = f"v-{key}" if extra else "begun"
+            await world.send("/resume/x", "POST", identifier, b"p", headers=headers)
+        found = [line["version"] for line in world.lines("stream.version")]
+    assert found == [None, "v1"]
+
+
 async def test_streams_and_crashes_are_not_shared_between_workspaces(log_path):
     """The same attempt id and prompt part in two workspaces."""
     async with platform_world(log_path, **BOUNDS) as world:
--- a/tests/unit/test_authorization.py
+++ b/tests/unit/test_authorization.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from itertools import product
 
 import pytest
@@ -16,7 +17,9 @@
     decide,
 )
 from siskinlever._internal.fleet.configuration import MAX_CONFIRMATION_AGE_S
+from siskinlever._internal.gateway.job import new_job
 from siskinlever._internal.models.host_settings import KeyBounds
+from siskinlever._internal.models.routes import RequestKind, Route, ServiceShare
 from siskinlever._internal.models.upstreams import RunnerKey
 from siskinlever._internal.models.workspaces import (
     CallerIdentity,
@@ -143,17 +146,17 @@
     (b"Authorization", b"Bearer known"),
     (b"authorization", b""),
     (b"Proxy-Authorization", b"Bearer known"),
-    (b"Connection", b"Tenant, authorization, Attempt-Id"),
     (b"Connection", b"close"),
     (b"Attempt-Id", b"a"),
     (b"X-Own", b"kept"),
 ]
 
 
+@pytest.mark.parametrize("listed", [b"X", b"Tenant, authorization, Attempt-Id"])
 @pytest.mark.parametrize("name", ["w", None])
-def test_runner_gets_the_workspace_and_never_the_key(name):
+def test_runner_gets_the_workspace_and_never_the_key(name, listed):
     options = wire.SendOptions(RunnerKey("r", 1), 1.0, identity=CallerIdentity(name))
-    call = wire.runner_call(received(*FORGED), options)
+    call = wire.runner_call(received(*FORGED, (b"Connection", listed)), options)
     names = [header.lower() for header, _ in call.headers]
     found = [value for header, value in call.headers if header.lower() == b"tenant"]
     assert found == ([b"w"] if name else [])
@@ -169,3 +172,31 @@
         received(*headers), wire.SendOptions(RunnerKey("r", 1), 1.0)
     )
     assert list(call.headers)[:3] == headers
+
+
+def test_records_and_priority_of_a_request_are_those_of_its_workspace():
+    """What one workspace sends must not bar or resume what another one does."""
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RequestKind.STREAM,
+        timeout_s=1.0,
+        target_latency_s=1.0,
+        target_gap_s=0.0,
+        priority=4,
+        shares=(ServiceShare("s", 1),),
+        max_attempts=1,
+        resumable=True,
+    )
+    request = received((b"Prompt-Prefix", b"shared:5,own:5"))
+    jobs = [new_job(request, route) for _ in range(4)]
+    jobs[1].workspace = replace(WORKSPACE, priority=0)
+    jobs[2].workspace = replace(WORKSPACE, name="v", priority=9)
+    jobs[3].workspace = WORKSPACE
+    assert [job.priority for job in jobs] == [4, 0, 9, 4]
+    traits = [trait for job in jobs[:3] for trait in job.traits]
+    assert len(traits) == len(set(traits)) == 6
+    assert jobs[3].traits == jobs[1].traits
+    assert len({job.stream_key("a") for job in jobs[:3]}) == 3
+    assert jobs[0].stream_key("a") == "a"
