--- a/src/siskinlever/_internal/metrics/names.py
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -10,6 +10,7 @@
     "configuration_generation": "Generation of the configuration in force.",
     "configuration_fetch_failures": "Failed reads of a newer generation at a peer.",
     "host_list_failures": "Failed reads of the host list.",
+    "keys_refused": "Requests refused for their key, by cause.",
     "members_rejected": "News of members that was not valid.",
     "members_suspected": "Hosts that answered neither this host nor others.",
     "orders_sent": "Orders sent to runners.",
