Take the serving set only from hosts that belong to it

Each host of a large fleet added its serving set to its replies, also one outside the set, which passed on what a hub had told it before. In a start in which all hosts already knew all others, edge-7 returned edge-12 in place of edge-13 for as long as the report counted: it came from edge-8, which isn't in the set. Now only hosts of the set report it, and a report counts only if its sender is one that the receiver would choose itself.

The new unit test fails if a report counts whoever sent it.

--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -11,6 +11,7 @@
 from ..dispatch.runner_paths import RunnerPaths
 from ..exceptions import PeerError
 from ..logs.lines import LogLines
+from ..models.ids import HostName
 from ..models.upstreams import Address, RunnerKey
 from ..peers import peer_pb2
 from ..peers.link import Peers
@@ -296,7 +297,9 @@
             )
         self.add_peer(address)
         reply = self._build_state(includes_peers=state.asks_peers)
-        if self._view.is_large and address not in self._view.addresses:
+        # A host outside the set would pass on an earlier one that a hub reported to it.
+        is_hub = self._view.is_large and self._view.is_serving
+        if is_hub and address not in self._view.addresses:
             reply.serving.extend(to_host(status) for status in self._view.serving)
         return reply
 
@@ -330,7 +333,9 @@
         self._merge_state(state)
         self._crash_reports.note_digest(address, state.crashes_digest)
         if state.serving:
-            self._view.note_report(from_host(host) for host in state.serving)
+            self._view.note_report(
+                HostName(state.host.host), map(from_host, state.serving)
+            )
         for peer in state.peers:
             self.add_peer(Address(peer))
         is_behind = state.configuration_version > self._configuration.version
--- a/src/siskinlever/_internal/fleet/serving_set.py
+++ b/src/siskinlever/_internal/fleet/serving_set.py
@@ -85,8 +85,8 @@
         self._own_status = own_status
         self._hosts = hosts
         self._now = now
-        self._reported: tuple[HostStatus, ...] = ()
-        self._reported_at = float("-inf")
+        # The latest report of each hub and when it was received, oldest first.
+        self._report_by_hub: dict[HostName, tuple[float, tuple[HostStatus, ...]]] = {}
         self.is_large = False
         self.is_serving = True
         self.serving: tuple[HostStatus, ...] = ()
@@ -101,17 +101,32 @@
         self.is_large = len(living) + 1 > limit
         usable = [status for status in [*living, own] if status.serving]
         self.serving = tuple(serving_set(usable) if self.is_large else usable)
-        is_reported = self._now() - self._reported_at <= REPORT_TTL_S
-        if self.is_large and is_reported and own not in self.serving:
+        if self.is_large and own not in self.serving:
             # The hubs detect lost hosts sooner.
-            self.serving = self._reported
+            self.serving = self._latest_report(self.serving) or self.serving
         self.is_serving = own.host in {status.host for status in self.serving}
         self.addresses = frozenset(status.peers_address for status in self.serving)
 
-    def note_report(self, serving: Iterable[HostStatus]) -> None:
-        """Record the serving set that a hub has reported."""
-        self._reported = tuple(serving)
-        self._reported_at = self._now()
+    def note_report(self, hub: HostName, serving: Iterable[HostStatus]) -> None:
+        """Record the serving set that a host has reported."""
+        self._report_by_hub.pop(hub, None)
+        self._report_by_hub[hub] = (self._now(), tuple(serving))
+
+    def _latest_report(self, chosen: Iterable[HostStatus]) -> tuple[HostStatus, ...]:
+        """Return what a host of those that this host would choose reported last.
+
+        Hosts that have just left the set, or never were in it, may still report an
+        earlier one. The result is empty if no report is recent.
+        """
+        oldest = self._now() - REPORT_TTL_S
+        self._report_by_hub = {
+            hub: report
+            for hub, report in self._report_by_hub.items()
+            if report[0] >= oldest
+        }
+        hubs = {status.host for status in chosen}
+        reports = (r for hub, (_, r) in self._report_by_hub.items() if hub in hubs)
+        return next(reversed(list(reports)), ())
 
     @property
     def is_reader(self) -> bool:
--- a/tests/unit/test_serving_set.py
+++ b/tests/unit/test_serving_set.py
@@ -184,7 +184,7 @@
     now = [0.0]
     view = view_of(own, hosts, lambda: now[0])
     lost, *left = [h for h in view.serving if h.zone == "b"]
-    view.note_report([h for h in view.serving if h is not lost])
+    view.note_report(left[0].host, [h for h in view.serving if h is not lost])
     view.refresh()
     assert addresses_for(view, own, "b") == [h.callers_address for h in left]
     now[0] = REPORT_TTL_S + 0.1
@@ -196,6 +196,19 @@
     hosts = fleet(39, strong_per_zone=3)
     own = hosts[-1]
     view = view_of(own, hosts)
-    view.note_report([*view.serving, own])
+    view.note_report(view.serving[0].host, [*view.serving, own])
     view.refresh()
     assert view.is_serving and view.is_reader
+
+
+def test_earlier_set_that_a_host_outside_it_reports_is_not_used():
+    """A start leaves reports of sets that lack the hosts that started last."""
+    hosts = fleet(39, strong_per_zone=3)
+    view = view_of(hosts[-1], hosts)
+    hub, newest = view.serving[0], view.serving[-1]
+    outside = hosts[-2]
+    view.note_report(hub.host, view.serving)
+    earlier = [*(h for h in view.serving if h is not newest), outside]
+    view.note_report(outside.host, earlier)
+    view.refresh()
+    assert newest in view.serving and outside not in view.serving
