Leave pauses of the process out of the timeouts of connections and peer calls

uvloop runs due timers before it reads sockets. A process that was not scheduled for longer than a timeout therefore failed calls whose answers had arrived: connections to runners (0.2 s), after which the runner counts as lost, and calls of peers (0.15 to 0.5 s), after which the connection is replaced.

--- a/src/siskinlever/_internal/network/connection.py
+++ b/src/siskinlever/_internal/network/connection.py
@@ -6,11 +6,14 @@
 from typing import Protocol
 
 from ..exceptions import ConnectFailedError
+from ..utils.running_timeout import running_timeout
 from .sockets import enable_transport_keepalive, split_address, was_reset
 
 READ_BYTES = 65_536
 # Hosts are 1 ms apart. The kernel retransmits a lost SYN only after 1 s, so opening
-# another connection is faster.
+# another connection is faster. The kernel of the other side completes a connection
+# before its process accepts it, so a process that accepts slowly isn't taken for a lost
+# one; a full backlog, whose SYNs are dropped, is. Pauses of this process don't count.
 CONNECT_TIMEOUT_S = 0.2
 
 
@@ -86,7 +89,7 @@
     """Open a connection to an address; raises `ConnectFailedError`."""
     host, port = split_address(address)
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with running_timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"no connection to {address}: {error!r}") from error
--- a/src/siskinlever/_internal/peers/link.py
+++ b/src/siskinlever/_internal/peers/link.py
@@ -5,7 +5,7 @@
 import asyncio
 import ssl
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 from grpclib.client import Channel
@@ -16,6 +16,7 @@
 from ..models.ids import HostName
 from ..network.sockets import split_address
 from ..utils.clock import monotonic
+from ..utils.running_timeout import running_timeout
 from . import peer_grpc, peer_pb2
 from .relayed import RelayChannel, RelayedConnection
 
@@ -67,7 +68,7 @@
             Name of the method.
         message : protobuf message
         timeout_s : float
-            Seconds for each try.
+            Seconds for each try, without pauses of this process.
         tries : int
             Maximum number of tries; only calls that timed out or whose connection
             was closed are tried again.
@@ -124,7 +125,9 @@
         call = asyncio.ensure_future(getattr(stub, rpc)(message, metadata=metadata))
         call.add_done_callback(_consume_exception)
         try:
-            await asyncio.wait({call}, timeout=timeout_s)
+            with suppress(TimeoutError):
+                async with running_timeout(timeout_s):
+                    await asyncio.wait({call})
         finally:
             if not call.done():
                 call.cancel()
