Let requests of a resumed host wait until it knows whether it is cut off

After a pause of 0.8 s or more a host has no majority until three probes have ended, which takes 0.5 to 1 s. It refused all requests meanwhile, at once, those with an id of their caller as 'may have run'. Now registrations and confirmations wait for it, for at most 2 s and never beyond the deadline of the request. A host that is cut off refuses at once, as before: its probes have ended.

Seen in test_leaving.py beside other load: host-4 was not scheduled for 0.79 s until 17:30:41.82, and 8 of 308 replies failed from 41.81 to 42.20, 7 of them with 'the request's home did not answer', most within 0.01 s.

--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -91,6 +91,7 @@
         self._runner_updates: Callable[[], Iterable[peer_pb2.RunnerNews]] = tuple
         table.subscribe(self._on_member_changed)
         table.confirmed_by_probes = self._confirmed_by_probes
+        table.is_resuming = self._is_resuming
         pauses.subscribe(self._on_pause)
 
     def _confirmed_by_probes(self) -> bool:
@@ -101,6 +102,10 @@
         """
         return self.has_contact_since_pause and self._probe_sample.enough_reached()
 
+    def _is_resuming(self) -> bool:
+        """Return whether it is unknown since a pause if this host is cut off."""
+        return not self.has_contact_since_pause or self._probe_sample.needs_probes
+
     @property
     def has_contact_since_pause(self) -> bool:
         """Whether a peer has answered since this process was last paused.
--- a/src/siskinlever/_internal/membership/members.py
+++ b/src/siskinlever/_internal/membership/members.py
@@ -76,6 +76,8 @@
         self.listed: frozenset[HostName] = frozenset()
         # Returns whether contacts and recent probes show that this host is not cut off.
         self.confirmed_by_probes: Callable[[], bool] = lambda: True
+        # Returns whether this process was paused and does not yet know the result.
+        self.is_resuming: Callable[[], bool] = lambda: False
         self._listeners: list[Listener] = []
 
     @property
--- a/src/siskinlever/_internal/membership/probe_sample.py
+++ b/src/siskinlever/_internal/membership/probe_sample.py
@@ -25,6 +25,12 @@
         self._probes: deque[tuple[float, bool]] = deque(maxlen=MAX_PROBES)
         self._needs_probes = False
 
+    @property
+    def needs_probes(self) -> bool:
+        """Whether too few probes have ended since the latest pause."""
+        self.enough_reached()
+        return self._needs_probes
+
     def add_result(self, reached: bool) -> None:
         """Add the result of one probe."""
         self._probes.append((monotonic(), reached))
--- a/src/siskinlever/_internal/requests/registration.py
+++ b/src/siskinlever/_internal/requests/registration.py
@@ -31,6 +31,9 @@
 HOLD_TRIES = 5
 ABANDON_TRIES = 3
 HOME_UNREACHABLE_RETRY_S = 1.0
+# Time for which requests of a host that was paused wait until it knows whether it is
+# cut off. It probes two hosts each 0.5 s and needs three results.
+RESUME_TIMEOUT_S = 2.0
 
 METHOD_BY_RPC = {
     "Register": "register",
@@ -122,8 +125,12 @@
         nonce = uuid.uuid4().hex
         message = self._register_message(request, nonce)
         deadline = _request_deadline(request)
+        resume_deadline = Deadline(RESUME_TIMEOUT_S)
         try:
-            while self._members.has_majority and not deadline.passed:
+            while self._may_have_majority(resume_deadline) and not deadline.passed:
+                if not self._members.has_majority:
+                    await asyncio.sleep(RETRY_PAUSE_S)
+                    continue
                 reply = await self._call_home(request.key, "Register", message)
                 if reply is None or reply.decision in (
                     peer_pb2.NOT_HOME,
@@ -158,12 +165,13 @@
         self._own_home.store_own(request.key, entry)
         message = peer_pb2.HoldRequest(entry=to_message(request.key, entry))
         deadline = _request_deadline(request)
+        resume_deadline = Deadline(RESUME_TIMEOUT_S)
         while True:
             reply = await self._first_hold_reply(request.key, message)
             if reply is not None:
                 validity = Validity.CURRENT if reply.current else Validity.REPLACED
                 return Confirmation(validity, registered_attempt.ran or reply.ran)
-            if deadline.passed or not self._members.has_majority:
+            if deadline.passed or not self._may_have_majority(resume_deadline):
                 return Confirmation(Validity.UNKNOWN)
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -253,6 +261,11 @@
         )
         return Ok(registered_attempt)
 
+    def _may_have_majority(self, resume_deadline: Deadline) -> bool:
+        """Return whether this host has the majority, or may after a pause."""
+        is_resuming = self._members.is_resuming() and not resume_deadline.passed
+        return self._members.has_majority or is_resuming
+
     def home_unreachable(self, request: TrackedRequest) -> Refused | Failed:
         """Return the failure of a request whose home did not reply.
 
