Report waits for a processor and log lines of failed tests

Most failures in KNOWN-RED.txt left neither a log nor the replies. A failed test now reports which processes of its fleet were ready to run and did not (from /proc/*/schedstat, sampled each 0.1 s) and the log lines of the test, also if the test is listed in KNOWN-RED.txt (--xfail-tb). A reply of the test client keeps the message of its error.

--- a/src/siskinlever_testbed/client.py
+++ b/src/siskinlever_testbed/client.py
@@ -25,6 +25,8 @@
         timed out, or if a stream ended without `[DONE]`.
     token_times : list of float
         Seconds from sending the request to each chunk of text.
+    error : str
+        Message of an error of the host, or text of the error that ended the connection.
     began : float
         Time of sending, in seconds of the monotonic clock.
     ended_at : float
@@ -40,6 +42,7 @@
     complete: bool = False
     outcome: str = ""
     code: str = ""
+    error: str = ""
     retry_after_s: float = 0.0
     body: Any = None
     last_event_id: int = -1
@@ -119,8 +122,8 @@
             ) as response:
                 reply.status = response.status
                 await read(response, reply)
-        except (aiohttp.ClientError, ConnectionError, TimeoutError):
-            pass
+        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+            reply.error = repr(error)
         reply.elapsed_s = time.monotonic() - reply.began
         reply.ended_at = time.time()
         return reply
@@ -178,3 +181,4 @@
 def _read_error(error: dict[str, Any], reply: Reply) -> None:
     reply.outcome = error.get("outcome", "")
     reply.code = error["code"]
+    reply.error = error.get("message", "")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Generator, Iterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
+from lib.failure_evidence import FailureEvidence
 from lib.known_red import known_red_ids
+from lib.process_waits import ProcessWaits, measured_waits
 
 from siskinlever._internal.utils import clock
 from siskinlever_testbed.fleet import Fleet, running_fleet
@@ -17,6 +19,8 @@
 
 FleetStarter = Callable[[FleetPlan], AbstractAsyncContextManager[Fleet]]
 
+EVIDENCE = pytest.StashKey[FailureEvidence]()
+
 # The first draw of text builds tables of Unicode for seconds, which Hypothesis would
 # report as slow generation of input.
 settings.register_profile("unit", suppress_health_check=[HealthCheck.too_slow])
@@ -44,6 +48,36 @@
     return start
 
 
+@pytest.fixture(scope="session")
+def process_waits() -> Iterator[ProcessWaits]:
+    """Measure how long the processes of the tests wait for a processor."""
+    with measured_waits() as waits:
+        yield waits
+
+
+@pytest.fixture(autouse=True)
+def failure_evidence(
+    request: pytest.FixtureRequest,
+    process_waits: ProcessWaits,
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    """Add waits and log lines to the report if the test fails."""
+    evidence = FailureEvidence(process_waits, tmp_path_factory.getbasetemp())
+    evidence.start()
+    request.node.stash[EVIDENCE] = evidence
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Add the evidence to the reports of failed tests, also of those listed as red."""
+    report = yield
+    if call.excinfo is not None and EVIDENCE in item.stash:
+        report.sections += item.stash[EVIDENCE].sections()
+    return report
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark the tests listed in KNOWN-RED.txt, and only these, as expected failures."""
     known = known_red_ids()
