Tell which resources and replies a failed test is about

test_hosts_and_engines_fail_under_load reports the facts of the resources that engines still hold, test_load the replies that may have run, and test_runner_limits the slowest refusal. The status of a host that resets a kept connection counts as not known yet in the wait for all hosts, which goes on for its 20 s: in test_hosts_cut_off_from_the_majority_run_no_request that wait ended with a reset, from a host that had been frozen for longer than its keep-alive time.

--- a/tests/functional/test_load.py
+++ b/tests/functional/test_load.py
@@ -20,6 +20,8 @@
         facts = fleet.records(BROSUR.engines.pool)
     assert lost_requests(results) == []
     assert row.doubled == 0
-    assert details.failed == 0
+    failed = [r for r in results if r.reply.outcome == "may_have_run"]
+    # Without the prompts, which fill the report.
+    assert details.failed == 0, [(r.arrival.request_id, r.reply) for r in failed]
     assert row.answered > 0
     assert slots_exceeded(facts, BROSUR.engines.slots) == 0
--- a/tests/functional/test_request_outcomes.py
+++ b/tests/functional/test_request_outcomes.py
@@ -187,7 +187,7 @@
 
     async def marked_dead():
         states = await driver.member_states(case.host)
-        return all(states[name] == "dead" for name in frozen)
+        return all(states.get(name) == "dead" for name in frozen)
 
     driver.wait_until(marked_dead, 10.0, "the frozen hosts are marked dead")
 
@@ -494,7 +494,15 @@
 
 @then("engines hold no resources for any of them after 5 s")
 def _(driver, case):
-    def free():
-        return not any(driver.held_resources(i) for i in case.ids)
+    def held():
+        return {i: held for i in case.ids if (held := driver.held_resources(i))}
 
-    driver.wait_until(free, RELEASE_TIMEOUT_S, "the resources are released")
+    def facts_of_held():
+        return [fact for i in held() for fact in driver.facts(i)]
+
+    driver.wait_until(
+        lambda: not held(),
+        RELEASE_TIMEOUT_S,
+        "the resources are released",
+        facts_of_held,
+    )
--- a/tests/functional/test_runner_limits.py
+++ b/tests/functional/test_runner_limits.py
@@ -107,9 +107,9 @@
         assert refused
         assert {answer.status for answer in refused} == {503}
         assert all(float(a.headers["retry-after"]) > 0 for a in refused)
-        ended = world.lines("request.ended")
-        slowest = max(line["taken_s"] for line in ended if line.get("status") == 503)
-        assert slowest < 0.2
+        ended = [ln for ln in world.lines("request.ended") if ln.get("status") == 503]
+        slowest = max(ended, key=lambda line: line["taken_s"])
+        assert slowest["taken_s"] < 0.2, slowest
 
 
 async def test_limit_that_has_ended_is_not_applied(log_path):
--- a/tests/lib/outcomes.py
+++ b/tests/lib/outcomes.py
@@ -13,7 +13,7 @@
 from siskinlever._internal.utils.digests import content_digest
 from siskinlever._internal.utils.rendezvous import primary_and_backup, ranked
 from siskinlever_testbed.client import Caller, Reply
-from siskinlever_testbed.fleet import OPERATOR_KEY, Fleet, caller_key, running_fleet
+from siskinlever_testbed.fleet import Fleet, caller_key, running_fleet
 from siskinlever_testbed.plans import ATELIER_ZONES, EnginePlan, FleetPlan
 from siskinlever_testbed.standins.answers import answer_text
 
@@ -109,9 +109,16 @@
         return self.task_by_id[request_id]
 
     def wait_until(
-        self, condition: Callable[[], Any], timeout_s: float, description: str
+        self,
+        condition: Callable[[], Any],
+        timeout_s: float,
+        description: str,
+        details: Callable[[], Any] = lambda: "",
     ) -> None:
-        """Poll until the condition is true; fail after ``timeout_s`` seconds."""
+        """Poll until the condition is true; fail after ``timeout_s`` seconds.
+
+        The message of the failure contains what ``details`` returns then.
+        """
 
         async def poll() -> None:
             deadline = time.monotonic() + timeout_s
@@ -120,7 +127,7 @@
                 if await value if inspect.isawaitable(value) else value:
                     return
                 assert time.monotonic() < deadline, (
-                    f"not within {timeout_s} s: {description}; ended: "
+                    f"not within {timeout_s} s: {description}; {details()}; ended: "
                     f"{self._ended_requests()}"
                 )
                 await asyncio.sleep(POLL_S)
@@ -225,12 +232,14 @@
         self.wait_until(self._all_alive, 20.0, "every host reports all hosts as alive")
 
     async def member_states(self, host: str) -> dict[str, str]:
-        """Return the state of each host as reported by one host."""
-        url = f"http://{self.fleet.endpoints_by_host[host].operators}/v1/status"
-        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-        async with self.fleet.session.get(url, headers=headers) as response:
-            status = await response.json()
-        return {member["host"]: member["state"] for member in status["members"]}
+        """Return the state of each host as reported by one host.
+
+        Empty if the host does not answer. A host that was frozen resets connections
+        whose keep-alive time has passed.
+        """
+        status = await self.fleet.status(host)
+        members = status["members"] if status is not None else []
+        return {member["host"]: member["state"] for member in members}
 
     async def _all_alive(self) -> bool:
         expected = dict.fromkeys(self.zone_by_host(), "alive")
