Open the lease before the key-value service loses its answers

test_the_keyvalue_service_loses_its_answers_after_the_write needs a host that has a lease for its claims: opening one is a call of its own, and a host that gets no answer to it refuses, truthfully, as not run. The scenario now makes a delivery first; a new one shows the refusal without a lease and that the delivery runs afterwards.

--- a/tests/functional/features/deliveries.feature
+++ b/tests/functional/features/deliveries.feature
@@ -21,11 +21,22 @@
       | frozen  |
 
   Scenario: The key-value service loses its answers after the write
-    Given a key-value service that loses its answers
+    Given host-1 has a lease for its claims
+    And a key-value service that loses its answers
     When a delivery is requested at host-1
     Then the answer is the portal's
     And it ran once
 
+  Scenario: The key-value service loses its answers while the host has no lease
+    Given host-1 has just started
+    And a key-value service that loses its answers
+    When a delivery is requested at host-1
+    Then the delivery is refused at once as not run, with a retry time
+    When the key-value service recovers
+    And it is requested again after the retry time
+    Then the answer is the portal's
+    And it ran once
+
   Scenario Outline: The key-value service is <state>
     Given a key-value service that is <state>
     When a delivery is requested at host-1
--- a/tests/functional/test_deliveries.py
+++ b/tests/functional/test_deliveries.py
@@ -86,6 +86,21 @@
         world.faults(name, run_s=3.0)
 
 
+@given("host-1 has a lease for its claims")
+def open_lease(world):
+    # The first delivery opens the lease, which takes a separate call.
+    reply = world.run(deliver(world, "host-1", request_id=uuid.uuid4().hex))
+    assert reply.outcome == "answered"
+
+
+@given("host-1 has just started")
+def restart_host(world):
+    fleet = world.fleet
+    fleet.process_by_name["host-1"].kill()
+    world.run(fleet.start_host(fleet.endpoints_by_host["host-1"]).ready())
+    world.until(lambda: all_hosts_serve(world), within_s=20)
+
+
 @given("a key-value service that loses its answers")
 def store_loses_answers(world):
     world.faults(lose_answers=True)
@@ -139,8 +154,7 @@
 
 @when("a delivery is requested at host-1, which freezes after writing its claim")
 def freeze_after_claim(world):
-    # The first delivery opens the lease, which takes a separate call.
-    world.run(deliver(world, "host-1", request_id=uuid.uuid4().hex))
+    open_lease(world)
     written = len(world.fleet.record(KEY_VALUE))
     world.faults(delay_s=0.4)
     world.begin(deliver(world, "host-1"))
