--- a/tests/functional/test_load.py
+++ b/tests/functional/test_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from lib.failure_evidence import clock_time
 
 from siskinlever_testbed.bench.accounting import Window, lost_requests, slots_exceeded
 from siskinlever_testbed.bench.experiment import Experiment, run_load
@@ -20,8 +21,12 @@
         facts = fleet.records(BROSUR.engines.pool)
     assert lost_requests(results) == []
     assert row.doubled == 0
-    failed = [r for r in results if r.reply.outcome == "may_have_run"]
-    # Without the prompts, which fill the report.
-    assert details.failed == 0, [(r.arrival.request_id, r.reply) for r in failed]
+    failed = [
+        f"{r.arrival.request_id}: {r.reply.status}, {r.reply.error}, "
+        f"{r.reply.elapsed_s:.2f} s to {clock_time(r.reply.ended_at)}"
+        for r in results
+        if r.reply.outcome == "may_have_run"
+    ]
+    assert details.failed == 0, "\n".join(failed)
     assert row.answered > 0
     assert slots_exceeded(facts, BROSUR.engines.slots) == 0
--- a/tests/lib/failure_evidence.py
+++ b/tests/lib/failure_evidence.py
@@ -58,9 +58,7 @@
         if not self._directory.exists():
             return []
         # A link names the newest directory of each test.
-        return sorted(
-            log for log in self._directory.glob("*/**/*.log") if not log.is_symlink()
-        )
+        return sorted({log.resolve() for log in self._directory.glob("*/**/*.log")})
 
 
 def clock_time(at: float) -> str:
