Count a mechanism as found although the batch passes when played again

test_mechanism_that_is_switched_off_is_found[close_in_an_orderly_way] failed once of 23 runs of the file (load average 33): the oracle found the switched-off mechanism, and Hypothesis, which plays a failing batch again, got a pass and raised FlakyFailure in place of the AssertionError. How much a caller gets of an answer that breaks off depends on the time. The test now keeps the first failure itself and still needs one.

--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -350,11 +350,19 @@
 )
 def test_mechanism_that_is_switched_off_is_found(player, monkeypatch, switch_off):
     switch_off(monkeypatch)
+    found = []
 
+    # Hypothesis plays a batch that fails again and reports one that then passes as
+    # flaky. What a caller gets of an answer that breaks off depends on the time.
     @settings(max_examples=20, derandomize=True, phases=[Phase.generate])
     @given(batch=st.lists(cases, min_size=BATCH, max_size=BATCH))
     def play(batch):
-        player.play(batch)
+        if found:
+            return
+        try:
+            player.play(batch)
+        except AssertionError as error:
+            found.append(str(error))
 
-    with pytest.raises(AssertionError, match="gave Received"):
-        play()
+    play()
+    assert found and "gave Received" in found[0]
