--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -15,6 +15,7 @@
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.runner_paths import RunnerPaths
+from ..dispatch.runner_speed import RunnerSpeeds
 from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.crash_reports import CrashReports
@@ -306,6 +307,7 @@
         log,
         tasks,
     )
+    speeds = RunnerSpeeds()
     budget = SharedRetryBudget(
         settings.bounds.retry,
         lambda: _budget_hosts(view, hosts),
@@ -346,10 +348,12 @@
             is_store_down=lambda: store_health.is_down,
             is_reader=lambda: view.is_reader,
         ),
+        runner_speeds=speeds,
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
             reachability_of=lambda key: context.reachability_of(key),
+            speeds=speeds,
         ),
         keys=KeyChecks(configuration, settings.bounds.keys, metrics),
         log=log,
--- a/src/siskinlever/_internal/dispatch/plain_placement.py
+++ b/src/siskinlever/_internal/dispatch/plain_placement.py
@@ -1,6 +1,7 @@
 """Chooses a runner of a plain service.
 
-Bursts of short requests are spread by requests per slot. Runners in the host's
+Bursts of short requests are spread by requests per slot, and where runners are known
+to differ in speed by the time that a request is expected to take. Runners in the host's
 own zone are preferred as long as this causes no queueing, and runners that fail
 requests although their health checks pass are avoided.
 """
@@ -16,6 +17,7 @@
 from ..utils.clock import monotonic
 from .reachability import Reachability
 from .recent_failures import RecentFailures
+from .runner_speed import RunnerSpeeds, Work
 
 # Cost of a runner in another zone, in requests per slot. It is preferred only if
 # its requests per slot are lower by this much, because traffic between zones is
@@ -44,6 +46,10 @@
 }
 # Older load reports are ignored: they say nothing about short requests.
 MAX_REPORT_AGE_S = 0.4
+# Runners whose costs differ by less than this are chosen among at random where speeds
+# differ, since all hosts see the same report of a fast runner. About one request at a
+# runner of 6 slots.
+NEAR_COST = 0.15
 
 
 @dataclass(slots=True)
@@ -81,6 +87,8 @@
     stats_by_runner : dict of RunnerKey to RunnerStats
     broken_answers : RecentFailures
         Answers that broke off, by runner.
+    speeds : RunnerSpeeds
+        Estimated speeds of the runners.
     """
 
     zone: ZoneName
@@ -90,27 +98,54 @@
     broken_answers: RecentFailures = field(
         default_factory=lambda: RecentFailures(BROKEN_ANSWER_HALF_LIFE_S)
     )
+    speeds: RunnerSpeeds = field(default_factory=RunnerSpeeds)
 
     def choose(
         self, runners: Iterable[Registration], tried: Collection[RunnerKey]
     ) -> Registration | None:
         """Return the runner with the lowest cost, or None if all were tried.
 
-        Ties are broken at random.
+        Ties are broken at random. Where a runner's speed isn't normal, so are near
+        ties.
         """
         candidates = [runner for runner in runners if runner.key not in tried]
         if not candidates:
             return None
         random.shuffle(candidates)
-        return min(candidates, key=self._cost)
+        costs = [self._cost(runner) for runner in candidates]
+        lowest = min(costs)
+        chosen = candidates[costs.index(lowest)]
+        if any(self._differs(runner) for runner in candidates):
+            near = [
+                runner
+                for runner, cost in zip(candidates, costs, strict=True)
+                if cost <= lowest + NEAR_COST
+            ]
+            chosen = random.choice(near)
+        self.speeds.note_sent(chosen.key)
+        return chosen
+
+    def _differs(self, runner: Registration) -> bool:
+        speeds = self.speeds
+        return (
+            speeds.slowdown(runner.key) != 1.0
+            or speeds.slots_of(runner.key, runner.slots) != runner.slots
+        )
 
     def _cost(self, runner: Registration) -> float:
+        """Return the expected time of a request less the usual one, and the penalties.
+
+        At a runner of normal speed, this is its requests per slot.
+        """
         stats = self.stats_by_runner.get(runner.key) or RunnerStats()
         now = monotonic()
         requests = self.requests_of(runner.key)
         if stats.report is not None and now - stats.reported_at <= MAX_REPORT_AGE_S:
             requests = max(requests, stats.report.running + stats.report.waiting)
-        cost = requests / max(1, runner.slots)
+        cost = requests / max(1.0, self.speeds.slots_of(runner.key, runner.slots))
+        slowdown = self.speeds.slowdown(runner.key, requests / max(1, runner.slots))
+        if slowdown != 1.0:
+            cost = slowdown * (1.0 + cost) - 1.0
         cost += OTHER_ZONE_PENALTY * (runner.zone != self.zone)
         cost += FAILURE_PENALTY * max(0.0, stats.failure_rate - BASELINE_FAILURE_RATE)
         cost += BROKEN_ANSWER_PENALTY * self.broken_answers.count_of(runner.key)
@@ -131,6 +166,27 @@
         stats = self._stats_of(runner)
         stats.report, stats.reported_at = report, monotonic()
 
+    def note_answer(
+        self, runner: Registration, route: str, took_s: float, report: LoadReport | None
+    ) -> None:
+        """Record how long a runner took to begin an answer that it gave.
+
+        Parameters
+        ----------
+        runner : Registration
+        route : str
+        took_s : float
+        report : LoadReport or None
+            The load report of that answer.
+        """
+        requests = (
+            self.requests_of(runner.key)
+            if report is None
+            else report.running + report.waiting
+        )
+        load = requests / max(1, runner.slots)
+        self.speeds.note_answer(runner.key, Work(runner.service, route), took_s, load)
+
     def forget(self, runner: RunnerKey) -> None:
         """Remove what is known of a process that is gone."""
         self.stats_by_runner.pop(runner, None)
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -13,6 +13,7 @@
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.runner_paths import Helper, RunnerPaths
+from ..dispatch.runner_speed import RunnerSpeeds
 from ..dispatch.wait_queue import WaitQueue
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
@@ -63,6 +64,7 @@
     crash_detection: CrashDetection
     stream_versions: StreamVersions
     stored_streams: StoredStreams
+    runner_speeds: RunnerSpeeds
     plain_placement: PlainPlacement
     keys: KeyChecks
     log: LogLines
@@ -146,6 +148,9 @@
             self.limits.note_absence(runner, sent_at)
         if statement.pause_s is not None:
             self.limits.note_pause(runner, statement.pause_s)
+        load = wire.parse_load(head)
+        if load is not None:
+            self.runner_speeds.note_load(runner, load)
         if statement.is_leaving:
             self.metrics.count("runner_leaving_answers")
             self.runners.mark_draining(runner.name, runner.started_at, "its answer")
@@ -168,6 +173,7 @@
     def forget_runner(self, runner: RunnerKey) -> None:
         """Remove what is known of a process that is gone."""
         self.runner_paths.forget(runner)
+        self.runner_speeds.forget(runner)
         self.plain_placement.forget(runner)
         for placement in self.placement_by_service.values():
             placement.forget(runner)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -14,6 +14,7 @@
 from ..network.http1_client import Exchange
 from ..network.http1_server import CallerConnection
 from ..platform import wire
+from ..utils.clock import monotonic
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
@@ -123,9 +124,11 @@
         call = wire.runner_call(job.request, options)
         try:
             with self._context.in_progress.request(runner.key), job.sending(runner.key):
+                sent_at = monotonic()
                 sending = run_exchange(self._context, runner, call, job)
                 async with sending as answer:
-                    return await self._process_answer(runner, answer)
+                    took_s = monotonic() - sent_at
+                    return await self._process_answer(runner, answer, took_s)
         except (RunnerPausedError, KeyRefusedError) as error:
             return refused(EndReason.REJECTED, error.message, RETRY_AFTER_S)
         except ConnectFailedError as error:
@@ -143,7 +146,7 @@
             return failed(EndReason.BROKEN, error.message)
 
     async def _process_answer(
-        self, runner: Registration, answer: Exchange
+        self, runner: Registration, answer: Exchange, took_s: float
     ) -> EndedError | None:
         head, placement = answer.head, self._context.plain_placement
         load = wire.parse_load(head)
@@ -164,6 +167,9 @@
                 EndReason.FOREIGN, f"not this request's answer: {head.status}"
             )
         placement.note_outcome(runner.key, failed=head.status >= 500)
+        if head.status < 400:
+            # Errors are often answered without doing the work.
+            placement.note_answer(runner, self._job.route.name, took_s, load)
         if wire.is_event_stream(head, self._job.route.kind):
             stream = StreamRelay(self._connection, only_complete_events=False)
             await stream.copy(answer, self._close)
