Place generations by the speed of each engine; show speeds to operators

Engines of speed 0.55 got as many generations as those of 1.2. The free share of a decode engine is divided by its slowdown, and so is the rate at which a prefill engine's queue is worked off. Prefills without a queue and events per second of streams whose caller kept up are timed.

test_slow_engines_get_fewer_generations_and_prompts fails without the factor.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -42,6 +42,7 @@
 from ..gateway.runner_connections import is_down
 from ..gateway.session import Session
 from ..gateway.shutdown import Shutdown
+from ..gateway.speed_reports import SpeedReports
 from ..gateway.workspace_endpoints import WORKSPACES_PATH, list_workspaces
 from ..logs.lines import STANDARD_OUTPUT, LogLines, log_lines
 from ..metrics.registry import Metrics
@@ -349,6 +350,7 @@
             is_reader=lambda: view.is_reader,
         ),
         runner_speeds=speeds,
+        speed_reports=SpeedReports(speeds, log, metrics),
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
@@ -442,6 +444,7 @@
         return 200, JSON_HEADERS, wire.lookup_answer(addresses, lifetime_s)
 
     def exposition(request: ReceivedRequest) -> Answer:
+        context.speed_reports.export()
         return 200, TEXT_HEADERS, metrics.exposition().encode()
 
     def limits() -> CallerLimits:
--- a/src/siskinlever/_internal/dispatch/engine_placement.py
+++ b/src/siskinlever/_internal/dispatch/engine_placement.py
@@ -27,6 +27,9 @@
 # Seconds that a prompt waits longer for a prefill engine in the zone of the decode
 # engine, so that its KV cache doesn't cross zones. About the time of one prompt.
 OTHER_ZONE_WAIT_S = 0.1
+# Seconds that a usual engine takes for the prompt itself: 3,200 tokens at 33 per ms. A
+# slow engine without a queue takes longer than one of usual speed.
+ONE_PROMPT_S = 0.1
 # Tokens per second assumed until prefills have been timed. Each host then adjusts
 # its rate to the prefills that it observes.
 INITIAL_PREFILL_RATE = 25_000.0
@@ -80,6 +83,8 @@
         Generations that the engines lost or rejected.
     output_tokens, output_events : float
         Totals over the generations that have ended, the recent ones weighted more.
+    slowdown_of : callable
+        Returns how many times the usual time work takes at an engine; 1.0 is normal.
     """
 
     zone: ZoneName
@@ -92,6 +97,7 @@
     )
     output_tokens: float = 0.0
     output_events: float = 0.0
+    slowdown_of: Callable[[RunnerKey], float] = lambda key: 1.0
 
     def decode_candidates(
         self,
@@ -272,9 +278,11 @@
     def _free_share(self, runner: Registration, spec: EngineSpec) -> float:
         used = self.load_of(runner.key).decode_tokens / max(1, spec.kv_capacity)
         failure_penalty = FAILURE_CAPACITY_PENALTY * self.failures.count_of(runner.key)
-        return (
-            1.0 - used + SAME_ZONE_BONUS * (runner.zone == self.zone) - failure_penalty
-        )
+        # A slow engine gets fewer generations, but its memory is as large as others'.
+        free = (1.0 - used) / self.slowdown_of(runner.key)
+        return free + SAME_ZONE_BONUS * (runner.zone == self.zone) - failure_penalty
 
     def _prefill_wait_s(self, runner: Registration) -> float:
-        return self.load_of(runner.key).prefill_tokens / self.prefill_rate
+        slowdown = self.slowdown_of(runner.key)
+        queued_s = self.load_of(runner.key).prefill_tokens / self.prefill_rate
+        return queued_s * slowdown + ONE_PROMPT_S * (slowdown - 1.0)
--- a/src/siskinlever/_internal/dispatch/runner_speed.py
+++ b/src/siskinlever/_internal/dispatch/runner_speed.py
@@ -22,7 +22,6 @@
 from statistics import median
 from typing import NamedTuple
 
-from ..models.ids import ServiceName
 from ..models.upstreams import LoadReport, RunnerKey
 from ..utils.clock import monotonic
 
@@ -68,9 +67,16 @@
 
 
 class Work(NamedTuple):
-    """A kind of work that takes about the same time on equal runners."""
+    """A kind of work that takes about the same time on equal runners.
 
-    service: ServiceName
+    Parameters
+    ----------
+    group : str
+        The runners that are compared: a service, or one stage of it.
+    kind : str
+    """
+
+    group: str
     kind: str
 
 
@@ -83,6 +89,12 @@
     BOTH = "both"
 
 
+@dataclass(slots=True)
+class _Usual:
+    time: float
+    answers: int = 0
+
+
 @dataclass(slots=True)
 class _Level:
     offset: float = 0.0
@@ -97,7 +109,7 @@
     last_work: float = 1.0
     reports: int = 0
     reported_at: float = -math.inf
-    service: ServiceName | None = None
+    group: str | None = None
     time: float = 0.0
     spread: float = 0.0
     answers: int = 0
@@ -142,10 +154,8 @@
 
     now: Callable[[], float] = monotonic
     _by_runner: dict[RunnerKey, _Runner] = field(default_factory=dict)
-    _usual_by_work: dict[Work, float] = field(default_factory=dict)
-    _median_by_service: dict[ServiceName, tuple[float, float]] = field(
-        default_factory=dict
-    )
+    _usual_by_work: dict[Work, _Usual] = field(default_factory=dict)
+    _median_by_group: dict[str, tuple[float, float]] = field(default_factory=dict)
 
     def note_load(self, runner: RunnerKey, report: LoadReport) -> None:
         """Record the work time that a runner reported, if it did."""
@@ -181,20 +191,21 @@
         time = math.log(took_s / (self._work_time(known, now) * max(1.0, load)))
         usual = self._usual_by_work.get(work)
         if usual is None:
-            usual = time
             if len(self._usual_by_work) >= MAX_KINDS:
                 del self._usual_by_work[next(iter(self._usual_by_work))]
+            usual = self._usual_by_work[work] = _Usual(time)
         level = known.levels[_level_of(load)]
         limit = math.log(MAX_SLOWDOWN)
-        error = max(-limit, min(limit, time - usual - known.time - level.offset))
-        self._usual_by_work[work] = usual + SLOW_WEIGHT * error
+        error = max(-limit, min(limit, time - usual.time - known.time - level.offset))
+        usual.answers += 1
+        usual.time += max(SLOW_WEIGHT, 1.0 / usual.answers) * error
         known.answers += 1
         weight = _weight(now - known.answered_at, ANSWER_AVERAGE_S)
         known.time += max(weight, 0.5 / known.answers) * error
         known.spread += max(0.1, 1.0 / known.answers) * (abs(error) - known.spread)
         level.answers += 1
         level.offset += SLOW_WEIGHT * error
-        known.service, known.answered_at, known.sent = work.service, now, 0
+        known.group, known.answered_at, known.sent = work.group, now, 0
 
     def note_sent(self, runner: RunnerKey) -> None:
         """Record that this host sends a request to a runner."""
@@ -222,6 +233,18 @@
             estimate = max(estimate, known.last_work)
         return min(MAX_SLOWDOWN, max(1 / MAX_SLOWDOWN, estimate))
 
+    def usual_slowdown(self, runner: RunnerKey) -> float:
+        """Return the slowdown over several spells, for work that lasts for seconds."""
+        known = self._by_runner.get(runner)
+        if known is None:
+            return 1.0
+        now = self.now()
+        fresh = _freshness(now - known.reported_at) if known.reports else 0.0
+        mean = 1.0 + (known.mean_work - 1.0) * fresh
+        return min(
+            MAX_SLOWDOWN, max(1 / MAX_SLOWDOWN, mean * self._ratio(known, 0.0, now))
+        )
+
     def slots_of(self, runner: RunnerKey, registered: int) -> float:
         """Return how many requests a runner handles well at a time.
 
@@ -286,9 +309,9 @@
 
     def _ratio(self, known: _Runner, load: float, now: float) -> float:
         """Return the ratio of a runner's times to the median, or 1.0 within noise."""
-        if known.answers < MIN_ANSWERS or known.service is None:
+        if known.answers < MIN_ANSWERS or known.group is None:
             return 1.0
-        difference = known.time - self._median(known.service, now)
+        difference = known.time - self._median(known.group, now)
         level = known.levels[_level_of(load)]
         if level.answers >= MIN_ANSWERS:
             difference += level.offset - min(
@@ -303,20 +326,20 @@
         share = math.sqrt(MAX_WEIGHT / (2 - MAX_WEIGHT))
         return NOISE_FACTOR * known.spread * share
 
-    def _median(self, service: ServiceName, now: float) -> float:
-        """Return the median time of a service's runners that were timed recently."""
-        value, computed_at = self._median_by_service.get(service, (0.0, -math.inf))
+    def _median(self, group: str, now: float) -> float:
+        """Return the median time of the runners that were timed recently."""
+        value, computed_at = self._median_by_group.get(group, (0.0, -math.inf))
         if now - computed_at <= MEDIAN_AGE_S:
             return value
         times = [
             known.time
             for known in self._by_runner.values()
-            if known.service == service
+            if known.group == group
             and known.answers >= MIN_ANSWERS
             and now - known.answered_at <= STALE_HALF_LIFE_S
         ]
         value = median(times) if times else 0.0
-        self._median_by_service[service] = value, now
+        self._median_by_group[group] = value, now
         return value
 
 
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -39,6 +39,7 @@
 from .errors import barred
 from .job import Job
 from .key_checks import KeyChecks
+from .speed_reports import SpeedReports
 from .workspace_endpoints import WorkspaceRefusals
 
 
@@ -65,6 +66,7 @@
     stream_versions: StreamVersions
     stored_streams: StoredStreams
     runner_speeds: RunnerSpeeds
+    speed_reports: SpeedReports
     plain_placement: PlainPlacement
     keys: KeyChecks
     log: LogLines
@@ -151,6 +153,7 @@
         load = wire.parse_load(head)
         if load is not None:
             self.runner_speeds.note_load(runner, load)
+            self.speed_reports.check(runner)
         if statement.is_leaving:
             self.metrics.count("runner_leaving_answers")
             self.runners.mark_draining(runner.name, runner.started_at, "its answer")
@@ -174,6 +177,7 @@
         """Remove what is known of a process that is gone."""
         self.runner_paths.forget(runner)
         self.runner_speeds.forget(runner)
+        self.speed_reports.forget(runner)
         self.plain_placement.forget(runner)
         for placement in self.placement_by_service.values():
             placement.forget(runner)
@@ -211,7 +215,10 @@
         placement = self.placement_by_service.get(service)
         if placement is None:
             placement = EnginePlacement(
-                self.settings.zone, self.load_of, self.reachability_of
+                self.settings.zone,
+                self.load_of,
+                self.reachability_of,
+                slowdown_of=self.runner_speeds.usual_slowdown,
             )
             self.placement_by_service[service] = placement
         return placement
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -8,6 +8,7 @@
 
 from ..dispatch.engine_versions import at_version
 from ..dispatch.retry_accounting import RetryAccounting
+from ..dispatch.runner_speed import Work
 from ..exceptions import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -31,6 +32,10 @@
 from .relay import PlainRelay, StreamRelay
 from .runner_calls import request_exchange, run_exchange
 
+# Streams of fewer events, and those that waited for the caller for more than this share
+# of their time, don't tell how fast the engine was.
+MIN_TIMED_EVENTS = 10
+MAX_WRITE_SHARE = 0.1
 # Retry-After in seconds when an engine rejected the request, the connection failed,
 # or no retry is left: other engines can serve the caller soon.
 FAILED_RETRY_S = 0.5
@@ -240,7 +245,7 @@
         self._context.check_bars(self._job)
         job, tokens = self._job, self._requested.prompt_tokens
         queued = self._context.load_of(runner.key).prefill_tokens
-        timeout_s = self._prefill_timeout_s(queued)
+        timeout_s = self._prefill_timeout_s(runner.key, queued)
         options = wire.SendOptions(
             runner.key,
             min(timeout_s, job.time_left_s),
@@ -260,8 +265,11 @@
             if answer.head.status == 200:
                 self._retries.note_prefilled()
                 if queued == 0:
-                    self._placement.update_prefill_rate(
-                        tokens, monotonic() - started_at
+                    took_s = monotonic() - started_at
+                    self._placement.update_prefill_rate(tokens, took_s)
+                    work = Work(f"{job.service}:prefill", "prefill")
+                    self._context.runner_speeds.note_answer(
+                        runner.key, work, took_s / max(1, tokens), 0.0
                     )
                 return wire.prefill_handle(body)
             self._placement.failures.note(runner.key)
@@ -291,13 +299,14 @@
         )
         return None
 
-    def _prefill_timeout_s(self, queued_tokens: int) -> float:
+    def _prefill_timeout_s(self, runner: RunnerKey, queued_tokens: int) -> float:
         """Return the timeout of a prefill call in seconds.
 
         It is at least the time left in which the first event can still be on time.
         """
         tokens = queued_tokens + self._requested.prompt_tokens
-        expected_s = tokens / self._placement.prefill_rate
+        slowdown = self._context.runner_speeds.usual_slowdown(runner)
+        expected_s = max(1.0, slowdown) * tokens / self._placement.prefill_rate
         on_time_s = self._search.on_time_until - monotonic()
         return max(
             MIN_PREFILL_TIMEOUT_S, PREFILL_TIMEOUT_FACTOR * expected_s, on_time_s
@@ -390,9 +399,20 @@
             self._version = runner.version
             stored.note(self._stream_id, runner.version)
             await self._context.stream_versions.record(self._stream_id, runner.version)
+        began_at, written_s = monotonic(), self._relay.write_s
+        load = self._context.load_of(runner.key).requests / max(1, runner.slots)
         try:
             await self._relay.copy(answer, self._close)
             stored.remove(self._stream_id)
+            took_s = monotonic() - began_at
+            if (
+                answer.events >= MIN_TIMED_EVENTS
+                and self._relay.write_s - written_s <= MAX_WRITE_SHARE * took_s
+            ):
+                work = Work(f"{self._job.service}:decode", "decode")
+                self._context.runner_speeds.note_answer(
+                    runner.key, work, took_s / answer.events, load
+                )
         finally:
             self._job.log_fields |= {
                 "framing": answer.framing.value,
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -11,6 +11,7 @@
 from ..network.http1_client import AnswerHead, Exchange, Header
 from ..network.http1_server import CallerConnection
 from ..platform import wire
+from ..utils.clock import monotonic
 
 # Answers up to this size are read completely before anything is sent to the caller,
 # so that another runner can still be tried if the answer breaks off.
@@ -139,6 +140,8 @@
         self.started = False
         self.last_event: str | None = None
         self.events_sent = 0
+        # Seconds for which the caller's connection took no more bytes.
+        self.write_s = 0.0
 
     @property
     def is_inside_event(self) -> bool:
@@ -186,4 +189,6 @@
         complete = self._scanner.feed(chunk)
         self.events_sent += self._scanner.events - events_before
         self.last_event = self._scanner.last_event or self.last_event
+        began_at = monotonic()
         await self._connection.write(complete if self._only_complete_events else chunk)
+        self.write_s += monotonic() - began_at
--- a/src/siskinlever/_internal/metrics/registry.py
+++ b/src/siskinlever/_internal/metrics/registry.py
@@ -40,6 +40,11 @@
         """Set a gauge to ``value``."""
         self._gauge_by_key[name, _key(labels)] = value
 
+    def drop_gauges(self, name: str) -> None:
+        """Remove all series of a gauge, some of which may no longer be current."""
+        for key in [key for key in self._gauge_by_key if key[0] == name]:
+            del self._gauge_by_key[key]
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a latency in seconds."""
         key = (name, _key(labels))
--- a/tests/unit/test_runner_speed.py
+++ b/tests/unit/test_runner_speed.py
@@ -9,22 +9,29 @@
 import math
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
-from lib.runners import plain
+from lib.runners import engine, plain
 
+from siskinlever._internal.dispatch.engine_placement import EnginePlacement
 from siskinlever._internal.dispatch.plain_placement import (
     OTHER_ZONE_PENALTY,
     PlainPlacement,
 )
 from siskinlever._internal.dispatch.reachability import Reachability
 from siskinlever._internal.dispatch.runner_speed import RunnerSpeeds, Work
-from siskinlever._internal.models.upstreams import LoadReport, RunnerKey
+from siskinlever._internal.fleet.hosts import RunnerLoad
+from siskinlever._internal.gateway.speed_reports import MAX_SERIES, SpeedReports
+from siskinlever._internal.metrics.registry import Metrics
+from siskinlever._internal.models.routes import EngineSpec
+from siskinlever._internal.models.upstreams import LoadReport, RunnerKey, Stage
 
 RUNNERS = [plain(f"p-{i}", "ab"[i % 2]) for i in range(4)]
 KEYS = [runner.key for runner in RUNNERS]
 WORK = Work("s", "route")
 WORK_S = 0.08
+SPEC = EngineSpec(12, 26_000, 0.5, 6.0, 2.0)
 
 
 class Clock:
@@ -183,3 +190,46 @@
     assert len(speeds._usual_by_work) <= 256
     speeds.note_answer(KEYS[0], WORK, math.inf, 0.1)
     assert math.isfinite(speeds.slowdown(KEYS[0]))
+
+
+def test_slow_engines_get_fewer_generations_and_prompts(speeds, clock):
+    """Engines of speed 0.55 got as many generations as those of 1.2."""
+    slowdown = {"d-0": 1.8, "p-0": 1.8}
+    engines = [engine(f"d-{i}", Stage.DECODE) for i in range(4)]
+    engines += [engine(f"p-{i}", Stage.PREFILL) for i in range(2)]
+    loads: dict[RunnerKey, RunnerLoad] = {}
+    placement = EnginePlacement(
+        "a",
+        lambda key: loads.get(key, RunnerLoad()),
+        lambda key: Reachability.REACHABLE,
+        slowdown_of=lambda key: slowdown.get(key.name, 0.83),
+    )
+    placed = Counter()
+    for _ in range(24):
+        best = placement.decode_candidates(engines, SPEC, 1000)[0]
+        placed[best.key.name] += 1
+        loads[best.key] = RunnerLoad(decode_tokens=1000 * placed[best.key.name])
+    assert placed["d-0"] < 0.5 * placed["d-1"]
+    assert placement.prefill_candidate(engines, "a", 1.0).key.name == "p-1"
+
+
+def test_crossings_are_logged_once_and_series_are_bounded(speeds, clock):
+    lines: list[tuple[str, dict]] = []
+    log = SimpleNamespace(write=lambda event, **fields: lines.append((event, fields)))
+    metrics = Metrics()
+    reports = SpeedReports(speeds, log, metrics)
+    for _ in range(400):
+        clock.now += 0.1
+        speeds.note_load(KEYS[0], report(3.0))
+        reports.check(KEYS[0])
+    assert [event for event, _ in lines] == ["runner.slow"]
+    for i in range(300):
+        speeds.note_load(RunnerKey(f"r-{i}", 1), report(1.0))
+    reports.export()
+    reports.export()
+    text = metrics.exposition()
+    assert text.count("siskinlever_runner_slowdown{") == MAX_SERIES
+    assert 'siskinlever_runner_usual_slowdown{runner="p-0"} 3.0' in text
+    speeds.forget(KEYS[0])
+    reports.export()
+    assert 'runner="p-0"' not in metrics.exposition()
