--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -15,6 +15,7 @@
 from ..dispatch.retry_budget import SharedRetryBudget
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.runner_paths import RunnerPaths
+from ..dispatch.runner_speed import RunnerSpeeds
 from ..exceptions import SettingsError
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.crash_reports import CrashReports
@@ -41,6 +42,7 @@
 from ..gateway.runner_connections import is_down
 from ..gateway.session import Session
 from ..gateway.shutdown import Shutdown
+from ..gateway.speed_reports import SpeedReports
 from ..gateway.workspace_endpoints import WORKSPACES_PATH, list_workspaces
 from ..logs.lines import STANDARD_OUTPUT, LogLines, log_lines
 from ..metrics.registry import Metrics
@@ -306,6 +308,7 @@
         log,
         tasks,
     )
+    speeds = RunnerSpeeds()
     budget = SharedRetryBudget(
         settings.bounds.retry,
         lambda: _budget_hosts(view, hosts),
@@ -346,10 +349,13 @@
             is_store_down=lambda: store_health.is_down,
             is_reader=lambda: view.is_reader,
         ),
+        runner_speeds=speeds,
+        speed_reports=SpeedReports(speeds, log, metrics),
         plain_placement=PlainPlacement(
             settings.zone,
             requests_of=lambda key: context.load_of(key).requests,
             reachability_of=lambda key: context.reachability_of(key),
+            speeds=speeds,
         ),
         keys=KeyChecks(configuration, settings.bounds.keys, metrics),
         log=log,
@@ -438,6 +444,7 @@
         return 200, JSON_HEADERS, wire.lookup_answer(addresses, lifetime_s)
 
     def exposition(request: ReceivedRequest) -> Answer:
+        context.speed_reports.export()
         return 200, TEXT_HEADERS, metrics.exposition().encode()
 
     def limits() -> CallerLimits:
