Charge requests to the quotas of their workspaces

Change: a request is checked on arrival (429 with the time at which it can be served), charged right before its first send that can start a prefill or a run, and refunded if no runner ran it. Hosts borrow by the peer call BorrowAllowance, on demand within 0.1 s and ahead of demand. Requests that wait for capacity count on arrival.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -16,6 +16,7 @@
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.runner_paths import RunnerPaths
 from ..exceptions import SettingsError
+from ..fleet.allowance_exchange import AllowanceExchange
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.crash_reports import CrashReports
 from ..fleet.demand import DemandMeter
@@ -129,6 +130,7 @@
             "ExchangeCrashes": host.crash_reports.serve,
             "Relay": host.relay_service.serve,
             "NotePause": host.relay_service.note_pause,
+            "BorrowAllowance": host.context.allowances.serve,
         }
         await stack.enter_async_context(
             peer_server(listeners.peers, PEER_KEY, None, handlers)
@@ -141,6 +143,7 @@
         tasks.start(host.follower.follow_hosts(), "hosts")
         tasks.start(host.sync.announce_updates(), "news")
         tasks.start(host.crash_reports.run(), "forget-crashes")
+        tasks.start(host.context.allowances.run(), "allowances")
         tasks.start(host.lease.run(), "order-lease")
         tasks.start(host.orders.run(), "stage-orders")
         await _listen(host, metrics, stack)
@@ -308,6 +311,18 @@
         other_servers=lambda: _other_servers(view, hosts),
         retry_budget=budget,
         limits=limits,
+        allowances=AllowanceExchange(
+            settings.host,
+            settings.bounds.allowance,
+            lambda: _serving_hosts(view, hosts, own_status()),
+            lambda: _sending_hosts(view, hosts, follower.registered_hosts),
+            lambda: _other_servers(view, hosts),
+            configuration,
+            links,
+            log,
+            metrics,
+            tasks,
+        ),
         crash_causes=crash_reports.causes,
         crash_detection=CrashDetection(
             crash_reports,
@@ -384,6 +399,15 @@
     return frozenset({view.own_host, *hosts.by_host}) | registered
 
 
+def _serving_hosts(
+    view: ServingView, hosts: HostTable, own: HostStatus
+) -> list[HostName]:
+    """Return the live hosts that serve callers, with this one if it is one of them."""
+    others = [status.host for status in _other_servers(view, hosts)]
+    is_serving = own.serving and (view.is_serving or not view.is_large)
+    return [*others, own.host] if is_serving else others
+
+
 def _other_servers(view: ServingView, hosts: HostTable) -> list[HostStatus]:
     """Return the other live hosts that serve callers."""
     if view.is_large:
--- a/src/siskinlever/_internal/gateway/context.py
+++ b/src/siskinlever/_internal/gateway/context.py
@@ -14,6 +14,7 @@
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.runner_paths import Helper, RunnerPaths
 from ..dispatch.wait_queue import WaitQueue
+from ..fleet.allowance_exchange import AllowanceExchange
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.demand import Demand, DemandMeter
 from ..fleet.hosts import HostStatus, HostTable, RunnerLoad, total_load
@@ -56,6 +57,7 @@
     other_servers: Callable[[], list[HostStatus]]
     retry_budget: SharedRetryBudget
     limits: RunnerLimits
+    allowances: AllowanceExchange
     crash_causes: CrashCauses
     crash_detection: CrashDetection
     stream_versions: StreamVersions
--- a/src/siskinlever/_internal/gateway/errors.py
+++ b/src/siskinlever/_internal/gateway/errors.py
@@ -29,6 +29,7 @@
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     LIMITED = "limited_by_runners"
+    OVER_QUOTA = "over_quota"
     BARRED = "barred"
     VERSION_GONE = "version_gone"
     VERSION_UNKNOWN = "version_unknown"
@@ -101,6 +102,23 @@
     return EndedError(503, EndReason.LIMITED, message, retry_after_s)
 
 
+def over_quota(workspace: str, wait_s: float) -> EndedError:
+    """Return the error for a request beyond its workspace's allowance (status 429).
+
+    Status 429 states that no runner has run the request and none will.
+
+    Parameters
+    ----------
+    workspace : str
+    wait_s : float
+        Seconds until the request can probably be served.
+    """
+    # Earlier than the wait, the caller would be refused again.
+    retry_after_s = wait_s * random.uniform(1, 1 + RETRY_JITTER / 2)
+    message = f"workspace {workspace} is over its quota"
+    return EndedError(429, EndReason.OVER_QUOTA, message, retry_after_s)
+
+
 def barred(runners: int) -> EndedError:
     """Return the error for a request whose like has crashed this many runners."""
     message = f"{runners} runners have crashed under requests like this one"
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -26,6 +26,7 @@
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
+from .quota import charge_first_send
 from .relay import PlainRelay, StreamRelay
 from .runner_calls import request_exchange, run_exchange
 
@@ -160,6 +161,7 @@
 
     async def _attempt(self, capacity: ReservedCapacity) -> EndedError | None:
         """Prefill and decode at one decode engine; return the failure, or None."""
+        await charge_first_send(self._context, self._job)
         async with self._prompt_kv_cache(capacity.runner) as source:
             failure = await self._decode(capacity, source)
         if (
--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from enum import Enum
 
 from ..exceptions import NotSentError
 from ..models.ids import ServiceName
@@ -23,6 +24,15 @@
 MAX_REJECTIONS = 3
 
 
+class Charge(Enum):
+    """Whether a request is charged to its workspace's allowance."""
+
+    NONE = "none"
+    # When it is first sent.
+    DUE = "due"
+    MADE = "made"
+
+
 @dataclass(slots=True)
 class Job:
     """State of one caller's request while this host serves it.
@@ -56,6 +66,9 @@
     workspace : Workspace or None
         The workspace of the caller's key; None if the configuration has no
         workspaces, or the route is public and the request has no known key.
+    cost : float
+        What it is charged to the workspace's allowance, in the unit of that.
+    charge : Charge
     """
 
     request: ReceivedRequest
@@ -72,6 +85,8 @@
     log_fields: dict[str, str | int | float] = field(default_factory=dict)
     tried_bars: set[frozenset[Trait]] = field(default_factory=set)
     workspace: Workspace | None = None
+    cost: float = 0.0
+    charge: Charge = Charge.NONE
     _part_traits: tuple[Trait, ...] | None = None
     _request_trait: Trait | None = None
 
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -12,6 +12,7 @@
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
+from .quota import charge_first_send
 from .relay import PlainRelay, StreamRelay
 from .runner_calls import run_exchange
 
@@ -113,6 +114,7 @@
         """Send the request to a runner; return the failure, or None."""
         placement, job = self._context.plain_placement, self._job
         self._context.check_bars(job)
+        await charge_first_send(self._context, job)
         call = wire.runner_call(
             job.request, wire.SendOptions(runner.key, job.time_left_s)
         )
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -16,6 +16,7 @@
 from .generation import GenerationRequest
 from .job import Job, new_job
 from .plain import PlainRequest
+from .quota import quota_checked
 from .shutdown import Shutdown
 
 # Seconds past the deadline that an answer may take. Runners stop at the deadline
@@ -105,7 +106,8 @@
             self._context.check_bars(job)
             if self._refuses_while_stopping(job):
                 raise refused(EndReason.STOPPING, "this host stops", STOPPING_RETRY_S)
-            runner = await self._within_deadline(job)
+            with quota_checked(self._context, job):
+                runner = await self._within_deadline(job)
             self._log_end(job, request, 0, "answered", runner)
         except EndedError as failure:
             await self._answer_failure(job, request, failure)
--- a/src/siskinlever/_internal/peers/peer_grpc.py
+++ b/src/siskinlever/_internal/peers/peer_grpc.py
@@ -98,6 +98,10 @@
     async def NotePause(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.RunnerPause, siskinlever._internal.peers.peer_pb2.Nothing]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def BorrowAllowance(self, stream: 'grpclib.server.Stream[siskinlever._internal.peers.peer_pb2.BorrowRequest, siskinlever._internal.peers.peer_pb2.BorrowReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/siskinlever.peers.Peer/Exchange': grpclib.const.Handler(
@@ -226,6 +230,12 @@
                 siskinlever._internal.peers.peer_pb2.RunnerPause,
                 siskinlever._internal.peers.peer_pb2.Nothing,
             ),
+            '/siskinlever.peers.Peer/BorrowAllowance': grpclib.const.Handler(
+                self.BorrowAllowance,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                siskinlever._internal.peers.peer_pb2.BorrowRequest,
+                siskinlever._internal.peers.peer_pb2.BorrowReply,
+            ),
         }
 
 
@@ -358,3 +368,9 @@
             siskinlever._internal.peers.peer_pb2.RunnerPause,
             siskinlever._internal.peers.peer_pb2.Nothing,
         )
+        self.BorrowAllowance = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/siskinlever.peers.Peer/BorrowAllowance',
+            siskinlever._internal.peers.peer_pb2.BorrowRequest,
+            siskinlever._internal.peers.peer_pb2.BorrowReply,
+        )
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -17,6 +17,7 @@
 from ..models.ids import HostName, RunnerName, ZoneName
 from ..models.routes import RequestKind
 from ..models.upstreams import Address, LoadReport, RunnerKey, Stage
+from ..models.workspaces import Allowance, AllowanceUnit
 from ..network.http1_client import AnswerHead, Call, Header
 from ..network.http1_server import ReceivedRequest
 from .fields import MS_PER_S, as_mapping, required_field
@@ -87,6 +88,8 @@
 EVENT_STREAM = "text/event-stream"
 READINESS_PATH = "/readyz"
 LOOKUP_PATH = "/resolve"
+# More than any allowance; larger statements could not be computed with.
+MAX_COST = 10**12
 # A count in the load header; longer ones are not counts of requests.
 COUNT = re.compile(r"[0-9]{1,9}\Z")
 
@@ -188,6 +191,19 @@
     return GenerationSize(prompt, max_output, min(max(likely_output, 1), max_output))
 
 
+def request_cost(request: ReceivedRequest, allowance: Allowance) -> float:
+    """Return what a request costs of an allowance, in the unit of the allowance.
+
+    A request whose statement of its tokens can't be read costs as one without it.
+    """
+    if allowance.unit is AllowanceUnit.REQUESTS:
+        return 1.0
+    size = generation_size(request)
+    if size is None:
+        return allowance.default_cost
+    return float(min(size.prompt_tokens + size.max_output_tokens, MAX_COST))
+
+
 def shared_prompt_parts(request: ReceivedRequest) -> list[str]:
     """Return the ids of the prompt's parts that other requests may share.
 
