--- a/src/siskinlever/_internal/dispatch/allowance_lenders.py
+++ b/src/siskinlever/_internal/dispatch/allowance_lenders.py
@@ -117,20 +117,32 @@
         return sum(k.spare_per_s if k else share.rate_per_s for k in known)
 
     def plan(
-        self, workspace: WorkspaceName, units: float, share: LenderShare
+        self,
+        workspace: WorkspaceName,
+        least: float,
+        units: float,
+        share: LenderShare,
     ) -> list[tuple[HostName, float]]:
         """Choose whom to ask for units, and count them as asked.
 
+        Parameters
+        ----------
+        workspace : str
+        least : float
+            Fewer units would be in vain.
+        units : float
+        share : LenderShare
+
         Returns
         -------
         asked : list of (HostName, float)
-            Empty if all together probably haven't enough, as it would be in vain.
+            Empty if all together probably have fewer than `least`.
         """
         by_units = sorted(
             ((self.units_of(host, workspace, share), host) for host in self._hosts()),
             reverse=True,
         )
-        if sum(available for available, _ in by_units) < units:
+        if sum(available for available, _ in by_units) < least:
             return []
         asked: list[tuple[HostName, float]] = []
         for available, host in by_units:
--- a/src/siskinlever/_internal/dispatch/shared_allowance.py
+++ b/src/siskinlever/_internal/dispatch/shared_allowance.py
@@ -14,14 +14,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from ..models.host_settings import AllowanceBounds
 from ..models.ids import HostName, WorkspaceName
 from ..models.workspaces import Allowance
 from ..utils.clock import monotonic
-from .allowance_bucket import ROUNDING, AllowanceBucket, AllowanceLimits
+from .allowance_bucket import ROUNDING, AllowanceBucket, AllowanceLimits, Loan
 from .allowance_lenders import AllowanceLenders, LenderShare
 from .fleet_shares import FleetShares
 
@@ -172,19 +173,17 @@
         if bucket is not None:
             bucket.give_back(cost)
 
-    def lend(self, workspace: WorkspaceName, asked: float) -> float:
-        """Deduct units for another host; return how many.
+    def lend(self, workspace: WorkspaceName, asked: float) -> list[Loan]:
+        """Deduct units for another host; return them.
 
         What this host's callers will need within a second, beyond its own part, is
         kept. Unknown workspaces and amounts that aren't positive get nothing.
         """
         bucket = self._bucket(workspace)
         if bucket is None or not asked > 0:
-            return 0.0
+            return []
         granted = min(asked, bucket.lendable)
-        if granted > 0:
-            bucket.deduct(granted)
-        return granted
+        return bucket.deduct(granted) if granted > 0 else []
 
     def lendable(self, workspace: WorkspaceName) -> tuple[float, float]:
         """Return the units that could be lent now, and how fast they grow."""
@@ -198,31 +197,49 @@
         self,
         workspace: WorkspaceName,
         host: HostName,
-        granted: float,
+        loan: Loan,
         left: float,
         spare_per_s: float,
     ) -> None:
         """Add what another host has lent, and record what it has left."""
         self._lenders.note_reply(host, workspace, left, spare_per_s)
         bucket = self._bucket(workspace)
-        if bucket is not None and granted > 0:
-            bucket.add_loan(granted)
+        if bucket is not None and loan.expires_at > self._now():
+            bucket.add_loan(loan)
 
     def whom_to_ask(
         self, workspace: WorkspaceName, cost: float
     ) -> list[tuple[HostName, float]]:
         """Return whom to ask for what to be able to charge a cost now.
 
-        Empty if it isn't short, or if the others probably haven't enough.
+        What all requests are short of that are being sent is asked for at once. Empty
+        if that is on its way, or if the others probably haven't enough for this one.
         """
         bucket = self._bucket(workspace)
-        if bucket is None or bucket.covers(cost):
+        if bucket is None:
+            return []
+        held = bucket.held + bucket.asked
+        short = max(cost, bucket.sending) - held
+        if short <= ROUNDING:
             return []
         share = self._lender_share(bucket)
-        asked = self._lenders.plan(workspace, cost - bucket.held, share)
+        asked = self._lenders.plan(workspace, cost - held, short, share)
         bucket.asked += sum(units for _, units in asked)
         return asked
 
+    @contextmanager
+    def sending(self, workspace: WorkspaceName, cost: float) -> Iterator[None]:
+        """Count a request as being sent, for `whom_to_ask`, while the block runs."""
+        bucket = self._bucket(workspace)
+        if bucket is None:
+            yield
+            return
+        bucket.sending += cost
+        try:
+            yield
+        finally:
+            bucket.sending -= cost
+
     def expects(self, workspace: WorkspaceName) -> bool:
         """Return whether other hosts were asked for units and haven't replied yet."""
         bucket = self._bucket(workspace)
@@ -234,33 +251,28 @@
         if bucket is not None:
             bucket.asked = max(0.0, bucket.asked - asked)
 
-    def has_excess(self, workspace: WorkspaceName) -> bool:
-        """Return whether this host's callers need more than its own part."""
-        bucket = self._bucket(workspace)
-        return bucket is not None and bucket.demand_per_s > bucket.rate_per_s
-
-    def needed_ahead(self, workspace: WorkspaceName) -> float:
-        """Return the units to borrow before requests need them.
+    def excess(self, workspace: WorkspaceName) -> float:
+        """Return the units that are needed within `AHEAD_S` beyond the own part.
 
-        0 while the own part covers the demand: what single requests are short of is
-        borrowed when they are sent. Requests that wait for capacity don't count, so
+        0 while the own part covers the demand, and while requests come so rarely that
+        most borrowed units would expire before one needs them: these borrow what they
+        are short of when they are sent. Requests that wait for capacity don't count, so
         that nothing is borrowed in vain while the service has none.
         """
         bucket = self._bucket(workspace)
         if bucket is None:
             return 0.0
-        excess_per_s = min(bucket.demand_per_s, bucket.limits.rate_per_s)
-        excess_per_s -= bucket.rate_per_s
-        if excess_per_s <= 0:
-            return 0.0
-        held = bucket.held + bucket.asked
-        return max(0.0, excess_per_s * AHEAD_S + bucket.last_cost - held)
+        needed_per_s = min(bucket.demand_per_s, bucket.limits.rate_per_s)
+        excess = (needed_per_s - bucket.rate_per_s) * AHEAD_S
+        return excess if excess > bucket.last_cost else 0.0
 
     def ask_ahead(self, workspace: WorkspaceName, host: HostName) -> float:
         """Return what to ask a host for ahead, and count it as asked."""
         bucket = self._bucket(workspace)
-        needed = self.needed_ahead(workspace)
-        if bucket is None or not needed:
+        if bucket is None:
+            return 0.0
+        needed = self.excess(workspace) - bucket.held - bucket.asked
+        if needed <= 0:
             return 0.0
         share = self._lender_share(bucket)
         units = min(needed, self._lenders.units_of(host, workspace, share))
--- a/src/siskinlever/_internal/fleet/allowance_exchange.py
+++ b/src/siskinlever/_internal/fleet/allowance_exchange.py
@@ -13,6 +13,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 
+from ..dispatch.allowance_bucket import LOAN_S, Loan
 from ..dispatch.allowance_lenders import AllowanceLenders
 from ..dispatch.fleet_shares import FleetShares
 from ..dispatch.shared_allowance import SharedAllowance
@@ -25,7 +26,7 @@
 from ..models.workspaces import Allowance
 from ..peers import peer_pb2
 from ..peers.link import Peers
-from ..utils.clock import monotonic
+from ..utils.clock import MS_PER_S, monotonic
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
 from .hosts import HostStatus
@@ -42,8 +43,9 @@
 CALL_TIMEOUT_S = 0.4
 # Longest time in seconds that a request waits for borrowed units.
 OBTAIN_TIMEOUT_S = 0.1
-# Seconds between two looks whether units that others were asked for have come.
-POLL_S = 0.002
+# How often one request lets others be asked; each time, they may have less than it
+# seemed.
+MAX_ROUNDS = 3
 # Workspaces in one message.
 MAX_NEEDS = 64
 
@@ -102,6 +104,8 @@
         self._needy: set[WorkspaceName] = set()
         self._asked_at_by_host: dict[HostName, float] = {}
         self._is_asking = False
+        # Set when the next call ends.
+        self._answered = asyncio.Event()
 
     async def run(self) -> None:
         """Follow which hosts serve, while there are allowances, until cancelled."""
@@ -175,14 +179,19 @@
         loans = []
         for need in message.needs[:MAX_NEEDS]:
             name = WorkspaceName(need.workspace)
-            granted = self.ledger.lend(name, need.units)
+            lent = self.ledger.lend(name, need.units)
             left, spare_per_s = self.ledger.lendable(name)
-            self._metrics.count("quota_loans", granted="some" if granted else "none")
-            loans.append(
+            self._metrics.count("quota_loans", granted="some" if lent else "none")
+            loans += [
                 peer_pb2.AllowanceLoan(
-                    workspace=name, units=granted, left=left, spare_per_s=spare_per_s
+                    workspace=name,
+                    units=loan.units,
+                    left=left,
+                    spare_per_s=spare_per_s,
+                    lifetime_ms=int((loan.expires_at - monotonic()) * MS_PER_S),
                 )
-            )
+                for loan in lent or [Loan(0.0, monotonic())]
+            ]
         return peer_pb2.BorrowReply(loans=loans)
 
     def _refresh(self) -> None:
@@ -192,26 +201,26 @@
         self.ledger.refresh()
 
     async def _borrow_and_charge(self, workspace: WorkspaceName, cost: float) -> bool:
-        while not self.ledger.charge(workspace, cost):
-            asked = self.ledger.whom_to_ask(workspace, cost)
-            if not asked and self.ledger.expects(workspace):
-                await asyncio.sleep(POLL_S)
-                continue
-            if not asked:
-                return False
-            calls = [
-                # The call goes on when the time limit ends the wait: what it brings is
-                # of use to other requests.
-                self._tasks.start(self._borrow(host, {workspace: units}), "borrow")
-                for host, units in asked
-            ]
-            await asyncio.wait(calls)
-        return True
+        with self.ledger.sending(workspace, cost):
+            rounds = 0
+            while not self.ledger.charge(workspace, cost):
+                asked = []
+                if rounds < MAX_ROUNDS:
+                    asked = self.ledger.whom_to_ask(workspace, cost)
+                    rounds += bool(asked)
+                for host, units in asked:
+                    # The call goes on when the time limit ends the wait: what it brings
+                    # is of use to other requests.
+                    self._tasks.start(self._borrow(host, {workspace: units}), "borrow")
+                if not self.ledger.expects(workspace):
+                    return False
+                await self._answered.wait()
+            return True
 
     async def _borrow(
         self, host: HostName, units_by_workspace: Mapping[WorkspaceName, float]
     ) -> None:
-        reply = peer_pb2.BorrowReply()
+        reply, asked_at = peer_pb2.BorrowReply(), monotonic()
         try:
             reply = await self._call(host, units_by_workspace)
         except PeerError:
@@ -220,11 +229,17 @@
         finally:
             for name, units in units_by_workspace.items():
                 self.ledger.note_answered(name, units)
+            answered, self._answered = self._answered, asyncio.Event()
+            answered.set()
         for loan in reply.loans:
             name = WorkspaceName(loan.workspace)
             if name in units_by_workspace:
-                granted = min(loan.units, units_by_workspace[name])
-                self.ledger.borrow(name, host, granted, loan.left, loan.spare_per_s)
+                # The lifetime began later than the call.
+                expires_at = asked_at + min(LOAN_S, loan.lifetime_ms / MS_PER_S)
+                units = min(loan.units, units_by_workspace[name])
+                self.ledger.borrow(
+                    name, host, Loan(units, expires_at), loan.left, loan.spare_per_s
+                )
 
     async def _call(
         self, host: HostName, units_by_workspace: Mapping[WorkspaceName, float]
@@ -271,7 +286,7 @@
         }
 
     def _ask_ahead_if_needed(self, workspace: WorkspaceName) -> None:
-        if self.ledger.needed_ahead(workspace) <= 0:
+        if self.ledger.excess(workspace) <= 0:
             return
         self._needy.add(workspace)
         if not self._is_asking:
@@ -286,7 +301,7 @@
                     self._ask_one_ahead(host)
                 await asyncio.sleep(ASK_STEP_S)
                 self._needy = {
-                    name for name in self._needy if self.ledger.has_excess(name)
+                    name for name in self._needy if self.ledger.excess(name) > 0
                 }
         finally:
             self._is_asking = False
