--- a/src/siskinlever_testbed/__main__.py
+++ b/src/siskinlever_testbed/__main__.py
@@ -11,6 +11,8 @@
   model   Simulate placement policies on simulated engines under load.
   platform_demo
           Like demo, with stand-ins for the users' platform.
+  quota_model
+          Simulate hosts that share a quota.
   slopes  Measure the resource costs of each part.
 """
 
@@ -22,7 +24,9 @@
 
 from docopt import docopt
 
-TOOLS = frozenset({"bench", "crash_model", "demo", "model", "platform_demo", "slopes"})
+TOOLS = frozenset(
+    {"bench", "crash_model", "demo", "model", "platform_demo", "quota_model", "slopes"}
+)
 
 
 def main() -> int:
