--- a/src/siskinlever/_internal/dispatch/shared_allowance.py
+++ b/src/siskinlever/_internal/dispatch/shared_allowance.py
@@ -27,7 +27,7 @@
 from .fleet_shares import FleetShares
 
 # Seconds of demand beyond its own part that a host borrows ahead.
-AHEAD_S = 0.3
+AHEAD_S = 0.2
 # Seconds without a refusal after which a workspace is back under its allowance.
 RECOVERED_S = 2.0
 # Seconds without any use after which a full bucket is removed.
--- a/src/siskinlever_testbed/quota_model.py
+++ b/src/siskinlever_testbed/quota_model.py
@@ -582,6 +582,8 @@
     load: float = 1.5,
 ) -> Outcome:
     """Simulate one run of `WARM_UP_S` and `LOAD_S`."""
+    # The exchange itself draws from the module's generator.
+    random.seed(seed)
     fleet = Fleet(random.Random(seed), quota, WAY_BY_NAME[way], size)
     loop = VirtualTimeLoop()
 
