Test that loans are deducted and keep their lifetime

Cause: the state machine of ledgers passed with a lender that deducts nothing, and with loans whose lifetime starts anew when they are lent on.

Change: a loan may not raise what all hosts hold; a test of units that are lent on.

--- a/tests/fuzz/test_shared_allowance.py
+++ b/tests/fuzz/test_shared_allowance.py
@@ -88,6 +88,7 @@
         fate=st.sampled_from(["arrives", "late", "lost", "served twice"]),
     )
     def host_borrows(self, lender, borrower, units, fate):
+        before = self.held()
         loans = self.ledger_by_host[lender].lend(NAME, units)
         if fate == "served twice":
             self.ledger_by_host[lender].lend(NAME, units)
@@ -95,6 +96,10 @@
             self.late_loans.append((borrower, loans))
         elif fate != "lost":
             self.add(borrower, loans)
+        assert self.held() <= before + 1e-3
+
+    def held(self):
+        return sum(ledger.state(NAME).held for ledger in self.ledger_by_host.values())
 
     @rule()
     def late_replies_arrive(self):
@@ -125,3 +130,21 @@
 
 
 TestLedgers = Ledgers.TestCase
+
+
+def test_borrowed_units_that_are_lent_on_expire_when_they_would_have():
+    """Otherwise hosts could keep units alive by passing them on."""
+    machine = Ledgers()
+    machine.advance_time(9.0)
+    first, second, third = (machine.ledger_by_host[host] for host in HOSTS[:3])
+    own = first.state(NAME).held
+    for loan in first.lend(NAME, own):
+        second.borrow(NAME, HOSTS[0], loan, 0.0, 0.0)
+    machine.now += 0.6
+    loans = second.lend(NAME, second.state(NAME).held)
+    assert sum(loan.units for loan in loans) > own
+    for loan in loans:
+        third.borrow(NAME, HOSTS[1], loan, 0.0, 0.0)
+    held = third.state(NAME).held
+    machine.now += 0.5
+    assert third.state(NAME).held < held - own / 2
