--- a/src/siskinlever/_internal/gateway/job.py
+++ b/src/siskinlever/_internal/gateway/job.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from enum import Enum
 
 from ..dispatch.authorization import Credential
 from ..exceptions import NotSentError
@@ -24,6 +25,15 @@
 MAX_REJECTIONS = 3
 
 
+class Charge(Enum):
+    """Whether a request is charged to its workspace's allowance."""
+
+    NONE = "none"
+    # When it is first sent.
+    DUE = "due"
+    MADE = "made"
+
+
 @dataclass(slots=True)
 class Job:
     """State of one caller's request while this host serves it.
@@ -60,6 +70,9 @@
     identity : CallerIdentity or None
         What runners are told of the caller; None if the configuration has no
         workspaces.
+    cost : float
+        What it is charged to the workspace's allowance, in the unit of that.
+    charge : Charge
     """
 
     request: ReceivedRequest
@@ -78,6 +91,8 @@
     workspace: Workspace | None = None
     identity: CallerIdentity | None = None
     _credential: Credential | None = None
+    cost: float = 0.0
+    charge: Charge = Charge.NONE
     _part_traits: tuple[Trait, ...] | None = None
     _request_trait: Trait | None = None
 
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -18,6 +18,7 @@
 from .context import GatewayContext
 from .errors import EndedError, EndReason, failed, limited, refused
 from .job import Job
+from .quota import charge_first_send
 from .relay import PlainRelay, StreamRelay
 from .runner_calls import run_exchange
 
@@ -120,6 +121,7 @@
         placement, job = self._context.plain_placement, self._job
         self._context.keys.check(job)
         self._context.check_bars(job)
+        await charge_first_send(self._context, job)
         options = wire.SendOptions(runner.key, job.time_left_s, identity=job.identity)
         call = wire.runner_call(job.request, options)
         try:
--- a/src/siskinlever/_internal/gateway/session.py
+++ b/src/siskinlever/_internal/gateway/session.py
@@ -17,6 +17,7 @@
 from .job import Job, new_job
 from .key_checks import KEY_REASONS
 from .plain import PlainRequest
+from .quota import quota_checked
 from .shutdown import Shutdown
 
 # Seconds past the deadline that an answer may take. Runners stop at the deadline
@@ -29,7 +30,7 @@
 # caller immediately.
 STOPPING_RETRY_S = 0.05
 # Statuses of errors which state that the request was not run.
-NOT_RUN_STATUSES = frozenset({401, 503})
+NOT_RUN_STATUSES = frozenset({401, 429, 503})
 KEY_OUTCOMES = frozenset(reason.value for reason in KEY_REASONS)
 
 
@@ -110,7 +111,8 @@
             self._context.check_bars(job)
             if self._refuses_while_stopping(job):
                 raise refused(EndReason.STOPPING, "this host stops", STOPPING_RETRY_S)
-            runner = await self._within_deadline(job)
+            with quota_checked(self._context, job):
+                runner = await self._within_deadline(job)
             self._log_end(job, request, 0, "answered", runner)
         except EndedError as failure:
             await self._answer_failure(job, request, failure)
