Show the use of quotas to operators

Change: the answer at /workspaces and the command show each workspace's demand at the host, the host's own part and what it holds.

Measured: test_operators_see_the_use_of_a_quota passes; it failed before for want of the field.

--- a/src/siskinlever/_internal/commands/workspaces.py
+++ b/src/siskinlever/_internal/commands/workspaces.py
@@ -5,8 +5,9 @@
 
 Prints, for each host given by its metrics address, the version of the configuration,
 the age of the proof that it is the newest, and the requests refused without a known
-key; for each workspace, or only those named, its priority, the digests of its keys and
-its refused requests by cause.
+key; for each workspace, or only those named, its priority, the digests of its keys, its
+refused requests by cause, and its demand at the host against the host's own part of the
+quota and what it holds.
 
 Exit codes:
   0  done
@@ -57,6 +58,7 @@
         f"  {workspace['name']}  priority {workspace['priority']}"
         f"  keys {','.join(workspace['keys'])}"
         f"  refused {_format_counts(workspace, 'refusals')}"
+        f"  quota {_format_quota(workspace['quota'])}"
         for workspace in found["workspaces"]
     ]
     return "\n".join(lines)
@@ -67,3 +69,13 @@
 ) -> str:
     counts = found[field]
     return ",".join(f"{cause}={counts[cause]}" for cause in sorted(counts)) or "none"
+
+
+def _format_quota(quota: dict[str, Any] | None) -> str:
+    if quota is None:
+        return "unused"
+    limited = " (limited)" if quota["is_limited"] else ""
+    return (
+        f"{quota['demand_per_s']:g}/s of {quota['own_rate_per_s']:g}/s"
+        f" holds {quota['held']:g}{limited}"
+    )
--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -484,7 +484,10 @@
                 CRASHES_PATH: lambda request: list_crashes(host.crash_reports),
                 LIFT_PATH: lambda request: lift(host.crash_reports, request),
                 WORKSPACES_PATH: lambda request: list_workspaces(
-                    context.configuration, settings.bounds.keys, context.refusals
+                    context.configuration,
+                    settings.bounds.keys,
+                    context.refusals,
+                    context.allowances.ledger,
                 ),
             }
         ),
--- a/src/siskinlever/_internal/gateway/workspace_endpoints.py
+++ b/src/siskinlever/_internal/gateway/workspace_endpoints.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 from ..dispatch.authorization import confirmation_at, shown_digest
+from ..dispatch.shared_allowance import AllowanceState, SharedAllowance
 from ..fleet.configuration import MAX_CONFIRMATION_AGE_S, ConfigurationInForce
 from ..models.host_settings import KeyBounds
 from ..models.ids import WorkspaceName
@@ -45,12 +46,17 @@
 
 
 def list_workspaces(
-    configuration: ConfigurationInForce, bounds: KeyBounds, refusals: WorkspaceRefusals
+    configuration: ConfigurationInForce,
+    bounds: KeyBounds,
+    refusals: WorkspaceRefusals,
+    ledger: SharedAllowance,
 ) -> Answer:
-    """Answer with the age of the proof, and each workspace's keys and refusals.
+    """Answer with the age of the proof, and each workspace's keys, refusals and quota.
 
-    Workspaces without a key are not listed.
+    Workspaces without a key are not listed. The quota is null without an allowance, or
+    if this host has not used it lately.
     """
+    quota_by_name = {state.workspace: _quota(state) for state in ledger.states()}
     current = configuration.current
     by_digest = (current.workspace_by_key_digest if current else None) or {}
     workspace_by_name: dict[WorkspaceName, Workspace] = {
@@ -71,8 +77,20 @@
                 "priority": workspace.priority,
                 "keys": sorted(map(shown_digest, workspace.key_digests)),
                 "refusals": refusals.by_cause(workspace.name),
+                "quota": quota_by_name.get(workspace.name),
             }
             for workspace in workspace_by_name.values()
         ],
     }
     return 200, JSON_HEADERS, json.dumps(document).encode()
+
+
+def _quota(state: AllowanceState) -> dict[str, float | bool]:
+    """Return this host's part of a quota, in its unit or units per second."""
+    return {
+        "demand_per_s": round(state.demand_per_s, 1),
+        "own_rate_per_s": round(state.rate_per_s, 1),
+        "held": round(state.held, 1),
+        "borrowable": round(state.borrowable, 1),
+        "is_limited": state.is_limited,
+    }
--- a/tests/functional/test_quotas.py
+++ b/tests/functional/test_quotas.py
@@ -6,7 +6,13 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from lib.platform_world import configuration, platform_world, run_count, until
+from lib.platform_world import (
+    configuration,
+    platform_world,
+    run_count,
+    send_raw,
+    until,
+)
 
 from siskinlever._internal.models.ids import WorkspaceName
 from siskinlever_testbed.standins.platform.runner import RunnerFault
@@ -246,3 +252,14 @@
         statuses = await asyncio.gather(*(send(n) for n in range(fits + 6)))
         assert statuses.count(429) == 6
         assert max(took[n] for n, s in enumerate(statuses) if s == 429) < 0.5
+
+
+async def test_operators_see_the_use_of_a_quota(log_path):
+    async with world_with_quota(log_path, rate_per_s=100, burst=20) as world:
+        await send_all(world, 2)
+        address = world.hosts[0].settings.listeners.metrics
+        answer = await send_raw(address, "GET", "/workspaces", {"Host": "x"}, b"")
+    (workspace,) = answer.json["workspaces"]
+    quota = workspace["quota"]
+    assert quota["demand_per_s"] > 0 and quota["own_rate_per_s"] > 0
+    assert not quota["is_limited"]
