Recheck slow runners by one request of a host at a time

Only runners with a slow report were rechecked so; those known by their answers got full load as their estimate decayed. A recheck that got no answer held the runner back for ever; it now ends after 2 s.

--- a/src/siskinlever/_internal/dispatch/runner_speed.py
+++ b/src/siskinlever/_internal/dispatch/runner_speed.py
@@ -56,6 +56,9 @@
 # from each host until it answers again.
 SUSPECT_SLOWDOWN = 1.5
 RECHECK_S = 0.5
+# Seconds after which a request that brought no answer no longer holds back others: it
+# may have failed to reach the runner.
+RECHECK_WAIT_S = 2.0
 # Bounds on memory. Processes that are gone are forgotten by key; late answers may name
 # them again.
 MAX_RUNNERS = 4096
@@ -114,7 +117,8 @@
     spread: float = 0.0
     answers: int = 0
     answered_at: float = -math.inf
-    sent: int = 0
+    # When this host sent the first request since the newest observation.
+    sent_at: float = -math.inf
     levels: list[_Level] = field(
         default_factory=lambda: [_Level() for _ in LEVEL_BOUNDS]
     )
@@ -168,7 +172,7 @@
         share = 1.0 - math.exp(-(now - known.reported_at) / MEAN_REPORT_S)
         weight = max(min(MAX_WEIGHT, share), 1.0 / known.reports)
         known.mean_work += weight * (work - known.mean_work)
-        known.last_work, known.reported_at, known.sent = work, now, 0
+        known.last_work, known.reported_at, known.sent_at = work, now, -math.inf
 
     def note_answer(
         self, runner: RunnerKey, work: Work, took_s: float, load: float
@@ -205,13 +209,13 @@
         known.spread += max(0.1, 1.0 / known.answers) * (abs(error) - known.spread)
         level.answers += 1
         level.offset += SLOW_WEIGHT * error
-        known.group, known.answered_at, known.sent = work.group, now, 0
+        known.group, known.answered_at, known.sent_at = work.group, now, -math.inf
 
     def note_sent(self, runner: RunnerKey) -> None:
         """Record that this host sends a request to a runner."""
         known = self._by_runner.get(runner)
-        if known is not None:
-            known.sent += 1
+        if known is not None and self.now() - known.sent_at > RECHECK_WAIT_S:
+            known.sent_at = self.now()
 
     def slowdown(self, runner: RunnerKey, load: float = 0.0) -> float:
         """Return how many times the usual time work takes at a runner; 1.0 is normal.
@@ -227,10 +231,12 @@
             return 1.0
         now = self.now()
         estimate = self._work_time(known, now) * self._ratio(known, load, now)
-        age_s = now - known.observed_at
-        if age_s > RECHECK_S and known.sent and known.last_work > SUSPECT_SLOWDOWN:
+        is_rechecked = now - known.sent_at <= RECHECK_WAIT_S
+        if is_rechecked and now - known.observed_at > RECHECK_S:
             # It may have recovered, but the request that is to tell is still running.
-            estimate = max(estimate, known.last_work)
+            last = known.last_work * self._ratio(known, load, now, decays=False)
+            if last > SUSPECT_SLOWDOWN:
+                estimate = max(estimate, last)
         return min(MAX_SLOWDOWN, max(1 / MAX_SLOWDOWN, estimate))
 
     def usual_slowdown(self, runner: RunnerKey) -> float:
@@ -307,7 +313,9 @@
         mean = 1.0 + (known.mean_work - 1.0) * _freshness(age_s)
         return mean + (known.last_work - mean) * math.exp(-age_s / REPORT_DECAY_S)
 
-    def _ratio(self, known: _Runner, load: float, now: float) -> float:
+    def _ratio(
+        self, known: _Runner, load: float, now: float, decays: bool = True
+    ) -> float:
         """Return the ratio of a runner's times to the median, or 1.0 within noise."""
         if known.answers < MIN_ANSWERS or known.group is None:
             return 1.0
@@ -319,7 +327,8 @@
             )
         if abs(difference) <= max(math.log(MIN_RATIO), self._noise(known)):
             return 1.0
-        return math.exp(difference * _freshness(now - known.answered_at))
+        fresh = _freshness(now - known.answered_at) if decays else 1.0
+        return math.exp(difference * fresh)
 
     def _noise(self, known: _Runner) -> float:
         # Error of an average whose newest value weighs `MAX_WEIGHT`.
@@ -338,7 +347,9 @@
             and known.answers >= MIN_ANSWERS
             and now - known.answered_at <= STALE_HALF_LIFE_S
         ]
-        value = median(times) if times else 0.0
+        # Where no runner was timed recently, their last median is still what they were
+        # compared with.
+        value = median(times) if times else value
         self._median_by_group[group] = value, now
         return value
 
--- a/tests/unit/test_runner_speed.py
+++ b/tests/unit/test_runner_speed.py
@@ -169,6 +169,9 @@
     assert speeds.slowdown(KEYS[0]) < 1.6
     speeds.note_sent(KEYS[0])
     assert speeds.slowdown(KEYS[0]) == pytest.approx(3.0)
+    # A request that never reached the runner must not hold back others for ever.
+    clock.now += 3.0
+    assert speeds.slowdown(KEYS[0]) < 1.6
     speeds.note_load(KEYS[0], report(1.0))
     assert speeds.slowdown(KEYS[0]) == pytest.approx(1.0)
 
@@ -246,3 +249,12 @@
     assert learned["late"] + learned["refused"] < 0.7 * (
         fixed["late"] + fixed["refused"]
     )
+
+
+def test_runner_known_by_its_answers_alone_is_rechecked_by_one_request(speeds, clock):
+    play(speeds, clock, 20, lambda key: 3.0 if key == KEYS[0] else 1.0)
+    slow = speeds.slowdown(KEYS[0])
+    clock.now += 15.0
+    assert speeds.slowdown(KEYS[0]) < 0.7 * slow
+    speeds.note_sent(KEYS[0])
+    assert speeds.slowdown(KEYS[0]) > 0.7 * slow
