Merge the rechecks of slow runners and the comparison of estimates

Cause: runners of one service differ in speed and slow down for spells; placement used requests per slot.

--- a/tests/unit/test_runner_speed.py
+++ b/tests/unit/test_runner_speed.py
@@ -26,6 +26,8 @@
 from siskinlever._internal.metrics.registry import Metrics
 from siskinlever._internal.models.routes import EngineSpec
 from siskinlever._internal.models.upstreams import LoadReport, RunnerKey, Stage
+from siskinlever_testbed.model.uneven_runners import LOADS
+from siskinlever_testbed.model.uneven_runners import play as play_load
 
 RUNNERS = [plain(f"p-{i}", "ab"[i % 2]) for i in range(4)]
 KEYS = [runner.key for runner in RUNNERS]
@@ -167,6 +169,9 @@
     assert speeds.slowdown(KEYS[0]) < 1.6
     speeds.note_sent(KEYS[0])
     assert speeds.slowdown(KEYS[0]) == pytest.approx(3.0)
+    # A request that never reached the runner must not hold back others for ever.
+    clock.now += 3.0
+    assert speeds.slowdown(KEYS[0]) < 1.6
     speeds.note_load(KEYS[0], report(1.0))
     assert speeds.slowdown(KEYS[0]) == pytest.approx(1.0)
 
@@ -233,3 +238,23 @@
     speeds.forget(KEYS[0])
     reports.export()
     assert 'runner="p-0"' not in metrics.exposition()
+
+
+def test_estimates_serve_more_on_time_than_fixed_slots():
+    """One runner of four is slow from half of its slots on."""
+    load = next(load for load in LOADS if load.knee < 1)
+    fixed, learned = (
+        play_load(load, p, range(1)) for p in ("fixed slots", "learned alone")
+    )
+    assert learned["late"] + learned["refused"] < 0.7 * (
+        fixed["late"] + fixed["refused"]
+    )
+
+
+def test_runner_known_by_its_answers_alone_is_rechecked_by_one_request(speeds, clock):
+    play(speeds, clock, 20, lambda key: 3.0 if key == KEYS[0] else 1.0)
+    slow = speeds.slowdown(KEYS[0])
+    clock.now += 15.0
+    assert speeds.slowdown(KEYS[0]) < 0.7 * slow
+    speeds.note_sent(KEYS[0])
+    assert speeds.slowdown(KEYS[0]) > 0.7 * slow
