Send a request elsewhere if its connection was reset before the send

Ruled out: a connection that was used before; each request has its own.

Change: nothing was sent then, so it counts as a failed connection, also for requests that may run once.

Measured: test_connection_that_was_reset_before_the_call_sent_nothing fails without the change and passes with it.

--- a/src/siskinlever/_internal/network/http1_client.py
+++ b/src/siskinlever/_internal/network/http1_client.py
@@ -14,7 +14,7 @@
 
 import h11
 
-from ..exceptions import AnswerBrokenError
+from ..exceptions import AnswerBrokenError, ConnectFailedError
 from .answer_end import AnswerEnd, Framing, judge
 from .connection import Connection, connect
 
@@ -223,6 +223,8 @@
 
     Raises
     ------
+    ConnectFailedError
+        The connection was lost before anything of the call was sent.
     AnswerBrokenError
         The call was sent, at least in part, and has no complete answer.
     """
@@ -231,7 +233,12 @@
         parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
         )
-        connection.write(_serialize(parser, call))
+        try:
+            connection.write(_serialize(parser, call))
+        except RuntimeError as error:
+            # uvloop refuses to write to a connection that the server has just reset.
+            message = f"the connection was lost before the call was sent: {error}"
+            raise ConnectFailedError(message) from error
         # The server may answer before it has read the whole body.
         drain_task = asyncio.ensure_future(_drain(connection))
         answer = _AnswerReader(parser, connection, call.method)
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -10,9 +10,9 @@
 import h11
 import pytest
 
-from siskinlever._internal.exceptions import AnswerBrokenError
+from siskinlever._internal.exceptions import AnswerBrokenError, ConnectFailedError
 from siskinlever._internal.network.connection import TcpConnection
-from siskinlever._internal.network.http1_client import _AnswerReader
+from siskinlever._internal.network.http1_client import Call, _AnswerReader, exchange
 from siskinlever._internal.network.sockets import was_reset
 
 UNFRAMED = b"HTTP/1.1 200 OK\r\nServer-Signature: s\r\n\r\npart of a body"
@@ -79,3 +79,13 @@
             await answer.next_event()
     else:
         assert isinstance(await answer.next_event(), h11.EndOfMessage)
+
+
+async def test_connection_that_was_reset_before_the_call_sent_nothing():
+    """uvloop then refuses the write; requests that may run once weren't sent again."""
+    connection = Mock(spec=TcpConnection)
+    connection.write.side_effect = RuntimeError("the handler is closed")
+    with pytest.raises(ConnectFailedError):
+        async with exchange(connection, Call(b"GET", b"/", [(b"Host", b"h")], b"")):
+            pass
+    connection.close.assert_called_once_with()
