--- a/src/siskinlever/_internal/dispatch/refused_reservations.py
+++ b/src/siskinlever/_internal/dispatch/refused_reservations.py
@@ -3,8 +3,8 @@
 The load in mind is an engine that refuses every reservation for seconds although no
 host knows of a load there, for example because it leaves while the store is out. It
 looks like the engine with the most free capacity, so that every host would ask it
-first, again and again. On the bookshop's day `trouble-3`, nine such engines caused
-7,100 of the 7,800 refusals.
+first, again and again. On one measured day, nine such engines of 45 caused 7,100 of the
+7,800 refusals.
 
 A refusal shows how much the engine holds at least, in terms of the load that is known
 to this host. Requests that need more are not tried until generations end there or the
--- a/src/siskinlever/_internal/dispatch/urgency.py
+++ b/src/siskinlever/_internal/dispatch/urgency.py
@@ -1,14 +1,12 @@
 """Limits how much of an engine's memory a generation may use, by its urgency.
 
 The load in mind is a service with an urgent route and a less urgent one that fills the
-engines: the canal hire has 7 generations per second whose first event is due after
-813 ms, and 42 per second whose first event is due after 2,013 ms. The queue of a host
-puts the urgent ones first, but the other hosts place theirs at the same moment. What
-they must leave free is what urgent generations find, on any host.
+engines, for example 7 generations per second whose first event is due after 0.8 s, and
+42 per second whose first event is due after 2 s. The queue of a host puts the urgent
+ones first, but the other hosts place theirs at the same moment. What they must leave
+free is what urgent generations find, on any host.
 
-Generations that are late leave more, since they are worth less. Giving the late ones
-that are urgent 0.85 as well was ruled out: on the model of the canal hire 0.804 instead
-of 0.815 of all were served, and no more of the urgent.
+Generations that are late leave more, since they are worth less, the urgent ones too.
 """
 
 from __future__ import annotations
