Open the discarded log of a test's hosts once

Cause: the state table of stream versions opened /dev/null for each start of a host and never closed it. Beyond 1,024 descriptors select() raised ValueError, which Hypothesis reported as flaky data, and the virtual clock stayed in place.

No check changed.

Measured: 22 passed in its file and tests/unit/test_stored_versions.py; alone it had failed 2 of 2 times before.

--- a/tests/lib/version_fleet.py
+++ b/tests/lib/version_fleet.py
@@ -24,6 +24,9 @@
 
 from .platform_world import host_settings
 
+# Opened once: a descriptor for each start of a host exceeds what select() takes.
+DISCARDED_LOG = os.open(os.devnull, os.O_WRONLY)
+
 SERVICE = "engines"
 CALL_S = 0.004
 # Seconds after an outage of the store for which a missing engine stays usable.
@@ -114,7 +117,7 @@
 
     def __init__(self, fleet, number: int, is_first_start: bool) -> None:
         metrics = Metrics()
-        log = LogLines("host", metrics, os.open(os.devnull, os.O_WRONLY))
+        log = LogLines("host", metrics, DISCARDED_LOG)
         self.name = f"h-{number}"
         self.client = Client(fleet.store)
         self.runners = RunnerDirectory(LAPSE_RECOVERY_S, log)
