Print the answers of hosts in one place for two commands

Cause: crashes and workspaces each had the lines that print what hosts answer, or why one didn't, as JSON and as text.

Change: print_by_host in commands/base.py; the output is the same.

Measured: ruff and mypy pass; 7 tests of both commands pass.

--- a/src/siskinlever/_internal/commands/base.py
+++ b/src/siskinlever/_internal/commands/base.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from ..cli.exit_codes import ExitCode
 from ..exceptions import (
     AdministrationError,
     CallRefusedError,
@@ -212,6 +213,40 @@
     print(json.dumps(value, indent=2, sort_keys=True))
 
 
+def print_by_host(
+    context: CommandContext,
+    results: Mapping[str, dict[str, Any] | SiskinleverError],
+    describe: Callable[[dict[str, Any]], list[str]],
+) -> int:
+    """Print what each host answered, or why it didn't; return the exit code.
+
+    Parameters
+    ----------
+    context : CommandContext
+    results : mapping of str to dict or SiskinleverError
+        By the address of the host.
+    describe : callable
+        Returns the lines for one answer; the first one follows the address.
+    """
+    if context.json:
+        print_json(
+            {
+                address: {"error": found.message}
+                if isinstance(found, SiskinleverError)
+                else found
+                for address, found in results.items()
+            }
+        )
+    else:
+        for address, found in results.items():
+            if isinstance(found, SiskinleverError):
+                print(f"{address}  unreachable: {found.message}")
+            else:
+                print(f"{address}  " + "\n".join(describe(found)))
+    reached = all(not isinstance(r, SiskinleverError) for r in results.values())
+    return ExitCode.OK if reached else ExitCode.UNREACHABLE
+
+
 def _tls_context(authority: str) -> ssl.SSLContext | None:
     if not authority:
         return None
--- a/src/siskinlever/_internal/commands/crashes.py
+++ b/src/siskinlever/_internal/commands/crashes.py
@@ -20,8 +20,7 @@
 from typing import Any
 
 from ..cli.exit_codes import ExitCode
-from ..exceptions import SiskinleverError
-from .base import CommandContext, admin_client, print_json
+from .base import CommandContext, admin_client, print_by_host
 
 
 async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
@@ -33,26 +32,14 @@
             print("lifted " + " ".join(answer["lifted"]))
             return ExitCode.OK
         results = await client.get_all("/crashes")
-    if context.json:
-        print_json({address: _as_json(found) for address, found in results.items()})
-    else:
-        for address, found in results.items():
-            print(_format(address, found))
-    reached = all(not isinstance(r, SiskinleverError) for r in results.values())
-    return ExitCode.OK if reached else ExitCode.UNREACHABLE
+    return print_by_host(context, results, _lines)
 
 
-def _as_json(found: dict[str, Any] | SiskinleverError) -> dict[str, Any]:
-    return {"error": found.message} if isinstance(found, SiskinleverError) else found
-
-
-def _format(address: str, found: dict[str, Any] | SiskinleverError) -> str:
-    if isinstance(found, SiskinleverError):
-        return f"{address}  unreachable: {found.message}"
-    lines = [f"{address}  {len(found['crashes'])} crashes"]
+def _lines(found: dict[str, Any]) -> list[str]:
+    lines = [f"{len(found['crashes'])} crashes"]
     lines += [
         f"  barred {','.join(bar['traits'])}  crashed {','.join(bar['runners'])}"
         f"  last refused {bar['last_refused_s']:.0f} s ago"
         for bar in found["barred"]
     ]
-    return "\n".join(lines)
+    return lines
--- a/src/siskinlever/_internal/commands/workspaces.py
+++ b/src/siskinlever/_internal/commands/workspaces.py
@@ -18,9 +18,8 @@
 
 from typing import Any
 
-from ..cli.exit_codes import ExitCode
 from ..exceptions import SiskinleverError
-from .base import CommandContext, admin_client, print_json
+from .base import CommandContext, admin_client, print_by_host
 
 
 async def run(context: CommandContext, arguments: dict[str, Any]) -> int:
@@ -31,25 +30,13 @@
     for found in results.values():
         if names and not isinstance(found, SiskinleverError):
             found["workspaces"] = [w for w in found["workspaces"] if w["name"] in names]
-    if context.json:
-        print_json({address: _as_json(found) for address, found in results.items()})
-    else:
-        for address, found in results.items():
-            print(_format(address, found))
-    reached = all(not isinstance(r, SiskinleverError) for r in results.values())
-    return ExitCode.OK if reached else ExitCode.UNREACHABLE
+    return print_by_host(context, results, _lines)
 
 
-def _as_json(found: dict[str, Any] | SiskinleverError) -> dict[str, Any]:
-    return {"error": found.message} if isinstance(found, SiskinleverError) else found
-
-
-def _format(address: str, found: dict[str, Any] | SiskinleverError) -> str:
-    if isinstance(found, SiskinleverError):
-        return f"{address}  unreachable: {found.message}"
+def _lines(found: dict[str, Any]) -> list[str]:
     age_s = found["proof_age_s"]
     lines = [
-        f"{address}  version {found['version']}"
+        f"version {found['version']}"
         f"  proved {'never' if age_s is None else f'{age_s:.1f} s ago'}"
         f" ({found['confirmation']})"
         f"  without a known key refused {_format_counts(found)}"
@@ -61,7 +48,7 @@
         f"  quota {_format_quota(workspace['quota'])}"
         for workspace in found["workspaces"]
     ]
-    return "\n".join(lines)
+    return lines
 
 
 def _format_counts(
