Show that a SIGHUP ends a process that starts

Cause: the handler of SIGHUP is installed only when everything has started, so that before that the signal has its default action.

--- a/review/standins.py
+++ b/review/standins.py
@@ -74,7 +74,7 @@
 region = "oslo"
 internal_ports = [7660, 7675]
 seed_nodes = {seeds}
-bootstrap = true
+bootstrap = {bootstrap}
 failure_counted = false
 discovery = "platform"
 entry_point = "registry"
@@ -723,7 +723,7 @@
             self.processes.append(self._start_host(number))
         async with asyncio.timeout(READY_TIMEOUT_S):
             for number in range(len(self.ips)):
-                while not await self._is_ready(number):
+                while not await self.is_ready(number):
                     await asyncio.sleep(0.1)
         self.record.write("hosts.ready", count=len(self.ips))
 
@@ -735,6 +735,7 @@
         path.write_text(
             NODE_FILE.format(
                 number=number,
+                bootstrap="true" if number >= len(self.processes) else "false",
                 ip=ip,
                 zone=ZONES[number % len(ZONES)],
                 seeds=json.dumps(seeds),
@@ -761,7 +762,12 @@
                 stderr=log,
             )
 
-    async def _is_ready(self, number: int) -> bool:
+    def restart(self, number: int) -> None:
+        """Start the process of a host again after its end."""
+        self.processes[number] = self._start_host(number)
+
+    async def is_ready(self, number: int) -> bool:
+        """Return whether a host says that it is ready."""
         if self.processes[number].poll() is not None:
             raise RuntimeError(f"host {number} ended: {self.log(number)[-2000:]}")
         try:
