Log each failed call to the store, and how old a replaced configuration was

The logs couldn't tell a call that stayed unanswered from a follower that had ended: failed calls were only counted, and a change named its source, not for how long the host had known no better. No decision changes.

--- a/src/siskinlever/_internal/fleet/configuration.py
+++ b/src/siskinlever/_internal/fleet/configuration.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from ..exceptions import InvalidRecordError
@@ -98,6 +99,10 @@
         """Seconds since the version in force was last proved to be the newest."""
         return self.now() - self._proved_at
 
+    def _logged_age_s(self) -> float | None:
+        age_s = self.confirmed_age_s
+        return round(age_s, 3) if math.isfinite(age_s) else None
+
     def confirm(self, requested_at: float) -> None:
         """Record a proof that no newer version existed.
 
@@ -157,6 +162,7 @@
             before=self.version,
             after=candidate.version,
             routes=sum(len(routes) for routes in candidate.routes_by_host.values()),
+            confirmed_s_ago=self._logged_age_s(),
         )
         self.current = candidate
         self.document = document
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -96,7 +96,9 @@
         self._metrics.count("store_restorations")
         self._log.write("store.restored", era=era)
 
-    def record_failure(self, error: PlatformError, requested_at: float) -> None:
+    def record_failure(
+        self, error: PlatformError, requested_at: float, call: str
+    ) -> None:
         """Record a call that failed.
 
         If another call has succeeded since the request, only a connection was
@@ -107,8 +109,16 @@
         error : PlatformError
         requested_at : float
             Monotonic time of the request.
+        call : str
+            What was called, for the log.
         """
-        self._metrics.count("store_failures")
+        self._metrics.count("store_failures", call=call)
+        self._log.write(
+            "store.call_failed",
+            call=call,
+            after_s=round(monotonic() - requested_at, 3),
+            reason=error.message,
+        )
         if not self._is_down and requested_at > self.last_success_at:
             self._is_down = True
             self._down_since = monotonic()
@@ -199,7 +209,8 @@
                 self._log.write("store.history_lost", revision=revision)
                 revision = 0
             except PlatformError as error:
-                self.link.record_failure(error, requested_at)
+                call = "watch-configuration" if revision else "read-configuration"
+                self.link.record_failure(error, requested_at, call)
                 retry_s = RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S
                 await asyncio.sleep(_with_jitter(retry_s))
 
@@ -248,7 +259,7 @@
                 await self._sleep(period_s)
                 await self._wait_for_turn(requested_at)
             except PlatformError as error:
-                self.link.record_failure(error, requested_at)
+                self.link.record_failure(error, requested_at, "list-runners")
                 await asyncio.sleep(_with_jitter(RETRY_S))
 
     async def _wait_for_turn(
@@ -328,7 +339,7 @@
                 if era == self._store.era:
                     await self._sleep(RENEW_PERIOD_S)
             except PlatformError as error:
-                self.link.record_failure(error, requested_at)
+                self.link.record_failure(error, requested_at, "register-host")
                 await asyncio.sleep(_with_jitter(RETRY_S))
 
     async def _renew_or_open_lease(self, lease: int) -> int:
@@ -357,7 +368,7 @@
                     self._add_registered_peer(item)
                 self.link.record_success()
             except PlatformError as error:
-                self.link.record_failure(error, requested_at)
+                self.link.record_failure(error, requested_at, "list-hosts")
             await asyncio.sleep(_with_jitter(HOSTS_PERIOD_S))
             await self._wait_for_turn(requested_at)
 
--- a/tests/unit/test_store_health.py
+++ b/tests/unit/test_store_health.py
@@ -21,7 +21,7 @@
 
 def test_failed_call_starts_an_outage_and_successful_call_ends_it():
     store_health = new_store_health()
-    store_health.record_failure(ERROR, requested_at=monotonic())
+    store_health.record_failure(ERROR, monotonic(), "list-runners")
     assert store_health.is_down
     before = monotonic()
     store_health.record_success()
@@ -31,10 +31,10 @@
 def test_late_failure_of_a_call_made_before_the_outage_ended_is_ignored():
     store_health = new_store_health()
     requested_at = monotonic()
-    store_health.record_failure(ERROR, requested_at=requested_at)
+    store_health.record_failure(ERROR, requested_at, "list-runners")
     store_health.record_success()
     ended_at = store_health.outage_ended_at
-    store_health.record_failure(ERROR, requested_at=requested_at)
+    store_health.record_failure(ERROR, requested_at, "list-runners")
     assert not store_health.is_down
     store_health.record_success()
     assert store_health.outage_ended_at == ended_at
