Bound the watch of the configuration by the time a change may take

Cause: each host's watch waited for up to 3.0 s, since six other hosts read the store too, and was given up 0.8 s later; a call followed 0.3 s after that. But a change ends all watches, so all hosts wait in step and none reads earlier. If the open channels to the store fall silent right after a change, no host learns of the next one for 3.9 s. The class: a wait that relies on other hosts and runs in step with theirs.

After a watch without an answer the host reads at once on a new connection. Watches that the store cuts at once don't make it call more often than each 0.3 s.

--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -23,6 +23,7 @@
 from ..platform.store import Item, MetadataStore, Write
 from ..utils.clock import monotonic
 from .configuration import ConfigurationInForce
+from .read_schedule import schedule_within
 from .registrations import KnownRegistrations
 from .runners import RunnerDirectory
 from .version_record import StoredVersions
@@ -34,10 +35,6 @@
 RUNNERS_PERIOD_S = 0.8
 # Upper bound of this period, however many other hosts read as well.
 MAX_RUNNERS_PERIOD_S = 2.0
-# Seconds for which a watch waits for a change. Bounds how long a connection that
-# broke silently hides a change of the configuration.
-CONFIGURATION_WAIT_S = 1.0
-MAX_CONFIGURATION_WAIT_S = 3.0
 # Where keys fail closed, a host that follows the store calls it this often instead, and
 # only briefly: the age of a proof includes the wait of its call, and a call that stays
 # unanswered is noticed sooner. Some stores take a wait of 0 for their default.
@@ -170,6 +167,7 @@
         self._readers = store_reader_count
         self._is_reader = is_reader
         self._versions = versions
+        self._schedule = schedule_within(settings.bounds.change)
         self._restored = asyncio.Event()
         store.on_restoration(self._handle_restoration)
         self._undecodable: set[tuple[str, bytes]] = set()
@@ -211,8 +209,25 @@
             except PlatformError as error:
                 call = "watch-configuration" if revision else "read-configuration"
                 self.link.record_failure(error, requested_at, call)
-                retry_s = RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S
-                await asyncio.sleep(_with_jitter(retry_s))
+                await self._wait_to_read(requested_at, is_watch_lost=revision > 0)
+                # The watch may have hidden a change.
+                revision = 0
+
+    async def _wait_to_read(self, failed_at: float, is_watch_lost: bool) -> None:
+        """Wait before the read that follows a call which failed.
+
+        Parameters
+        ----------
+        failed_at : float
+            Monotonic time of the request of that call.
+        is_watch_lost : bool
+            Whether it was a watch. The read then waits only if the store has cut the
+            watch at once.
+        """
+        retry_s = _with_jitter(RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S)
+        if is_watch_lost:
+            retry_s -= monotonic() - failed_at
+        await asyncio.sleep(max(0.0, retry_s))
 
     def _needs_own_proof(self) -> bool:
         """Return whether the proofs of other hosts don't reach this one."""
@@ -220,10 +235,13 @@
         return configuration.needs_proof and configuration.proof_age_s > OWN_PROOF_AGE_S
 
     async def _watch_configuration(self, revision: int) -> int:
-        wait_s = PROOF_WAIT_S
-        if not self._configuration.needs_proof:
-            wait_s = self._shared_period(CONFIGURATION_WAIT_S, MAX_CONFIGURATION_WAIT_S)
-        changes = await self._store.watch(records.OPERATOR_PREFIX, revision, wait_s)
+        schedule = self._schedule
+        wait_s = schedule.watch_s
+        if self._configuration.needs_proof:
+            wait_s = PROOF_WAIT_S
+        changes = await self._store.watch(
+            records.OPERATOR_PREFIX, revision, wait_s, schedule.answer_s
+        )
         for event in changes.events:
             if isinstance(event, Item) and event.key == records.CONFIGURATION_KEY:
                 self._configuration.advance(event.value, "store")
--- a/src/siskinlever/_internal/models/host_settings.py
+++ b/src/siskinlever/_internal/models/host_settings.py
@@ -111,6 +111,22 @@
     tolerance: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeBounds:
+    """How soon a change that the store has acknowledged takes effect on all hosts.
+
+    Parameters
+    ----------
+    configuration_s : float
+        Seconds until no request is handled by an older configuration.
+    leaving_s : float
+        Seconds until no request is sent to a runner that leaves.
+    """
+
+    configuration_s: float = 2.0
+    leaving_s: float = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetBounds:
     """Durations and limits that apply to the whole fleet.
@@ -130,6 +146,7 @@
         that lapsed during the outage are restored.
     keys : KeyBounds
     allowance : AllowanceBounds
+    change : ChangeBounds
     """
 
     retry: RetryBounds
@@ -139,6 +156,7 @@
     lapse_recovery_s: float
     keys: KeyBounds = KeyBounds()
     allowance: AllowanceBounds = AllowanceBounds()
+    change: ChangeBounds = ChangeBounds()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/siskinlever/_internal/platform/settings.py
+++ b/src/siskinlever/_internal/platform/settings.py
@@ -11,6 +11,7 @@
 from ..exceptions import InvalidRecordError, SettingsError
 from ..models.host_settings import (
     AllowanceBounds,
+    ChangeBounds,
     FleetBounds,
     HostSettings,
     KeyBounds,
@@ -140,4 +141,9 @@
             overage=optional_number(bounds, "quota_overage", 0.0),
             tolerance=optional_number(bounds, "quota_tolerance", 0.0),
         ),
+        change=ChangeBounds(
+            configuration_s=optional_number(bounds, "config_apply_ms", 2000.0)
+            / MS_PER_S,
+            leaving_s=optional_number(bounds, "drain_ms", 2000.0) / MS_PER_S,
+        ),
     )
--- a/src/siskinlever/_internal/platform/store.py
+++ b/src/siskinlever/_internal/platform/store.py
@@ -29,8 +29,8 @@
 # The store normally answers within 4 ms. The timeout bounds calls on a
 # connection that has stopped responding.
 CALL_TIMEOUT_S = 0.8
-# Added to the wait time of a watch to obtain its timeout.
-WATCH_GRACE_S = 0.8
+# Default of the time after its wait within which a watch must be answered.
+WATCH_ANSWER_S = 0.8
 # Number of the copy from which the store was last restored. It rises by one each time.
 ERA = b"store-era"
 REFUSED_STATUSES = frozenset({429, 503})
@@ -159,7 +159,13 @@
                 return Listing(tuple(items), revision)
             after = page_items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        answer_s: float = WATCH_ANSWER_S,
+    ) -> Changes:
         """Wait for changes below a prefix after a revision.
 
         Parameters
@@ -169,6 +175,8 @@
             Only changes of later revisions are returned.
         wait_s : float
             Maximum time in seconds that the store waits for a change.
+        answer_s : float, default=WATCH_ANSWER_S
+            Seconds after that within which the answer must arrive.
 
         Raises
         ------
@@ -182,7 +190,7 @@
             "/kv-watch", prefix=prefix, after=after, wait_ms=int(wait_s * MS_PER_S)
         )
         era = self.era
-        status, body = await self._read(target, wait_s + WATCH_GRACE_S)
+        status, body = await self._read(target, wait_s + answer_s)
         if status == 410 or self.era != era:
             raise HistoryLostError(
                 f"changes after revision {after} are no longer available"
--- a/tests/unit/test_proof_renewal.py
+++ b/tests/unit/test_proof_renewal.py
@@ -170,7 +170,7 @@
         await self._call(0.004)
         return Listing((), 1)
 
-    async def watch(self, prefix, after, wait_s):
+    async def watch(self, prefix, after, wait_s, answer_s):
         await self._call(wait_s)
         return Changes((), 1)
 
