Refuse entries of the store that hosts can't pass on, compare or connect to

Callers got 502 where an entry of their service had a port out of range. After one entry with a number beyond 64 bits, or a negative one, all hosts stopped talking to each other for as long as their processes lived: each took the others for lost.

Cause: the entry was decoded, and failed where it was used. Its sequence and start time are sent to the other hosts in 64 bits, and the exception ended the task of each peer. The class: a value that decodes and fails only where it is used.

Change: numbers that identify something must fit into 63 bits, texts must be valid Unicode of 1,024 characters at most, addresses must be IPv4 with a port, a runner's name must fit into a header; quantities count as 1e15 at most. Messages show values shortened, since the text of a deeply nested one may exceed the stack. JSON of any depth is an invalid record, also in the store's answers, the record of versions, the hosts' entries and what runners answer. A stage that this version doesn't know, from a host of a newer one, is left out. A configuration with weights that aren't a list ended the task that follows the configuration; it is rejected now.

--- a/src/siskinlever/_internal/fleet/messages.py
+++ b/src/siskinlever/_internal/fleet/messages.py
@@ -15,6 +15,7 @@
 from .runners import KnownRunner
 
 MILLICORES_PER_CORE = 1000
+STAGES = frozenset(stage.value for stage in Stage)
 
 
 def to_host(status: HostStatus) -> peer_pb2.FleetHost:
@@ -62,6 +63,8 @@
                 Stage(switch.stage), switch.remaining_ms / MS_PER_S
             )
             for switch in state.switches
+            # A host of a newer version may know more stages.
+            if switch.stage in STAGES
         },
         unreachable=frozenset(from_runner(runner) for runner in state.unreachable),
         engine_changes=state.engine_changes,
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -20,6 +20,7 @@
 from ..models.ids import HostName
 from ..models.upstreams import Address, Registration
 from ..platform import records
+from ..platform.fields import parse_object, required_address, shown
 from ..platform.store import Item, MetadataStore, Write
 from ..utils.clock import monotonic
 from .configuration import ConfigurationInForce
@@ -54,6 +55,8 @@
 LEASE_S = 6.0
 RENEW_PERIOD_S = 2.0
 RETRY_S = 0.3
+# Entries that can't be decoded of which the latest reason is kept.
+MAX_UNDECODABLE = 1_000
 # Seconds between two reads by a host that learns from others, and between two checks of
 # whether it still does.
 STANDBY_PERIOD_S = 30.0
@@ -170,7 +173,8 @@
         self._schedule = schedule_within(settings.bounds.change)
         self._restored = asyncio.Event()
         store.on_restoration(self._handle_restoration)
-        self._undecodable: set[tuple[str, bytes]] = set()
+        # What was last logged of each entry that can't be decoded.
+        self._undecodable_by_key: dict[str, str] = {}
         self.registrations = KnownRegistrations(runners)
         # By the newest listing of the store; empty before the first one.
         self.registered_hosts: frozenset[HostName] = frozenset()
@@ -339,11 +343,18 @@
         try:
             return records.decode_registration(item.key, item.value)
         except InvalidRecordError as error:
-            if (item.key, item.value) not in self._undecodable:
-                self._undecodable.add((item.key, item.value))
-                self._log.write("runner.ignored", key=item.key, reason=error.message)
+            self._note_undecodable("runner.ignored", item.key, error.message)
             return None
 
+    def _note_undecodable(self, event: str, key: str, reason: str) -> None:
+        """Log why an entry is ignored, once for each reason."""
+        if self._undecodable_by_key.get(key) == reason:
+            return
+        if len(self._undecodable_by_key) >= MAX_UNDECODABLE:
+            self._undecodable_by_key.clear()
+        self._undecodable_by_key[key] = reason
+        self._log.write(event, key=shown(key), reason=reason)
+
     async def register_host(self) -> None:
         """Keep this host registered until cancelled."""
         lease = era = 0
@@ -392,9 +403,9 @@
 
     def _add_registered_peer(self, item: Item) -> None:
         try:
-            address = Address(str(json.loads(item.value)["peers"]))
-        except (ValueError, KeyError, TypeError) as error:
-            self._log.write("host.ignored", key=item.key, reason=repr(error))
+            address = required_address(parse_object(item.value, "host"), "peers")
+        except InvalidRecordError as error:
+            self._note_undecodable("host.ignored", item.key, error.message)
             return
         self._add_peer(address)
 
--- a/src/siskinlever/_internal/fleet/stored_streams.py
+++ b/src/siskinlever/_internal/fleet/stored_streams.py
@@ -226,5 +226,5 @@
             for version, attempts in json.loads(value).items()
             for attempt in attempts
         }
-    except (ValueError, AttributeError, TypeError) as error:
+    except (ValueError, AttributeError, TypeError, RecursionError) as error:
         raise InvalidRecordError(f"streams: {error!r}") from error
--- a/src/siskinlever/_internal/fleet/version_history.py
+++ b/src/siskinlever/_internal/fleet/version_history.py
@@ -94,15 +94,21 @@
         document = json.loads(value)
         departures = {
             ServiceVersion(ServiceName(str(service)), SoftwareVersion(str(version))): (
-                Departure(int(left[0]), float(left[1])) if left else None
+                Departure(int(left[0]), _remaining_s(left[1])) if left else None
             )
             for service, version, *left in document["versions"]
         }
         return VersionRecord(int(document["era"]), int(document["change"]), departures)
-    except (ValueError, KeyError, TypeError, IndexError) as error:
+    except (LookupError, TypeError, ValueError, OverflowError, RecursionError) as error:
         raise InvalidRecordError(f"versions: {error!r}") from error
 
 
+def _remaining_s(value: float) -> float:
+    if not 0 <= float(value) <= RECENT_S:
+        raise InvalidRecordError(f"versions: found {value!r} s")
+    return float(value)
+
+
 def engine_versions(runners: Iterable[Registration]) -> frozenset[ServiceVersion]:
     """Return the versions of the engines among some runners.
 
--- a/src/siskinlever/_internal/platform/records.py
+++ b/src/siskinlever/_internal/platform/records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 import re
 from collections import defaultdict
@@ -21,7 +20,6 @@
     ServiceShare,
 )
 from ..models.upstreams import (
-    Address,
     EngineReport,
     Registration,
     RunnerKey,
@@ -41,16 +39,23 @@
     as_mapping,
     optional_count,
     optional_field,
+    optional_identifier,
     optional_number,
+    parse_object,
+    required_address,
     required_count,
     required_field,
+    required_identifier,
     required_number,
+    required_text,
+    shown,
 )
 
 CONFIGURATION_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
 RUNNER_PREFIX = "servers/"
-RUNNER_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")
+# Printable ASCII without spaces.
+RUNNER_NAME = re.compile(r"[!-~]+\Z")
 
 KIND_BY_NAME = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -73,7 +78,7 @@
         If the record is not a JSON object, or a field is missing or invalid; the
         message names the field.
     """
-    record = _parse_object(value)
+    record = parse_object(value, "record")
     routes: dict[str, list[Route]] = defaultdict(list)
     for item in required_field(record, "routes", list):
         route = _decode_route(as_mapping(item, "routes"))
@@ -83,7 +88,7 @@
         for s in required_field(record, "services", list)
     ]
     return FleetConfiguration(
-        version=required_field(record, "version", int),
+        version=required_identifier(record, "version"),
         routes_by_host={
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in routes.items()
@@ -103,31 +108,37 @@
         If the record is not a JSON object, or a field is missing or invalid; the
         message names the field.
     """
-    record = _parse_object(value)
+    record = parse_object(value, "record")
     state = required_field(record, "state", str)
     if state not in DRAINING_BY_STATE:
-        raise InvalidRecordError(f"state: found {state!r}")
-    address = required_field(record, "address", str)
-    if not RUNNER_ADDRESS.match(address):
-        raise InvalidRecordError(f"address: found {address!r}")
-    name = RunnerName(key.removeprefix(RUNNER_PREFIX))
+        raise InvalidRecordError(f"state: found {shown(state)}")
     return Registration(
         # Only runners that may keep their id across restarts include their
         # start time.
-        key=RunnerKey(name, StartedAt(optional_field(record, "born", 0))),
-        service=ServiceName(required_field(record, "service", str)),
-        address=Address(address),
-        zone=ZoneName(required_field(record, "zone", str)),
+        key=RunnerKey(
+            _decode_runner_name(key), StartedAt(optional_identifier(record, "born", 0))
+        ),
+        service=ServiceName(required_text(record, "service")),
+        address=required_address(record, "address"),
+        zone=ZoneName(required_text(record, "zone")),
         slots=required_count(record, "slots"),
         draining=DRAINING_BY_STATE[state],
         # The number of writes of this record. In an engine's report the field
         # of this name counts accepted orders.
-        sequence=required_field(record, "sequence", int),
+        sequence=required_identifier(record, "sequence"),
         stage=_decode_stage(record),
-        version=SoftwareVersion(required_field(record, "version", str)),
+        version=SoftwareVersion(required_text(record, "version")),
     )
 
 
+def _decode_runner_name(key: str) -> RunnerName:
+    """Return the runner's name, which is sent to it in a header."""
+    name = key.removeprefix(RUNNER_PREFIX)
+    if not RUNNER_NAME.match(name):
+        raise InvalidRecordError(f"key: found {shown(key)}")
+    return RunnerName(name)
+
+
 def decode_report(body: bytes) -> EngineReport:
     """Decode the load report of an engine.
 
@@ -137,14 +148,14 @@
         If the record is not a JSON object, or a field is missing or invalid; the
         message names the field.
     """
-    record = _parse_object(body)
+    record = parse_object(body, "record")
     leaves_ms = optional_field(record, "leaves_ms", -1.0)
     if not math.isfinite(leaves_ms):
         raise InvalidRecordError(f"leaves_ms: found {leaves_ms!r}")
     return EngineReport(
         stage=_decode_stage(record),
         switching=optional_field(record, "busy", False),
-        orders_accepted=required_field(record, "sequence", int),
+        orders_accepted=required_identifier(record, "sequence"),
         waiting=required_count(record, "queued"),
         # The number of running requests, not a flag.
         running=required_count(record, "active"),
@@ -155,13 +166,6 @@
     )
 
 
-def _parse_object(value: bytes) -> Mapping[str, Any]:
-    try:
-        return as_mapping(json.loads(value), "record")
-    except (ValueError, RecursionError) as error:
-        raise InvalidRecordError(f"not JSON: {error}") from error
-
-
 def _decode_stage(record: Mapping[str, Any]) -> Stage | None:
     label = record.get("stage")
     if label is None or label == "":
@@ -169,13 +173,13 @@
     try:
         return Stage(label)
     except ValueError as error:
-        raise InvalidRecordError(f"stage: found {label!r}") from error
+        raise InvalidRecordError(f"stage: found {shown(label)}") from error
 
 
 def _decode_route(item: Mapping[str, Any]) -> Route:
     label = required_field(item, "type", str)
     if label not in KIND_BY_NAME:
-        raise InvalidRecordError(f"type: found {label!r}")
+        raise InvalidRecordError(f"type: found {shown(label)}")
     return Route(
         name=required_field(item, "name", str),
         host=required_field(item, "host", str).lower(),
@@ -194,16 +198,21 @@
 
 def _decode_shares(item: Mapping[str, Any]) -> tuple[ServiceShare, ...]:
     weighted = item.get("weighted_services")
+    if weighted is not None and not isinstance(weighted, list):
+        raise InvalidRecordError(f"weighted_services: found {shown(weighted)}")
     if not weighted:
         return (ServiceShare(ServiceName(required_field(item, "service", str)), 1.0),)
     entries = [as_mapping(entry, "weighted_services") for entry in weighted]
-    return tuple(
+    shares = tuple(
         ServiceShare(
-            ServiceName(required_field(entry, "service", str)),
+            ServiceName(required_text(entry, "service")),
             required_number(entry, "weight"),
         )
         for entry in entries
     )
+    if not any(share.weight for share in shares):
+        raise InvalidRecordError("weight: all are 0")
+    return shares
 
 
 def _decode_service(item: Mapping[str, Any]) -> Service:
@@ -242,7 +251,8 @@
 def _decode_workspace(item: Mapping[str, Any]) -> Workspace:
     name = required_field(item, "name", str)
     if not name or not name.isprintable() or name != name.strip():
-        raise InvalidRecordError(f"name: found {name!r}, expected text for a header")
+        message = f"name: found {shown(name)}, expected text for a header"
+        raise InvalidRecordError(message)
     has_priority = item.get("priority") is not None
     return Workspace(
         name=WorkspaceName(name),
@@ -264,7 +274,7 @@
 def _decode_allowance(item: Mapping[str, Any]) -> Allowance | None:
     label = optional_field(item, "unit", "")
     if label not in UNIT_BY_LABEL:
-        raise InvalidRecordError(f"unit: found {label!r}")
+        raise InvalidRecordError(f"unit: found {shown(label)}")
     rate_per_s = optional_number(item, "rate_per_s", 0.0)
     if not rate_per_s:
         return None
--- a/src/siskinlever/_internal/platform/store.py
+++ b/src/siskinlever/_internal/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import json
+import re
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -24,7 +25,14 @@
 from ..logs.lines import LogLines
 from ..models.upstreams import Address
 from ..network.http1_client import AnswerHead, Call, fetch
-from .fields import MS_PER_S, as_mapping, optional_field, required_field
+from .fields import (
+    MS_PER_S,
+    as_mapping,
+    optional_field,
+    parse_object,
+    required_field,
+    required_identifier,
+)
 
 # The store normally answers within 4 ms. The timeout bounds calls on a
 # connection that has stopped responding.
@@ -33,6 +41,7 @@
 WATCH_ANSWER_S = 0.8
 # Number of the copy from which the store was last restored. It rises by one each time.
 ERA = b"store-era"
+ERA_NUMBER = re.compile(r"[0-9]{1,18}\Z")
 REFUSED_STATUSES = frozenset({429, 503})
 
 
@@ -149,7 +158,7 @@
                     _decode_item(as_mapping(i, "items"))
                     for i in required_field(body, "items", list)
                 ]
-                revision = revision or required_field(body, "current_rev", int)
+                revision = revision or required_identifier(body, "current_rev")
                 is_truncated = optional_field(body, "truncated", False)
             if items and self.era != era:
                 raise StoreUnavailableError("the store was restored between two pages")
@@ -200,7 +209,7 @@
                 _decode_event(as_mapping(e, "events"))
                 for e in required_field(body, "events", list)
             ]
-            return Changes(tuple(events), required_field(body, "current_rev", int))
+            return Changes(tuple(events), required_identifier(body, "current_rev"))
 
     async def transact(
         self,
@@ -308,7 +317,7 @@
         is_first_answer, self._has_answered = not self._has_answered, True
         if text is None:
             return
-        if not text.isascii() or not text.isdigit():
+        if not ERA_NUMBER.match(text):
             if self._log is not None:
                 self._log.write("store.era_invalid", value=text)
             return
@@ -357,10 +366,7 @@
         raise StoreOutcomeUnknownError(f"the store answered {head.status}")
     if head.status != 200:
         return head.status, {}
-    try:
-        return head.status, as_mapping(json.loads(body or b"{}"), "answer")
-    except ValueError as error:
-        raise InvalidRecordError(f"not JSON: {error}") from error
+    return head.status, parse_object(body or b"{}", "answer")
 
 
 def _decode_item(record: Mapping[str, Any]) -> Item:
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -13,14 +13,13 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from ..exceptions import InvalidRecordError
 from ..models.ids import HostName, RunnerName, ZoneName
 from ..models.routes import RequestKind
 from ..models.upstreams import Address, LoadReport, RunnerKey, Stage
 from ..models.workspaces import Allowance, AllowanceUnit, CallerIdentity
 from ..network.http1_client import AnswerHead, Call, Header
 from ..network.http1_server import ReceivedRequest
-from .fields import MS_PER_S, as_mapping, required_field
+from .fields import MS_PER_S, parse_object, required_field
 
 REQUEST_ID = b"attempt-id"
 # Milliseconds that remain, not a point in time.
@@ -410,7 +409,7 @@
 
 def prefill_handle(body: bytes) -> str:
     """Return the handle of a prompt's KV cache; raises `InvalidRecordError`."""
-    return required_field(_parse_object(body), "kv_handle", str)
+    return required_field(parse_object(body, "answer"), "kv_handle", str)
 
 
 def kv_source(address: Address, handle: str) -> str:
@@ -437,7 +436,7 @@
 
 def hold_id(body: bytes) -> str:
     """Return the id of a new reservation; raises `InvalidRecordError`."""
-    return required_field(_parse_object(body), "hold", str)
+    return required_field(parse_object(body, "answer"), "hold", str)
 
 
 def release_hold_call(address: Address, hold: str) -> Call:
@@ -528,10 +527,3 @@
         return Call(method, path.encode(), headers, b"")
     headers.append((b"Content-Type", b"application/json"))
     return Call(method, path.encode(), headers, json.dumps(body).encode())
-
-
-def _parse_object(body: bytes) -> Mapping[str, Any]:
-    try:
-        return as_mapping(json.loads(body), "answer")
-    except ValueError as error:
-        raise InvalidRecordError(f"not JSON: {error}") from error
