Take no earlier refusal for the answer to a request that may run

Callers could be told 503 ("not run, try again") for a request that a runner had run, and a request that may run once ran at a second runner (REFUSED, TWICE).

Cause: two places believed a refusal without asking whose it is. On the platform path a rejection was taken before the answer's Attempt-Id was compared, and a prefill's answer was never compared, so that a generation could go on from another request's KV cache (MIXED). On the own interface engines were called over kept connections, and the HTTP library hands bytes that come between two calls to the next one as its answer.

Change: a refusal counts only if it doesn't name another request; a prefill of another request is none. Engines and health checks of the own interface get a new connection for each call, as services did.

--- a/src/siskinlever/_internal/daemon/assembly.py
+++ b/src/siskinlever/_internal/daemon/assembly.py
@@ -211,7 +211,7 @@
 
 def _serving_parts(common: CommonParts) -> ServingParts:
     members, recorder, metrics = common.members, common.recorder, common.metrics
-    engines = Engines(common.pooled, common.unpooled)
+    engines = Engines(common.unpooled)
     aborts = AbortQueue(engines, common.tasks, metrics)
     admission = AdmissionHome(
         common.current, members, engines, aborts, recorder, metrics
@@ -250,7 +250,7 @@
 def _service_executor(
     common: CommonParts, serving: ServingParts, detector: Detector
 ) -> ServiceExecutor:
-    services = ServiceClient(common.unpooled, common.pooled)
+    services = ServiceClient(common.unpooled)
     runners = LeavingRunners(
         common.current,
         common.members,
--- a/src/siskinlever/_internal/engines/registry.py
+++ b/src/siskinlever/_internal/engines/registry.py
@@ -12,21 +12,18 @@
 
     Parameters
     ----------
-    pooled, unpooled : aiohttp.ClientSession
-        Sessions that reuse connections, and that never do.
+    session : aiohttp.ClientSession
+        Must not reuse connections.
     """
 
-    def __init__(
-        self, pooled: aiohttp.ClientSession, unpooled: aiohttp.ClientSession
-    ) -> None:
-        self._pooled = pooled
-        self._unpooled = unpooled
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
         self._by_address: dict[str, VllmEngine] = {}
 
     def at(self, address: str) -> VllmEngine:
         """Return the adapter for the engine at an address (IP address and port)."""
         engine = self._by_address.get(address)
         if engine is None:
-            engine = VllmEngine(self._pooled, self._unpooled, address)
+            engine = VllmEngine(self._session, address)
             self._by_address[address] = engine
         return engine
--- a/src/siskinlever/_internal/engines/vllm.py
+++ b/src/siskinlever/_internal/engines/vllm.py
@@ -48,10 +48,10 @@
 
     Parameters
     ----------
-    session, unpooled : aiohttp.ClientSession
-        Sessions that reuse connections, and that never do. Streams are resumed and
-        generations aborted on new connections, since existing ones may have
-        stopped transmitting.
+    session : aiohttp.ClientSession
+        Must not reuse connections. One that was used may have stopped transmitting,
+        and an engine may write an earlier answer once more on it, which would count
+        as the answer to the next call.
     address : str
         IP address and port.
     """
@@ -59,11 +59,9 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
-        unpooled: aiohttp.ClientSession,
         address: str,
     ) -> None:
         self._session = session
-        self._unpooled = unpooled
         self._url = f"http://{address}"
 
     async def prefill(self, call: EngineCall, timeout_s: float) -> PrefillResult:
@@ -129,7 +127,7 @@
         """Abort a generation and release its resources; raises `EngineError`."""
         body = {"rid": engine_request_id}
         async with _translate_errors(), asyncio.timeout(ABORT_TIMEOUT_S):
-            async with self._unpooled.post(
+            async with self._session.post(
                 f"{self._url}/abort_request", json=body
             ) as response:
                 await _check(response)
@@ -186,7 +184,7 @@
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Open a stream; its headers must arrive within `SILENCE_TIMEOUT_S`."""
         async with asyncio.timeout(SILENCE_TIMEOUT_S):
-            response = await self._unpooled.get(url, headers=headers)
+            response = await self._session.get(url, headers=headers)
         async with response:
             await _check(response)
             yield response
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -264,6 +264,8 @@
                     sending = request_exchange(self._context, runner, call, job)
                     async with sending as answer:
                         body = await answer.read(MAX_PREFILL_ANSWER_BYTES)
+            if wire.is_answer_to_other(answer.head, job.request):
+                raise AnswerBrokenError("not this request's prefill")
             if answer.head.status == 200:
                 self._retries.note_prefilled()
                 if queued == 0:
@@ -368,7 +370,7 @@
     ) -> EndedError | None:
         head = answer.head
         self._retries.note_arrival()
-        if wire.is_not_run(head):
+        if wire.is_refusal_of(head, self._job.request):
             self._job.mark_not_run()
             if wire.is_other_runner(head, runner.key.name):
                 self._context.runners.mark_replaced(runner.key)
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -154,7 +154,7 @@
         load = wire.parse_load(head)
         if load is not None:
             placement.note_load(runner.key, load)
-        if wire.is_not_run(head):
+        if wire.is_refusal_of(head, self._job.request):
             if wire.is_other_runner(head, runner.key.name):
                 self._context.runners.mark_replaced(runner.key)
             else:
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -354,10 +354,18 @@
 
 
 def is_not_run(head: AnswerHead) -> bool:
-    """Return whether a runner reports that it did not run the request."""
+    """Return whether a runner reports that it did not run a request."""
     return head.get(NOT_RUN) is not None or head.status == 421
 
 
+def is_refusal_of(head: AnswerHead, request: ReceivedRequest) -> bool:
+    """Return whether a runner reports that it did not run the request.
+
+    The refusal of another request tells nothing of this one, which may run.
+    """
+    return is_not_run(head) and not is_answer_to_other(head, request)
+
+
 def is_other_runner(head: AnswerHead, expected: RunnerName) -> bool:
     """Return whether a runner other than the expected one answered."""
     return head.status == 421 and head.get(RUNNER_NAME) not in (None, expected)
--- a/src/siskinlever/_internal/services/client.py
+++ b/src/siskinlever/_internal/services/client.py
@@ -61,16 +61,12 @@
     Parameters
     ----------
     session : aiohttp.ClientSession
-        Not pooled, so that a failed connect proves that the call was not run.
-    probe_session : aiohttp.ClientSession
-        Pooled, for health checks of runners.
+        Must not reuse connections: a failed connect then proves that the call was not
+        run, and no call gets the answer to an earlier one.
     """
 
-    def __init__(
-        self, session: aiohttp.ClientSession, probe_session: aiohttp.ClientSession
-    ) -> None:
+    def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
-        self._probe_session = probe_session
 
     async def call(
         self, address: str, call: ServiceCall, timeout_s: float
@@ -129,9 +125,7 @@
         """
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                async with self._probe_session.get(
-                    f"http://{address}/health"
-                ) as response:
+                async with self._session.get(f"http://{address}/health") as response:
                     body = await response.json(content_type=None)
         except ValueError:
             return False
--- a/src/siskinlever_testbed/bench/direct.py
+++ b/src/siskinlever_testbed/bench/direct.py
@@ -87,7 +87,7 @@
     decode = [r["address"] for r in runners if r["role"] == "decode"]
     call = EngineCall(f"direct-{number}", "lookup", prompt, MAX_TOKENS, 0, {})
     started_at = time.monotonic()
-    engines = Engines(session, session)
+    engines = Engines(session)
     prefill_result = await engines.at(prefill[number % len(prefill)]).prefill(
         call, timeout_s=5.0
     )
--- a/tests/unit/test_malformed_answers.py
+++ b/tests/unit/test_malformed_answers.py
@@ -50,8 +50,8 @@
 
 
 async def test_engine_calls_raise_engine_errors(address):
-    async with http_session(pooled=True) as pooled, http_session(pooled=False) as new:
-        engine = VllmEngine(pooled, new, address)
+    async with http_session(pooled=False) as session:
+        engine = VllmEngine(session, address)
         with pytest.raises(EngineError):
             await engine.prefill(CALL, 2.0)
         with pytest.raises(EngineError):
@@ -62,17 +62,15 @@
 
 
 async def test_event_that_is_too_long_breaks_the_stream():
-    async with server_answering(LONG_EVENT) as address, http_session(pooled=True) as s:
+    async with server_answering(LONG_EVENT) as address, http_session(pooled=False) as s:
         with pytest.raises(EngineError):
-            async for _ in VllmEngine(s, s, address).decode(
-                CALL, PrefillResult({}, 1, 0)
-            ):
+            async for _ in VllmEngine(s, address).decode(CALL, PrefillResult({}, 1, 0)):
                 pass
 
 
 async def test_service_calls_raise_service_errors(address):
     async with http_session(pooled=False) as session:
-        client = ServiceClient(session, session)
+        client = ServiceClient(session)
         call = ServiceCall("GET", "x", {}, b"", "r-1")
         with pytest.raises(ServiceCallError):
             await client.call(address, call, 2.0)
