Continue a stream only with an answer of the same type

On a streaming route each answer with 200 counted as a stream. With another status, without a signature, for another request, or with bytes that are no answer, the stream already ended as broken.

Change: an answer continues a stream only if its media type is that of the answer that began it. The class: an answer that is judged by the request's kind and not by itself; the first answer of a stream still is, since nothing precedes it.

--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -386,8 +386,9 @@
             return failed(
                 EndReason.FOREIGN, f"not this request's answer: {head.status}"
             )
-        if self._relay.started and head.status != 200:
-            return failed(EndReason.BROKEN, f"{runner.key.name} answered {head.status}")
+        if self._relay.started and not self._relay.is_continued_by(head):
+            message = f"{runner.key.name} answered {head.status} in place of the stream"
+            return failed(EndReason.BROKEN, message)
         if not wire.is_event_stream(head, self._job.route.kind):
             if await self._plain_relay.copy(runner.key.name, answer):
                 return None
--- a/src/siskinlever/_internal/gateway/relay.py
+++ b/src/siskinlever/_internal/gateway/relay.py
@@ -138,6 +138,7 @@
         self._only_complete_events = only_complete_events
         self._scanner = EventStreamScanner()
         self.started = False
+        self._media_type = ""
         self.last_event: str | None = None
         self.events_sent = 0
         # Seconds for which the caller's connection took no more bytes.
@@ -148,6 +149,10 @@
         """Whether the bytes of the current runner end within an event."""
         return self._scanner.is_inside_event
 
+    def is_continued_by(self, head: AnswerHead) -> bool:
+        """Return whether the body of another answer may follow what was sent."""
+        return head.status == 200 and wire.media_type(head) == self._media_type
+
     async def copy(self, answer: Exchange, close: bool) -> None:
         """Forward one runner's answer until the stream ends.
 
@@ -181,6 +186,7 @@
     async def _start(self, answer: Exchange, close: bool) -> None:
         if not self.started:
             self.started = True
+            self._media_type = wire.media_type(answer.head)
             headers = wire.answer_headers(answer.head)
             await self._connection.start_answer(answer.head.status, headers, close)
 
--- a/src/siskinlever/_internal/platform/wire.py
+++ b/src/siskinlever/_internal/platform/wire.py
@@ -331,10 +331,14 @@
     return int(value) if value is not None and not chunked else None
 
 
+def media_type(head: AnswerHead) -> str:
+    """Return the type of an answer's body without parameters, or ""."""
+    return (head.get(b"content-type") or "").partition(";")[0].strip().lower()
+
+
 def is_event_stream(head: AnswerHead, kind: RequestKind) -> bool:
     """Return whether the body of an answer to a request of a kind is a stream."""
-    media_type = (head.get(b"content-type") or "").partition(";")[0].strip().lower()
-    is_stream = kind is RequestKind.STREAM or media_type == EVENT_STREAM
+    is_stream = kind is RequestKind.STREAM or media_type(head) == EVENT_STREAM
     return head.status == 200 and is_stream
 
 
