Take one call that fails for a lost connection, not for an outage of the store

Cause: each watch that was cut counted as an outage unless another call had succeeded meanwhile, and the listing after it kept the missing runner in use for the two seconds that runners have to register again after an outage, again and again.

Change: the store counts as down when two calls fail in turn, the second of which began after the first had failed, and none succeeds in between; watches don't count. After a first failure the next call follows at once. The listings come each 0.4 of the bound, whatever other hosts do; nothing is left that relies on the reads of other hosts in a small fleet.

Looked for elsewhere: the leases of hosts and orders judge by their own time; reads of the record of versions ask is_down and gain from it; engines' and peers' failures are confirmed by other hosts already.

--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -28,7 +28,8 @@
 from ..fleet.peer_sync import PeerSync
 from ..fleet.runners import RunnerDirectory
 from ..fleet.serving_set import ServingView
-from ..fleet.store_follower import StoreFollower, StoreHealth
+from ..fleet.store_follower import StoreFollower
+from ..fleet.store_health import StoreHealth
 from ..fleet.stored_streams import StoredStreams
 from ..fleet.stream_versions import StreamVersions
 from ..fleet.unreachable_runners import UnreachableRunners
@@ -264,7 +265,6 @@
         store_health,
         log,
         add_peer=lambda address: sync.add_peer(address),
-        store_reader_count=hosts.store_reader_count,
         is_reader=lambda: view.is_reader,
         versions=stored_versions,
     )
--- a/src/siskinlever/_internal/fleet/hosts.py
+++ b/src/siskinlever/_internal/fleet/hosts.py
@@ -221,10 +221,6 @@
             if known.status.peers_address == address:
                 known.is_suspect = True
 
-    def store_reader_count(self) -> int:
-        """Return the number of live hosts whose calls to the store succeed."""
-        return sum(known.status.reads_store for known in self.alive())
-
     def is_order_lease_held(self) -> bool:
         """Return whether a live host holds the lease for sending stage orders."""
         return any(known.status.holds_orders for known in self.alive())
--- a/src/siskinlever/_internal/fleet/read_schedule.py
+++ b/src/siskinlever/_internal/fleet/read_schedule.py
@@ -19,6 +19,9 @@
 # for which its answer may take longer. The rest is for a call on a new connection.
 WATCH_SHARE = 0.45
 ANSWER_SHARE = 0.2
+# Share of the time in which a runner that leaves must be known, between two listings.
+# One of them may stay unanswered.
+RUNNERS_SHARE = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +34,13 @@
         Seconds for which a watch of the configuration waits for a change.
     answer_s : float
         Seconds after these within which its answer must arrive.
+    runners_period_s : float
+        Seconds between two listings of the runners.
     """
 
     watch_s: float
     answer_s: float
+    runners_period_s: float
 
 
 def schedule_within(bounds: ChangeBounds) -> ReadSchedule:
@@ -42,4 +48,5 @@
     return ReadSchedule(
         watch_s=WATCH_SHARE * bounds.configuration_s,
         answer_s=ANSWER_SHARE * bounds.configuration_s,
+        runners_period_s=RUNNERS_SHARE * bounds.leaving_s,
     )
--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -15,7 +15,6 @@
     PlatformError,
 )
 from ..logs.lines import LogLines
-from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
 from ..models.ids import HostName
 from ..models.upstreams import Address, Registration
@@ -27,15 +26,10 @@
 from .read_schedule import schedule_within
 from .registrations import KnownRegistrations
 from .runners import RunnerDirectory
+from .store_health import StoreHealth
 from .version_record import StoredVersions
 
 HOSTS_PREFIX = "siskinlever/hosts/"
-# Seconds between two reads of the runners. All hosts must know of a leaving runner
-# within 2 s, and two reads fit into that time. One read by any host is enough for the
-# hosts in contact with it, because it announces a leaving runner to them immediately.
-RUNNERS_PERIOD_S = 0.8
-# Upper bound of this period, however many other hosts read as well.
-MAX_RUNNERS_PERIOD_S = 2.0
 # Where keys fail closed, a host that follows the store calls it this often instead, and
 # only briefly: the age of a proof includes the wait of its call, and a call that stays
 # unanswered is noticed sooner. Some stores take a wait of 0 for their default.
@@ -46,12 +40,7 @@
 # once when the store is down.
 OWN_PROOF_AGE_S = 2.5
 OWN_PROOF_RETRY_S = 3.0
-# Fraction of the other hosts' reads on which this host relies.
-SHARED_READ_FACTOR = 0.3
 HOSTS_PERIOD_S = 8.0
-# Seconds after an outage during which this host does not rely on the reads of other
-# hosts: much may have changed, and they may not have read it either.
-OUTAGE_RECOVERY_S = 5.0
 LEASE_S = 6.0
 RENEW_PERIOD_S = 2.0
 RETRY_S = 0.3
@@ -63,66 +52,23 @@
 ROLE_CHECK_S = 1.0
 
 
-class StoreHealth:
-    """Tracks from the results of this host's calls whether the store is down."""
+class _Retries:
+    """Pauses before calls that follow failed ones; the first one follows at once.
 
-    def __init__(self, log: LogLines, metrics: Metrics) -> None:
-        self._log = log
-        self._metrics = metrics
-        self._down_since = float("-inf")
-        self.last_success_at = float("-inf")
-        # A process cannot detect an outage that ended just before its start, so it
-        # behaves as if there was one.
-        self.outage_ended_at = monotonic()
-        self._is_down = False
-
-    @property
-    def is_down(self) -> bool:
-        """Whether a call failed and none has succeeded since it was made."""
-        return self._is_down
-
-    def record_success(self) -> None:
-        """Record a call that succeeded."""
-        now = monotonic()
-        if self._is_down:
-            self._is_down = False
-            self.outage_ended_at = now
-            self._log.write("store.regained", out_s=round(now - self._down_since, 3))
-        self.last_success_at = now
-
-    def record_restoration(self, era: int) -> None:
-        """Record that the store came back from an older copy."""
-        self.outage_ended_at = monotonic()
-        self._metrics.count("store_restorations")
-        self._log.write("store.restored", era=era)
-
-    def record_failure(
-        self, error: PlatformError, requested_at: float, call: str
-    ) -> None:
-        """Record a call that failed.
+    One call that fails may only have lost its connection.
+    """
 
-        If another call has succeeded since the request, only a connection was
-        lost and the store does not count as down.
+    def __init__(self) -> None:
+        self._failures = 0
 
-        Parameters
-        ----------
-        error : PlatformError
-        requested_at : float
-            Monotonic time of the request.
-        call : str
-            What was called, for the log.
-        """
-        self._metrics.count("store_failures", call=call)
-        self._log.write(
-            "store.call_failed",
-            call=call,
-            after_s=round(monotonic() - requested_at, 3),
-            reason=error.message,
-        )
-        if not self._is_down and requested_at > self.last_success_at:
-            self._is_down = True
-            self._down_since = monotonic()
-            self._log.write("store.lost", reason=error.message)
+    def reset(self) -> None:
+        """Note a call that succeeded."""
+        self._failures = 0
+
+    def next_pause_s(self, retry_s: float) -> float:
+        """Note a call that failed; return the seconds until the next one."""
+        self._failures += 1
+        return 0.0 if self._failures == 1 else _with_jitter(retry_s)
 
 
 class StoreFollower:
@@ -138,8 +84,6 @@
     log : LogLines
     add_peer : callable
         Called with the peer address of each registered host.
-    store_reader_count : callable
-        Returns the number of other live hosts that read the store.
     is_reader : callable, default=always
         Returns whether this host follows the store. If not, it learns from other hosts
         and reads the store only each `STANDBY_PERIOD_S`.
@@ -156,7 +100,6 @@
         store_health: StoreHealth,
         log: LogLines,
         add_peer: Callable[[Address], None],
-        store_reader_count: Callable[[], int],
         is_reader: Callable[[], bool] = lambda: True,
         versions: StoredVersions | None = None,
     ) -> None:
@@ -167,7 +110,6 @@
         self.link = store_health
         self._log = log
         self._add_peer = add_peer
-        self._readers = store_reader_count
         self._is_reader = is_reader
         self._versions = versions
         self._schedule = schedule_within(settings.bounds.change)
@@ -193,6 +135,7 @@
     async def follow_configuration(self) -> None:
         """Keep the configuration up to date until cancelled."""
         revision = era = 0
+        retries = _Retries()
         while True:
             requested_at, called_at = monotonic(), self._configuration.now()
             if era != self._store.era:
@@ -203,6 +146,7 @@
                 else:
                     revision = await self._read_configuration()
                 self.link.record_success()
+                retries.reset()
                 self._configuration.confirm(called_at)
                 if self._configuration.needs_proof:
                     await self._sleep(PROOF_PERIOD_S)
@@ -211,27 +155,17 @@
                 self._log.write("store.history_lost", revision=revision)
                 revision = 0
             except PlatformError as error:
-                call = "watch-configuration" if revision else "read-configuration"
-                self.link.record_failure(error, requested_at, call)
-                await self._wait_to_read(requested_at, is_watch_lost=revision > 0)
-                # The watch may have hidden a change.
-                revision = 0
-
-    async def _wait_to_read(self, failed_at: float, is_watch_lost: bool) -> None:
-        """Wait before the read that follows a call which failed.
-
-        Parameters
-        ----------
-        failed_at : float
-            Monotonic time of the request of that call.
-        is_watch_lost : bool
-            Whether it was a watch. The read then waits only if the store has cut the
-            watch at once.
-        """
-        retry_s = _with_jitter(RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S)
-        if is_watch_lost:
-            retry_s -= monotonic() - failed_at
-        await asyncio.sleep(max(0.0, retry_s))
+                retry_s = RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S
+                if revision:
+                    # It may have hidden a change. The read that follows waits only if
+                    # the store has cut the watch at once.
+                    self.link.record_lost_watch(error, requested_at)
+                    pause_s = _with_jitter(retry_s) - (monotonic() - requested_at)
+                    revision = 0
+                else:
+                    self.link.record_failure(error, requested_at, "read-configuration")
+                    pause_s = retries.next_pause_s(retry_s)
+                await asyncio.sleep(max(0.0, pause_s))
 
     def _needs_own_proof(self) -> bool:
         """Return whether the proofs of other hosts don't reach this one."""
@@ -251,19 +185,6 @@
                 self._configuration.advance(event.value, "store")
         return max(revision, changes.revision)
 
-    def _shared_period(self, period_s: float, max_period_s: float) -> float:
-        """Return the period, in seconds, of a call that other live hosts make too.
-
-        Parameters
-        ----------
-        period_s : float
-            Period if no other live host reads the store.
-        max_period_s : float
-        """
-        if monotonic() - self.link.outage_ended_at <= OUTAGE_RECOVERY_S:
-            return period_s
-        return min(max_period_s, period_s * (1 + SHARED_READ_FACTOR * self._readers()))
-
     async def _read_configuration(self) -> int:
         listing = await self._store.list_prefix(records.OPERATOR_PREFIX)
         for item in listing.items:
@@ -273,16 +194,17 @@
 
     async def follow_runners(self) -> None:
         """Keep the directory of runners up to date until cancelled."""
+        retries = _Retries()
         while True:
             requested_at = monotonic()
             try:
                 await self._read_runners()
-                period_s = self._shared_period(RUNNERS_PERIOD_S, MAX_RUNNERS_PERIOD_S)
-                await self._sleep(period_s)
+                retries.reset()
+                await self._sleep(self._schedule.runners_period_s)
                 await self._wait_for_turn(requested_at)
             except PlatformError as error:
                 self.link.record_failure(error, requested_at, "list-runners")
-                await asyncio.sleep(_with_jitter(RETRY_S))
+                await asyncio.sleep(retries.next_pause_s(RETRY_S))
 
     async def _wait_for_turn(
         self, read_at: float, is_urgent: Callable[[], bool] = lambda: False
--- a/tests/fuzz/test_restored_store.py
+++ b/tests/fuzz/test_restored_store.py
@@ -129,7 +129,7 @@
 
         return await self._call(operation)
 
-    async def watch(self, prefix, after, wait_s):
+    async def watch(self, prefix, after, wait_s, answer_s):
         era, ends_at = self.era, self._store.loop.time() + wait_s
         while True:
             changes = await self._call(lambda: self._changes(prefix, after))
@@ -198,7 +198,6 @@
             StoreHealth(log, metrics),
             log,
             add_peer=lambda address: None,
-            store_reader_count=lambda: 0,
         )
         for task in (
             follower.follow_configuration(),
--- a/tests/lib/following_hosts.py
+++ b/tests/lib/following_hosts.py
@@ -12,7 +12,8 @@
 
 from siskinlever._internal.fleet.configuration import ConfigurationInForce
 from siskinlever._internal.fleet.runners import RunnerDirectory
-from siskinlever._internal.fleet.store_follower import StoreFollower, StoreHealth
+from siskinlever._internal.fleet.store_follower import StoreFollower
+from siskinlever._internal.fleet.store_health import StoreHealth
 from siskinlever._internal.logs.lines import LogLines
 from siskinlever._internal.metrics.registry import Metrics
 from siskinlever._internal.models.ids import ServiceName
@@ -89,7 +90,7 @@
         return self.loop.time() - began_at
 
 
-def _following_host(count: int, **bounds) -> FollowingHost:
+def _following_host(**bounds) -> FollowingHost:
     metrics = Metrics()
     log = LogLines("host", metrics, DISCARDED_LOG)
     settings = host_settings(0, PORTS, 6, [], **bounds)
@@ -103,7 +104,6 @@
         StoreHealth(log, metrics),
         log,
         add_peer=lambda address: None,
-        store_reader_count=lambda: count - 1,
     )
     return FollowingHost(in_force, runners, follower)
 
@@ -129,7 +129,7 @@
     loop = VirtualTimeLoop()
     try:
         with memory_store() as store:
-            hosts = [_following_host(count, **bounds) for _ in range(count)]
+            hosts = [_following_host(**bounds) for _ in range(count)]
             fleet = FollowingFleet(loop, store, hosts)
             fleet.apply(1)
             for runner in ("r-1", "r-2"):
--- a/tests/lib/memory_store.py
+++ b/tests/lib/memory_store.py
@@ -28,6 +28,8 @@
     ----------
     is_down : bool
         Whether calls get 503.
+    refused_paths : set of str
+        Paths of calls that get 429.
     watch_cut : callable or None
         Returns after how many seconds the next watch is cut; None to cut none.
     call_s : float
@@ -40,6 +42,7 @@
         self.revision = 1
         self.era: int | None = None
         self.is_down = False
+        self.refused_paths: set[str] = set()
         self.watch_cut: Callable[[], float] | None = None
         self.call_s = CALL_S
         self.calls: list[str] = []
@@ -116,6 +119,8 @@
         await asyncio.sleep(self.call_s)
         if self.is_down:
             return self._head(503), b""
+        if target.path in self.refused_paths:
+            return self._head(429), b""
         if target.path == "/kv-range":
             return self._head(200), self._listing(query["prefix"])
         if target.path == "/kv-watch":
--- a/tests/lib/version_fleet.py
+++ b/tests/lib/version_fleet.py
@@ -12,7 +12,8 @@
     StoreUnavailableError,
 )
 from siskinlever._internal.fleet.runners import RunnerDirectory
-from siskinlever._internal.fleet.store_follower import StoreFollower, StoreHealth
+from siskinlever._internal.fleet.store_follower import StoreFollower
+from siskinlever._internal.fleet.store_health import StoreHealth
 from siskinlever._internal.fleet.stored_streams import StoredStreams
 from siskinlever._internal.fleet.stream_versions import StreamVersions
 from siskinlever._internal.fleet.version_history import VersionHistory
@@ -146,7 +147,6 @@
             health,
             log,
             add_peer=lambda address: None,
-            store_reader_count=lambda: 0,
             versions=self.versions,
         )
 
--- a/tests/unit/test_proof_renewal.py
+++ b/tests/unit/test_proof_renewal.py
@@ -189,7 +189,6 @@
         health,
         Mock(),
         add_peer=lambda address: None,
-        store_reader_count=lambda: 5,
         is_reader=lambda: is_reader,
     )
     ages = []
