Close the descriptors that tests leave open, and poll those beyond 1,023

`make test` failed on some runs with "filedescriptor out of range in select()": the testbed's virtual clock selected with select(), and single tests left 60 to 925 descriptors open in their worker, most of them logs that nobody reads.

--- a/src/siskinlever_testbed/model/virtual_time.py
+++ b/src/siskinlever_testbed/model/virtual_time.py
@@ -11,8 +11,11 @@
 from siskinlever._internal.utils import clock
 
 
-class _InstantSelector(selectors.SelectSelector):
-    """Adds up the time that the loop would have slept and returns immediately."""
+class _InstantSelector(selectors.PollSelector):
+    """Adds up the time that the loop would have slept and returns immediately.
+
+    It takes descriptors of any number, unlike one that uses select().
+    """
 
     def __init__(self) -> None:
         super().__init__()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+import os
 import time
 from collections.abc import AsyncIterator, Callable, Generator, Iterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
@@ -19,6 +21,9 @@
 
 FleetStarter = Callable[[FleetPlan], AbstractAsyncContextManager[Fleet]]
 
+# Descriptors that a test may leave open, for example in caches of libraries.
+MAX_LEFT_DESCRIPTORS = 16
+
 EVIDENCE = pytest.StashKey[FailureEvidence]()
 
 # The first draw of text builds tables of Unicode for seconds, which Hypothesis would
@@ -35,6 +40,22 @@
     assert left is time, "the test has left a virtual clock in place"
 
 
+def open_descriptors() -> int:
+    """Return the number of descriptors that this process has open."""
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.fixture(autouse=True)
+def closed_descriptors(process_waits: ProcessWaits) -> Iterator[None]:
+    """Fail a test that leaves many descriptors open."""
+    before = open_descriptors()
+    yield
+    if open_descriptors() - before > MAX_LEFT_DESCRIPTORS:
+        gc.collect()
+        left = open_descriptors() - before
+        assert left <= MAX_LEFT_DESCRIPTORS, f"the test has left {left} descriptors"
+
+
 @pytest.fixture
 def start_fleet(tmp_path: Path) -> FleetStarter:
     """Return a function that runs a fleet with its declaration applied."""
--- a/tests/fuzz/test_fleet_state.py
+++ b/tests/fuzz/test_fleet_state.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import os
-
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from lib.discarded_log import DISCARDED_LOG
 from lib.runners import registration
 
 from siskinlever._internal.fleet.configuration import ConfigurationInForce
@@ -20,7 +19,7 @@
 
 
 def quiet_log() -> LogLines:
-    return LogLines("host", Metrics(), os.open(os.devnull, os.O_WRONLY))
+    return LogLines("host", Metrics(), DISCARDED_LOG)
 
 
 class Runners(RuleBasedStateMachine):
--- a/tests/fuzz/test_order_right.py
+++ b/tests/fuzz/test_order_right.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from dataclasses import dataclass, replace
 from enum import Enum
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from lib.discarded_log import DISCARDED_LOG
 
 from siskinlever._internal.exceptions import (
     LeaseLapsedError,
@@ -215,7 +215,7 @@
         super().__init__()
         self.loop = VirtualTimeLoop()
         self.store = Store(self.loop)
-        log = LogLines("host", Metrics(), os.open(os.devnull, os.O_WRONLY))
+        log = LogLines("host", Metrics(), DISCARDED_LOG)
         self.client_by_host = {h: HostStoreClient(self.store, h) for h in HOSTS}
         self.lease_by_host = {
             host: OrderLease(client, host, TTL_S, log, lambda: False)
--- a/tests/fuzz/test_restored_store.py
+++ b/tests/fuzz/test_restored_store.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import json
-import os
 from dataclasses import dataclass, replace
 
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from lib.discarded_log import DISCARDED_LOG
 from lib.platform_world import configuration, host_settings
 
 from siskinlever._internal.exceptions import (
@@ -185,7 +185,7 @@
 
     def __init__(self, store: Store, number: int) -> None:
         metrics = Metrics()
-        log = LogLines("host", metrics, os.open(os.devnull, os.O_WRONLY))
+        log = LogLines("host", metrics, DISCARDED_LOG)
         self.client = Client(store)
         self.settings = host_settings(number, [1, 2, 3, 4, 5], 6, [])
         self.configuration = ConfigurationInForce(decode_configuration, log)
--- a/tests/lib/following_hosts.py
+++ b/tests/lib/following_hosts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -22,11 +21,10 @@
 from siskinlever_testbed.model.virtual_time import VirtualTimeLoop
 from siskinlever_testbed.platform_fleet import configuration
 
+from .discarded_log import DISCARDED_LOG
 from .memory_store import MemoryStore, memory_store
 from .platform_world import host_settings
 
-# Opened once, since each would use a descriptor.
-DISCARDED_LOG = os.open(os.devnull, os.O_WRONLY)
 PORTS = [1, 2, 3, 4, 5]
 SERVICE = ServiceName("plain")
 HEARTBEAT_S = 1.2
--- a/tests/lib/version_fleet.py
+++ b/tests/lib/version_fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 
 from siskinlever._internal.exceptions import (
     StoreConflictError,
@@ -23,11 +22,9 @@
 from siskinlever._internal.platform.store import Item, Listing
 from siskinlever._internal.utils.tasks import TaskSet
 
+from .discarded_log import DISCARDED_LOG
 from .platform_world import host_settings
 
-# Opened once: a descriptor for each start of a host exceeds what select() takes.
-DISCARDED_LOG = os.open(os.devnull, os.O_WRONLY)
-
 SERVICE = "engines"
 CALL_S = 0.004
 # Seconds after an outage of the store for which a missing engine stays usable.
--- a/tests/unit/test_load_updates.py
+++ b/tests/unit/test_load_updates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import os
+from lib.discarded_log import DISCARDED_LOG
 
 from siskinlever._internal.fleet.hosts import (
     HostStatus,
@@ -25,7 +25,7 @@
 
 
 def table() -> HostTable:
-    log = LogLines("host-a", Metrics(), os.open(os.devnull, os.O_WRONLY))
+    log = LogLines("host-a", Metrics(), DISCARDED_LOG)
     return HostTable("host-a", log)
 
 
--- a/tests/unit/test_order_lease.py
+++ b/tests/unit/test_order_lease.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 
 import pytest
+from lib.discarded_log import DISCARDED_LOG
 
 from siskinlever._internal.exceptions import StoreOutcomeUnknownError
 from siskinlever._internal.logs.lines import LogLines
@@ -53,7 +53,7 @@
 
 @pytest.mark.parametrize(("writer", "token"), [("own", 42), ("other", 0), (None, 0)])
 async def test_lost_answer_to_acquisition_is_resolved_by_reading(writer, token):
-    log = LogLines("host", Metrics(), os.open(os.devnull, os.O_WRONLY))
+    log = LogLines("host", Metrics(), DISCARDED_LOG)
     lease = OrderLease(AnswerLosingStore(writer), "host", TTL_S, log, lambda: False)
     running = asyncio.create_task(lease.run())
     await asyncio.sleep(0.1)
--- a/tests/unit/test_serving_set.py
+++ b/tests/unit/test_serving_set.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import os
 import random
 from collections import Counter
 from dataclasses import replace
 
+from lib.discarded_log import DISCARDED_LOG
+
 from siskinlever._internal.fleet.hosts import HostStatus, HostTable, HostWork
 from siskinlever._internal.fleet.lookup import addresses_for
 from siskinlever._internal.fleet.serving_set import (
@@ -45,7 +46,7 @@
 
 
 def table(statuses, own: HostStatus) -> HostTable:
-    log = LogLines(own.host, Metrics(), os.open(os.devnull, os.O_WRONLY))
+    log = LogLines(own.host, Metrics(), DISCARDED_LOG)
     hosts = HostTable(own.host, log)
     for other in statuses:
         hosts.update_host(other, HostWork())
--- a/tests/unit/test_store_health.py
+++ b/tests/unit/test_store_health.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import os
-
 import pytest
+from lib.discarded_log import DISCARDED_LOG
 
 from siskinlever._internal.exceptions import StoreUnavailableError
 from siskinlever._internal.fleet.store_health import StoreHealth
@@ -18,7 +17,7 @@
 @pytest.fixture
 def store_health() -> StoreHealth:
     metrics = Metrics()
-    log = LogLines("host", metrics, os.open(os.devnull, os.O_WRONLY))
+    log = LogLines("host", metrics, DISCARDED_LOG)
     return StoreHealth(log, metrics)
 
 
