Test hosts of two builds side by side, in both directions

test_workspace_keys and test_platform_process used the same addresses, so that they failed if two workers ran them at once; each has its own now.

--- a/src/siskinlever_testbed/platform_fleet.py
+++ b/src/siskinlever_testbed/platform_fleet.py
@@ -5,13 +5,13 @@
 import asyncio
 import json
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from .processes import Process, free_addresses, owned_processes
+from .processes import Process, free_addresses
 from .standins.platform.runner import RunnerStandIn, running_runner
 from .standins.platform.store import MetadataStoreStandIn, running_store
 
@@ -20,6 +20,9 @@
 # Ports of a host's interfaces. Each host has a separate loopback address.
 PORTS = {"frontend": 8144, "readiness": 8140, "registry": 8143, "control_plane": 8146}
 REGISTRATION_PERIOD_S = 0.5
+# Third part of the addresses of a fleet's hosts. Fleets of different tests need
+# different ones, since all hosts listen on the same ports.
+NETWORK = 8
 DAEMON = (sys.executable, "-m", "siskinlever._internal.cli.daemon")
 NODE_FILE = """
 node_name = "edge-{number}"
@@ -161,19 +164,19 @@
     ]
 
 
-def node_file(number: int, store: str, bounds: str = "") -> str:
+def node_file(number: int, store: str, bounds: str = "", network: int = NETWORK) -> str:
     """Return the content of a host's node file, in the format of the platform."""
-    ip = host_ip(number)
+    ip = host_ip(number, network)
     listen = "\n".join(f'{name} = "{ip}:{port}"' for name, port in PORTS.items())
-    seed = f"{host_ip(0)}:{PORTS['control_plane']}"
+    seed = f"{host_ip(0, network)}:{PORTS['control_plane']}"
     return NODE_FILE.format(
         number=number, ip=ip, listen=listen, store=store, seed=seed, bounds=bounds
     )
 
 
-def host_ip(number: int) -> str:
+def host_ip(number: int, network: int = NETWORK) -> str:
     """Return the loopback address of a host by its number, which starts at 0."""
-    return f"127.0.8.{number + 1}"
+    return f"127.0.{network}.{number + 1}"
 
 
 @dataclass
@@ -184,7 +187,9 @@
     runners: list[RunnerStandIn]
     hosts: list[Process]
     directory: Path
-    registering: bool = field(default=True)
+    # One port of the store for each host.
+    store_ports: list[int] = field(default_factory=list)
+    network: int = NETWORK
 
     async def register_runners(self) -> None:
         """Write the registrations of the runners into the store until cancelled."""
@@ -195,7 +200,36 @@
 
     def address(self, host: int, interface: str = "frontend") -> str:
         """Return the address of an interface of a host."""
-        return f"{host_ip(host)}:{PORTS[interface]}"
+        return f"{host_ip(host, self.network)}:{PORTS[interface]}"
+
+    def host_process(self, number: int, source: Path | None = None) -> Process:
+        """Return the process of a host, which isn't started.
+
+        Parameters
+        ----------
+        number : int
+        source : Path or None, default=None
+            Folder with the sources of another build; None for those of this one.
+        """
+        variables = {"SISKINLEVER_NODE_FILE": str(self._node_path(number))}
+        if source is not None:
+            variables["PYTHONPATH"] = str(source)
+        return Process(
+            f"edge-{number}",
+            [*DAEMON, "--platform"],
+            self.directory / f"edge-{number}.log",
+            self.address(number),
+            variables,
+        )
+
+    def write_node_file(self, number: int, bounds: str) -> None:
+        """Write the node file of a host."""
+        store = f"127.0.0.1:{self.store_ports[number]}"
+        content = node_file(number, store, bounds, self.network)
+        self._node_path(number).write_text(content)
+
+    def _node_path(self, number: int) -> Path:
+        return self.directory / f"edge-{number}.toml"
 
     async def lookup(self, host: int) -> list[str]:
         """Return the addresses of the hosts that a host lists to callers."""
@@ -218,9 +252,18 @@
         return "".join(path.read_text() for path in self.directory.glob("*.log"))
 
 
+def _end_all(processes: Iterable[Process]) -> None:
+    for process in processes:
+        process.end()
+
+
 @asynccontextmanager
 async def platform_fleet(
-    directory: Path, count: int, bounds: str = ""
+    directory: Path,
+    count: int,
+    bounds: str = "",
+    network: int = NETWORK,
+    source: Path | None = None,
 ) -> AsyncIterator[PlatformFleet]:
     """Run stand-ins and `count` hosts for the duration of a `with` block.
 
@@ -232,33 +275,30 @@
     count : int
     bounds : str, default=""
         Further lines of the section ``bounds`` of each node file.
+    network : int, default=NETWORK
+        Third part of the hosts' addresses.
+    source : Path or None, default=None
+        As in `PlatformFleet.host_process`, for all hosts.
     """
-    addresses = free_addresses(6)
+    addresses = free_addresses(count + 5)
     ports = [int(address.rpartition(":")[2]) for address in addresses]
+    store_ports, runner_ports = ports[:count], ports[count:]
     async with AsyncExitStack() as stack:
-        process_by_name = stack.enter_context(owned_processes())
-        store = await stack.enter_async_context(running_store(ports[:1]))
+        store = await stack.enter_async_context(running_store(store_ports))
         runners = [
             await stack.enter_async_context(running_runner(runner))
-            for runner in default_runners(ports[1:])
+            for runner in default_runners(runner_ports)
         ]
-        fleet = PlatformFleet(store, runners, [], directory)
+        hosts: list[Process] = []
+        stack.callback(_end_all, hosts)
+        fleet = PlatformFleet(store, runners, hosts, directory, store_ports, network)
         store.put("op/config", json.dumps(configuration()).encode())
         registration_task = asyncio.create_task(fleet.register_runners())
         stack.callback(registration_task.cancel)
         for number in range(count):
-            path = directory / f"edge-{number}.toml"
-            path.write_text(node_file(number, addresses[0], bounds))
-            process = Process(
-                f"edge-{number}",
-                [*DAEMON, "--platform"],
-                directory / f"edge-{number}.log",
-                fleet.address(number),
-                {"SISKINLEVER_NODE_FILE": str(path)},
-            )
-            process_by_name[process.name] = process
-            fleet.hosts.append(process)
-            process.start()
-        for process in fleet.hosts:
+            fleet.write_node_file(number, bounds)
+            hosts.append(fleet.host_process(number, source))
+            hosts[number].start()
+        for process in hosts:
             await process.ready()
         yield fleet
--- a/tests/functional/test_workspace_keys.py
+++ b/tests/functional/test_workspace_keys.py
@@ -342,7 +342,7 @@
 ):
     """Requests wait in the sockets of the suspended process."""
     bounds = f"revoke_fail_closed = true\nrevoke_ms = {REVOKE_MS}"
-    async with platform_fleet(tmp_path, 2, bounds) as fleet:
+    async with platform_fleet(tmp_path, 2, bounds, network=10) as fleet:
         fleet.store.put("op/config", json.dumps(with_workspaces(2)).encode())
 
         async def ask_fleet(identifier: str, path="/once/x", key=KEY):
