Handle signals from the first instruction of the daemon on

The class: a signal before its handler is installed.

EarlySignals is installed before anything large is imported, keeps a SIGHUP until the host is up, and ends the process with the status of a stop on SIGTERM and SIGINT. The event loop's handlers replace these one by one. The standalone host had no handler of SIGHUP at all; it goes on now and logs that changes take effect at the next start.

--- a/src/siskinlever/_internal/cli/daemon.py
+++ b/src/siskinlever/_internal/cli/daemon.py
@@ -16,34 +16,47 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import sys
 from collections.abc import Callable, Coroutine
-from pathlib import Path
-from typing import TYPE_CHECKING, Any
-
-# Must be set before the first event loop is created: uvloop would otherwise
-# open an io_uring.
-os.environ["UV_USE_IO_URING"] = "0"
-
-import uvloop
-from docopt import docopt
 
 from ... import __version__
-from ..exceptions import SettingsError
-from .exit_codes import ExitCode
+from ..utils.early_signals import EarlySignals
 
+# As `typing.TYPE_CHECKING`, without the time that importing it takes.
+TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from pathlib import Path
+    from typing import Any
+
     from ..models.settings import Settings
 
+# Must be set before the first event loop is created: uvloop would otherwise
+# open an io_uring.
+os.environ["UV_USE_IO_URING"] = "0"
+
 
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon and return its exit code."""
+    early_signals = EarlySignals()
+    early_signals.install()
+    return _run(argv, early_signals)
+
+
+def _run(argv: list[str] | None, early_signals: EarlySignals) -> int:
+    # These take a tenth of a second and more to import.
+    import asyncio
+
+    import uvloop
+    from docopt import docopt
+
+    from ..exceptions import SettingsError
+    from .exit_codes import ExitCode
+
     arguments = docopt(__doc__ or "", argv=argv, version=__version__)
     prepare = _prepare_platform if arguments["--platform"] else _prepare_standalone
     try:
-        path, serve = prepare(arguments)
+        path, serve = prepare(arguments, early_signals)
     except SettingsError as error:
         for line in error.message.split("\n"):
             print(f"siskinleverd: {line}", file=sys.stderr)
@@ -56,10 +69,9 @@
     return ExitCode.OK
 
 
-Serve = Callable[[], Coroutine[Any, Any, None]]
-
-
-def _prepare_platform(arguments: dict[str, Any]) -> tuple[Path, Serve]:
+def _prepare_platform(
+    arguments: dict[str, Any], early_signals: EarlySignals
+) -> tuple[Path, Callable[[], Coroutine[Any, Any, None]]]:
     # Each mode imports only the modules that it needs, because memory is scarce
     # on small hosts.
     from ..daemon.gateway import serve_gateway
@@ -67,10 +79,16 @@
 
     path = settings_path()
     settings = read_settings(path)
-    return path, lambda: serve_gateway(settings, lambda: read_settings(path))
+    return path, lambda: serve_gateway(
+        settings, lambda: read_settings(path), early_signals
+    )
+
 
+def _prepare_standalone(
+    arguments: dict[str, Any], early_signals: EarlySignals
+) -> tuple[Path, Callable[[], Coroutine[Any, Any, None]]]:
+    from pathlib import Path
 
-def _prepare_standalone(arguments: dict[str, Any]) -> tuple[Path, Serve]:
     from absl import logging
 
     from ..daemon.server import serve
@@ -80,7 +98,7 @@
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
     logging.use_absl_handler()
-    return path, lambda: serve(settings)
+    return path, lambda: serve(settings, early_signals)
 
 
 def load_settings(path: Path) -> Settings:
@@ -91,6 +109,7 @@
     SettingsError
         If the file cannot be read or is not valid.
     """
+    from ..exceptions import SettingsError
     from ..models.settings import Settings
     from ..network.tls import tls_faults
     from ..utils.validation import parse_document
--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -66,6 +66,7 @@
 from ..stages.orders import StageOrders
 from ..stages.switching import StageSwitches
 from ..utils.clock import MS_PER_S
+from ..utils.early_signals import EarlySignals
 from ..utils.tasks import TaskSet, task_set
 
 METRICS_PATH = "/metrics"
@@ -162,23 +163,28 @@
 
 
 async def serve_gateway(
-    settings: HostSettings, loader: Callable[[], HostSettings] | None = None
+    settings: HostSettings,
+    loader: Callable[[], HostSettings],
+    early_signals: EarlySignals,
 ) -> None:
     """Run a host until SIGTERM or SIGINT, then drain it.
 
     Parameters
     ----------
     settings : HostSettings
-    loader : callable or None
-        Reads the settings again on SIGHUP; None to ignore changes.
+    loader : callable
+        Reads the settings again on SIGHUP.
+    early_signals : EarlySignals
+        Tells of a SIGHUP before the host ran.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with running_gateway(settings) as host:
-        if loader is not None:
-            loop.add_signal_handler(signal.SIGHUP, reload_settings, host, loader)
+        loop.add_signal_handler(signal.SIGHUP, reload_settings, host, loader)
+        if early_signals.take_reload():
+            reload_settings(host, loader)
         await stop.wait()
         host.log.write("process.stopping", requests=host.shutdown.requests)
         host.sync.announce()
--- a/src/siskinlever/_internal/daemon/server.py
+++ b/src/siskinlever/_internal/daemon/server.py
@@ -24,6 +24,7 @@
 from ..operators.app import OperatorContext, operators_app
 from ..peers import peer_pb2
 from ..peers.server import Handler, peer_server
+from ..utils.early_signals import EarlySignals
 from ..utils.tasks import task_set
 from .assembly import assemble
 from .host import Host
@@ -69,16 +70,20 @@
         logging.info("host stopped host=%s", settings.host)
 
 
-async def serve(settings: Settings) -> None:
+async def serve(settings: Settings, early_signals: EarlySignals) -> None:
     """Run a host until it is stopped, then drain it.
 
-    The host stops on SIGTERM or SIGINT, or when another process has replaced it.
+    The host stops on SIGTERM or SIGINT, or when another process has replaced it. On
+    SIGHUP it goes on: its settings take effect at the next start.
     """
     shutdown = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.set)
     async with running_host(settings) as host:
+        loop.add_signal_handler(signal.SIGHUP, _log_reload)
+        if early_signals.take_reload():
+            _log_reload()
         replaced = asyncio.create_task(host.detector.replaced.wait())
         shutdown_requested = asyncio.create_task(shutdown.wait())
         await asyncio.wait(
@@ -87,6 +92,10 @@
         await host.drain()
 
 
+def _log_reload() -> None:
+    logging.info("settings that have changed take effect at the next start")
+
+
 def _handlers(host: Host) -> dict[str, Handler]:
     async def stop_attempt(
         request: peer_pb2.StopAttemptRequest,
