Keep the duties of a host after a round that failed

An exception in one round of a long-lived task ended it, while the process lived on and stayed ready: TaskSet logged the exception and dropped the task. An odd entry of the store ended the exchange of hosts with each other in that way, and a configuration could end the task that follows it.

Duties starts such a task again after a bounded, jittered delay, logs the traceback and counts it by duty; one that is cancelled by something else counts as failed, too. A duty that fails for over 2 s is shown by `siskinlever duties` and a gauge; the two that callers need take the host out of readiness and of lookups, unless no other host serves. Both daemons use it; docs/design/duties.md lists each duty and what callers lose without it.

Evidence: test_duties.py raises in a round of each of the 12 duties of the platform's host in turn, in a fleet of two hosts that is in use: the duty is back within 2 s, both hosts keep each other, serve and follow the configuration. The unit tests play series of failures, cancellation and release on a virtual clock. The duties of the standalone host are started in the same way; no test raises in each of them.

--- a/src/siskinlever/_internal/cli/main.py
+++ b/src/siskinlever/_internal/cli/main.py
@@ -22,6 +22,7 @@
   show      Show the declaration in force at each host.
   status    Show the state of the hosts.
   crashes   Show what crashes runners, and lift wrong verdicts.
+  duties    Show the duties that hosts don't keep.
   workspaces
             Show workspaces, the digests of their keys, and what was refused.
   timeline  Show events of all hosts in causal order.
--- a/src/siskinlever/_internal/commands/__init__.py
+++ b/src/siskinlever/_internal/commands/__init__.py
@@ -1,8 +1,8 @@
 """The commands, one module each, imported only when the command is run.
 
 Commands that call hosts use the administration interface, which only
-`siskinleverd --settings` has; `crashes` and `workspaces` use the metrics interface of
-`siskinleverd --platform`.
+`siskinleverd --settings` has; `crashes`, `duties` and `workspaces` use the metrics
+interface of `siskinleverd --platform`.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 MODULE_BY_COMMAND = {
     "apply": "apply",
     "crashes": "crashes",
+    "duties": "duties",
     "explain": "explain",
     "plan": "plan",
     "show": "show",
--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, fields, replace
+from functools import partial
 
 from ..dispatch.crash_causes import CrashCauses
 from ..dispatch.plain_placement import PlainPlacement
@@ -38,6 +39,7 @@
 from ..gateway.context import GatewayContext
 from ..gateway.crash_detection import CrashDetection
 from ..gateway.crash_endpoints import CRASHES_PATH, LIFT_PATH, lift, list_crashes
+from ..gateway.duty_endpoints import DUTIES_PATH, list_duties, log_failure
 from ..gateway.endpoints import JSON_HEADERS, TEXT_HEADERS, Answer, connection_handler
 from ..gateway.key_checks import KeyChecks
 from ..gateway.relay_service import RelayService
@@ -66,6 +68,7 @@
 from ..stages.orders import StageOrders
 from ..stages.switching import StageSwitches
 from ..utils.clock import MS_PER_S
+from ..utils.duties import Duties
 from ..utils.early_signals import EarlySignals
 from ..utils.tasks import TaskSet, task_set
 
@@ -97,6 +100,7 @@
 
     settings: HostSettings
     context: GatewayContext
+    duties: Duties
     follower: StoreFollower
     sync: PeerSync
     load_updates: LoadUpdates
@@ -146,16 +150,18 @@
         )
         for seed in settings.seeds:
             host.sync.add_peer(seed)
-        tasks.start(host.follower.follow_configuration(), "configuration")
-        tasks.start(host.follower.follow_runners(), "runners")
-        tasks.start(host.follower.register_host(), "register")
-        tasks.start(host.follower.follow_hosts(), "hosts")
-        tasks.start(host.sync.announce_updates(), "news")
-        tasks.start(host.crash_reports.run(), "forget-crashes")
-        tasks.start(host.context.stored_streams.run(), "write-streams")
-        tasks.start(host.context.allowances.run(), "allowances")
-        tasks.start(host.lease.run(), "order-lease")
-        tasks.start(host.orders.run(), "stage-orders")
+        start = host.duties.start
+        follower = host.follower
+        start("configuration", follower.follow_configuration, is_essential=True)
+        start("runners", follower.follow_runners, is_essential=True)
+        start("register", follower.register_host)
+        start("hosts", follower.follow_hosts)
+        start("announcements", host.sync.announce_updates)
+        start("crash-reports", host.crash_reports.run)
+        start("write-streams", host.context.stored_streams.run)
+        start("allowances", host.context.allowances.run)
+        start("order-lease", host.lease.run)
+        start("stage-orders", host.orders.run)
         await _listen(host, metrics, stack)
         log.write("process.started", zone=settings.zone, peers=listeners.peers)
         yield host
@@ -228,6 +234,7 @@
     stack: AsyncExitStack,
 ) -> GatewayHost:
     shutdown = Shutdown(settings.bounds.shutdown_grace_s)
+    duties = Duties(tasks, metrics, partial(log_failure, log))
     configuration = ConfigurationInForce(
         decode_configuration, log, settings.bounds.keys
     )
@@ -247,7 +254,9 @@
             incarnation=incarnation,
             callers_address=settings.listeners.callers,
             peers_address=settings.listeners.peers,
-            serving=configuration.current is not None and not shutdown.is_stopping,
+            serving=configuration.current is not None
+            and not shutdown.is_stopping
+            and not duties.has_lost_essential,
             reads_store=view.is_reader and not store_health.is_down,
             holds_orders=lease.is_held,
             cores=settings.cores,
@@ -285,7 +294,7 @@
         links,
         hosts,
         in_progress,
-        tasks,
+        duties,
         is_receiver=lambda address: (
             not view.is_large or (view.is_serving and address in view.addresses)
         ),
@@ -316,6 +325,7 @@
         view,
         log,
         tasks,
+        duties,
     )
     speeds = RunnerSpeeds()
     budget = SharedRetryBudget(
@@ -400,6 +410,7 @@
     return GatewayHost(
         settings,
         context,
+        duties,
         follower,
         sync,
         load_updates,
@@ -463,8 +474,7 @@
         await Session(context, host.shutdown, connection).run()
 
     def readiness(request: ReceivedRequest) -> Answer:
-        ready = context.configuration.current and not host.shutdown.is_stopping
-        return (200 if ready else 503), [], b""
+        return (200 if host.sync.own_status().serving else 503), [], b""
 
     def lookup(request: ReceivedRequest) -> Answer:
         zone = wire.lookup_zone(request)
@@ -475,6 +485,7 @@
 
     def exposition(request: ReceivedRequest) -> Answer:
         context.speed_reports.export()
+        host.duties.export()
         return 200, TEXT_HEADERS, metrics.exposition().encode()
 
     def limits() -> CallerLimits:
@@ -487,6 +498,7 @@
         listeners.metrics: connection_handler(
             {
                 METRICS_PATH: exposition,
+                DUTIES_PATH: lambda request: list_duties(host.duties),
                 CRASHES_PATH: lambda request: list_crashes(host.crash_reports),
                 LIFT_PATH: lambda request: lift(host.crash_reports, request),
                 WORKSPACES_PATH: lambda request: list_workspaces(
--- a/src/siskinlever/_internal/daemon/server.py
+++ b/src/siskinlever/_internal/daemon/server.py
@@ -24,6 +24,7 @@
 from ..operators.app import OperatorContext, operators_app
 from ..peers import peer_pb2
 from ..peers.server import Handler, peer_server
+from ..utils.duties import Duties, Duty
 from ..utils.early_signals import EarlySignals
 from ..utils.tasks import task_set
 from .assembly import assemble
@@ -46,17 +47,20 @@
             )
         )
         await host.detector.join()
-        tasks.start(host.detector.run(tasks), "membership")
-        tasks.start(host.follower.run(), "configuration")
-        tasks.start(
-            host.follower.confirm_by_majority(lambda: host.members.has_majority),
+        duties = Duties(tasks, host.metrics, _log_failure)
+        host.detector.start(duties, tasks)
+        duties.start("configuration", host.follower.run)
+        duties.start(
             "majority",
+            lambda: host.follower.confirm_by_majority(
+                lambda: host.members.has_majority
+            ),
         )
-        tasks.start(host.orders.run(tasks), "orders")
-        tasks.start(host.request_home.run(), "request-home")
-        tasks.start(host.admission_home.run(tasks), "admission-home")
-        tasks.start(host.draft_recovery.scan(), "draft-scan")
-        tasks.start(host.draft_recovery.sweep(), "draft-sweep")
+        duties.start("orders", lambda: host.orders.run(tasks))
+        duties.start("request-home", host.request_home.run)
+        host.admission_home.start(duties, tasks)
+        duties.start("draft-scan", host.draft_recovery.scan)
+        duties.start("draft-sweep", host.draft_recovery.sweep)
         await stack.enter_async_context(
             http_server(_operators(host), settings.operators.address, tls)
         )
@@ -92,6 +96,12 @@
         await host.drain()
 
 
+def _log_failure(duty: Duty, error: BaseException) -> None:
+    logging.error(
+        "duty failed name=%s failures=%d", duty.name, duty.failures, exc_info=error
+    )
+
+
 def _log_reload() -> None:
     logging.info("settings that have changed take effect at the next start")
 
--- a/src/siskinlever/_internal/fleet/load_updates.py
+++ b/src/siskinlever/_internal/fleet/load_updates.py
@@ -16,7 +16,7 @@
 from ..models.upstreams import Address
 from ..peers import peer_pb2
 from ..peers.link import Peers
-from ..utils.tasks import TaskSet
+from ..utils.duties import Duties
 from .hosts import HostStatus, HostTable, engine_loads
 from .in_progress import InProgress
 from .messages import from_loads, to_loads
@@ -50,7 +50,7 @@
     peers : Peers
     hosts : HostTable
     in_progress : InProgress
-    tasks : TaskSet
+    duties : Duties
     is_receiver : callable, default=all
         Returns whether the host at an address serves callers, so that it needs to know
         the loads.
@@ -62,14 +62,14 @@
         peers: Peers,
         hosts: HostTable,
         in_progress: InProgress,
-        tasks: TaskSet,
+        duties: Duties,
         is_receiver: Callable[[Address], bool] = lambda address: True,
     ) -> None:
         self._own_status = own_status
         self._peers = peers
         self._hosts = hosts
         self._in_progress = in_progress
-        self._tasks = tasks
+        self._duties = duties
         self._is_receiver = is_receiver
         self._changed_by_address: dict[Address, asyncio.Event] = {}
         in_progress.subscribe(self._mark_changed)
@@ -78,7 +78,9 @@
     def publishing_to(self, address: Address) -> Iterator[None]:
         """Publish changes to the host at an address while the block runs."""
         self._changed_by_address[address] = asyncio.Event()
-        publisher = self._tasks.start(self._publish_changes(address), f"news-{address}")
+        publisher = self._duties.start(
+            "publish-loads", lambda: self._publish_changes(address), address
+        )
         try:
             yield
         finally:
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -17,6 +17,7 @@
 from ..peers.link import Peers
 from ..stages.switching import StageSwitches
 from ..utils.clock import MS_PER_S, monotonic
+from ..utils.duties import Duties
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationInForce
 from .crash_reports import CrashReports
@@ -116,6 +117,7 @@
         Tells with which peers to exchange state often in a large fleet.
     log : LogLines
     tasks : TaskSet
+    duties : Duties
     """
 
     def __init__(
@@ -137,6 +139,7 @@
         view: ServingView,
         log: LogLines,
         tasks: TaskSet,
+        duties: Duties,
     ) -> None:
         self.own_status = own_status
         self._peers = peers
@@ -155,6 +158,7 @@
         self._view = view
         self._log = log
         self._tasks = tasks
+        self._duties = duties
         self._urgent_by_address: dict[Address, asyncio.Event] = {}
         self._called_at_by_address: dict[Address, float] = {}
         # Peers with which state is exchanged often; empty in a small fleet.
@@ -181,7 +185,7 @@
         if address == own or address in self._urgent_by_address:
             return
         self._urgent_by_address[address] = asyncio.Event()
-        self._tasks.start(self._sync_with(address), f"peer-{address}")
+        self._duties.start("peer", lambda: self._sync_with(address), address)
 
     def announce(self) -> None:
         """Exchange state with peers without waiting for their periods to end."""
--- a/src/siskinlever/_internal/membership/detector.py
+++ b/src/siskinlever/_internal/membership/detector.py
@@ -23,6 +23,7 @@
 from ..peers.link import Peers
 from ..timeline.recorder import Recorder
 from ..utils.clock import monotonic
+from ..utils.duties import Duties
 from ..utils.pauses import PauseDetector
 from ..utils.tasks import TaskSet
 from .host_list_follower import HostListFollower
@@ -158,11 +159,14 @@
         """Contact hosts of the host list; call it before accepting any work."""
         await self._host_list.join()
 
-    async def run(self, tasks: TaskSet) -> None:
-        """Run the protocol until cancelled; background work is started in ``tasks``."""
-        tasks.start(self._host_list.run(), "host-list")
-        tasks.start(self._host_list.contact_unknown(), "meet-unknown")
-        tasks.start(self._expire_suspicions(), "suspicions")
+    def start(self, duties: Duties, tasks: TaskSet) -> None:
+        """Run the protocol; single probes are started in ``tasks``."""
+        duties.start("host-list", self._host_list.run)
+        duties.start("meet-unknown", self._host_list.contact_unknown)
+        duties.start("suspicions", self._expire_suspicions)
+        duties.start("membership", lambda: self._probe_in_turn(tasks))
+
+    async def _probe_in_turn(self, tasks: TaskSet) -> None:
         while True:
             for host in self._next_targets():
                 tasks.start(self._probe(host), f"probe-{host}")
--- a/src/siskinlever/_internal/metrics/names.py
+++ b/src/siskinlever/_internal/metrics/names.py
@@ -9,6 +9,8 @@
     "configuration_age_seconds": "Seconds since this host knew it was current.",
     "configuration_generation": "Generation of the configuration in force.",
     "configuration_fetch_failures": "Failed reads of a newer generation at a peer.",
+    "duty_failing_seconds": "Seconds since a duty that isn't kept failed first.",
+    "duty_failures": "Rounds of a duty of this host that ended with an exception.",
     "host_list_failures": "Failed reads of the host list.",
     "keys_refused": "Requests refused for their key, by cause.",
     "members_rejected": "News of members that was not valid.",
--- a/src/siskinlever/_internal/routing/home.py
+++ b/src/siskinlever/_internal/routing/home.py
@@ -28,6 +28,7 @@
 from ..requests.aborts import AbortQueue
 from ..timeline.recorder import Recorder
 from ..utils.clock import MS_PER_S, monotonic
+from ..utils.duties import Duties
 from ..utils.rendezvous import ranked
 from ..utils.tasks import TaskSet
 from .messages import parse_held, parse_request, refusal
@@ -111,10 +112,13 @@
         for state in self._state_by_pool.values():
             state.scheduler.leaving = set(names)
 
-    async def run(self, tasks: TaskSet) -> None:
-        """Decide on waiting requests on every tick until cancelled."""
-        tasks.start(self._monitor.run(tasks), "runner-watch")
-        tasks.start(self._orphans.run(), "orphans")
+    def start(self, duties: Duties, tasks: TaskSet) -> None:
+        """Decide on waiting requests; single calls are started in ``tasks``."""
+        duties.start("runner-watch", lambda: self._monitor.run(tasks))
+        duties.start("orphans", self._orphans.run)
+        duties.start("admission-home", self._decide_on_ticks)
+
+    async def _decide_on_ticks(self) -> None:
         while True:
             now = monotonic()
             for state in self._state_by_pool.values():
--- a/tests/unit/test_load_update_links.py
+++ b/tests/unit/test_load_update_links.py
@@ -11,7 +11,9 @@
 from siskinlever._internal.fleet.hosts import HostStatus
 from siskinlever._internal.fleet.in_progress import InProgress
 from siskinlever._internal.fleet.load_updates import LoadUpdates
+from siskinlever._internal.metrics.registry import Metrics
 from siskinlever._internal.models.upstreams import RunnerKey
+from siskinlever._internal.utils.duties import Duties
 from siskinlever._internal.utils.tasks import task_set
 
 ENGINE = RunnerKey("e-1", 0)
@@ -40,7 +42,8 @@
     """
     in_progress = InProgress()
     async with task_set() as tasks:
-        load_updates = LoadUpdates(lambda: OWN, peers, None, in_progress, tasks)
+        duties = Duties(tasks, Metrics(), lambda duty, error: None)
+        load_updates = LoadUpdates(lambda: OWN, peers, None, in_progress, duties)
         with ExitStack() as stack:
             for number in range(hosts):
                 stack.enter_context(load_updates.publishing_to(f"10.0.0.{number}:2"))
@@ -52,7 +55,7 @@
         with in_progress.decode(ENGINE, 3_000):
             await asyncio.sleep(0.05)
         left = [task.get_name() for task in asyncio.all_tasks()]
-        assert not [name for name in left if name.startswith("news-")]
+        assert not [name for name in left if name.startswith("publish-loads")]
 
 
 async def test_each_host_receives_the_latest_change_in_few_updates():
