Blame requests whose engine crashed before the first token, however long it read

Cause: a run without the head of an answer counted only if it had been sent at most 1 s before the crash. An engine that reads the prompt itself answers with its first token, so that the time of the prefill counted as if the request had been running. The class: evidence that is weighed by when a request was sent, not by when it began to run.

Plain services keep the limit of 1 s: they begin to run a request when it arrives, or it waits.

Looked for elsewhere: the estimates of a runner's speed count from the head of the answer, the prefill's rate from an empty queue.

--- a/src/siskinlever/_internal/dispatch/crash_evidence.py
+++ b/src/siskinlever/_internal/dispatch/crash_evidence.py
@@ -98,7 +98,9 @@
         )
 
 
-def crash_weight(call_s: float, after_head_s: float | None, events: int) -> float:
+def crash_weight(
+    call_s: float, after_head_s: float | None, events: int, reads_prompt: bool
+) -> float:
     """Return how much the crash of its runner counts against a request.
 
     Parameters
@@ -109,9 +111,13 @@
         Seconds from the head of the answer to the crash; None if there was no head.
     events : int
         Complete events of the answer.
+    reads_prompt : bool
+        Whether the runner reads a prompt before the head of the answer. However long
+        that takes, the request begins to run with its first token.
     """
     if after_head_s is None:
-        return UNANSWERED_WEIGHT if call_s <= EARLY_S else 0.0
+        is_early = reads_prompt or call_s <= EARLY_S
+        return UNANSWERED_WEIGHT if is_early else 0.0
     if after_head_s > EARLY_S:
         return 0.0
     return WRITING_WEIGHT if events else BEGUN_WEIGHT
--- a/src/siskinlever/_internal/gateway/crash_detection.py
+++ b/src/siskinlever/_internal/gateway/crash_detection.py
@@ -40,10 +40,13 @@
     Parameters
     ----------
     job : Job
+    reads_prompt : bool
+        Whether the runner reads a prompt before it answers.
     """
 
-    def __init__(self, job: Job) -> None:
+    def __init__(self, job: Job, reads_prompt: bool) -> None:
         self.job = job
+        self._reads_prompt = reads_prompt
         self._sent_at = monotonic()
         self._head_at: float | None = None
         self._answer: Exchange | None = None
@@ -82,7 +85,9 @@
     def crashed(self) -> CrashedRun:
         """Return it as evidence on a crash at this moment."""
         call_s = monotonic() - self._sent_at
-        weight = crash_weight(call_s, self.after_head_s, self.events)
+        weight = crash_weight(
+            call_s, self.after_head_s, self.events, self._reads_prompt
+        )
         return CrashedRun(self.job.id, self.job.traits, weight)
 
 
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -349,7 +349,9 @@
                     tokens = self._requested.prompt_tokens
                     prefill = self._context.in_progress.prefill(runner.key, tokens)
                     prefilling.enter_context(prefill)
-                sending = run_exchange(self._context, runner, call, job)
+                sending = run_exchange(
+                    self._context, runner, call, job, reads_prompt=True
+                )
                 async with sending as answer:
                     # The engine answers when it has prefilled the prompt.
                     prefilling.close()
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -127,7 +127,9 @@
         try:
             with self._context.in_progress.request(runner.key), job.sending(runner.key):
                 sent_at = monotonic()
-                sending = run_exchange(self._context, runner, call, job)
+                sending = run_exchange(
+                    self._context, runner, call, job, reads_prompt=False
+                )
                 async with sending as answer:
                     took_s = monotonic() - sent_at
                     return await self._process_answer(runner, answer, took_s)
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -34,13 +34,18 @@
 
 @asynccontextmanager
 async def run_exchange(
-    context: GatewayContext, runner: Registration, call: Call, job: Job
+    context: GatewayContext,
+    runner: Registration,
+    call: Call,
+    job: Job,
+    reads_prompt: bool,
 ) -> AsyncIterator[Exchange]:
     """Send a caller's request to a runner that is to run it, as `request_exchange`.
 
-    How it ends is evidence on what crashes runners.
+    How it ends is evidence on what crashes runners, depending on whether the runner
+    reads a prompt before it answers.
     """
-    run = RunUnderWay(job)
+    run = RunUnderWay(job, reads_prompt)
     try:
         async with request_exchange(context, runner, call, job) as answer:
             run.note_head(answer)
--- a/src/siskinlever_testbed/crash_model.py
+++ b/src/siskinlever_testbed/crash_model.py
@@ -1,13 +1,15 @@
 """Simulates days with crashes and prints what the record of their causes costs.
 
 Usage:
-  crash_model [--days=N] [--seed=N] [--causes=NAMES] [--ways=NAMES]
+  crash_model [--days=N] [--seed=N] [--causes=NAMES] [--ways=NAMES] [--prefill=S]
 
 Options:
   --days=N        Days of each cause [default: 500].
   --seed=N        Seed of the first day [default: 1].
   --causes=NAMES  Comma-separated list; all by default.
   --ways=NAMES    Ways to decide, comma-separated; all by default.
+  --prefill=S     Most seconds for which an engine reads a prompt before it writes the
+                  first event of the answer [default: 0].
 
 All hosts count as one: what the exchange between them costs isn't simulated.
 """
@@ -110,6 +112,8 @@
     is_bad: bool
     retries: int
     began_at: float = 0.0
+    # Seconds from then until the head of the answer.
+    prefill_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -132,11 +136,15 @@
     seed : int
     find : callable
         The way to find causes.
+    max_prefill_s : float, default=0.0
     """
 
-    def __init__(self, cause: Cause, seed: int, find: FindCauses) -> None:
+    def __init__(
+        self, cause: Cause, seed: int, find: FindCauses, max_prefill_s: float = 0.0
+    ) -> None:
         self._random = random.Random(seed)
         self._cause = cause
+        self._max_prefill_s = max_prefill_s
         self.time = 0.0
         self.outcome = Outcome()
         self._causes = CrashCauses(
@@ -213,13 +221,16 @@
             return
         runner = min(up, key=lambda r: (len(self._runs_by_runner[r]), r))
         request.began_at = self.time
+        if self._max_prefill_s:
+            request.prefill_s = self._random.uniform(0, self._max_prefill_s)
         self._runs_by_runner[runner].append(request)
         born = self._born_by_runner[runner]
         if request.is_bad:
             delay_s = self._random.uniform(*CRASH_DELAY_S)
-            self._at(self.time + delay_s, lambda: self._crash(runner, born, True))
+            crash_at = self.time + request.prefill_s + delay_s
+            self._at(crash_at, lambda: self._crash(runner, born, True))
         else:
-            run_s = self._random.expovariate(1 / MEAN_RUN_S)
+            run_s = request.prefill_s + self._random.expovariate(1 / MEAN_RUN_S)
             self._at(self.time + run_s, lambda: self._finish(runner, born, request))
 
     def _finish(self, runner: int, born: int, request: Request) -> None:
@@ -251,10 +262,14 @@
         crashed = []
         for number, run in enumerate(runs):
             age_s = self.time - run.began_at
-            events = int(age_s / FIRST_EVENT_S)
-            if age_s > crash_evidence.SURVIVED_S:
+            # A crash comes with the first event, before the head of the answer.
+            is_before_head = run.is_bad and self._max_prefill_s > 0
+            head_s = age_s - run.prefill_s
+            after_head_s = None if is_before_head or head_s < 0 else head_s
+            events = int(max(0.0, head_s) / FIRST_EVENT_S)
+            if head_s > crash_evidence.SURVIVED_S:
                 self._causes.note_whole(run.traits)
-            elif weight := crash_weight(age_s, age_s, events):
+            elif weight := crash_weight(age_s, after_head_s, events, True):
                 crashed.append(CrashedRun(str(number), run.traits, weight))
             if run.retries:
                 again = Request(run.traits, run.is_bad, run.retries - 1)
@@ -287,11 +302,14 @@
         print(f"unknown: {sorted(unknown)}", file=sys.stderr)
         return 2
     days, seed = int(options["--days"]), int(options["--seed"])
+    prefill_s = float(options["--prefill"])
     print("way,cause,days,days_with_sound_refused,sound_served,median,p99,most_late")
     for way in ways:
         for name in names:
             outcomes = [
-                Day(CAUSE_BY_NAME[name], seed + number, FIND_BY_WAY[way]).run()
+                Day(
+                    CAUSE_BY_NAME[name], seed + number, FIND_BY_WAY[way], prefill_s
+                ).run()
                 for number in range(days)
             ]
             print(_row(way, name, outcomes), flush=True)
--- a/src/siskinlever_testbed/standins/platform/runner.py
+++ b/src/siskinlever_testbed/standins/platform/runner.py
@@ -98,6 +98,9 @@
     # Whether a request crashes the process that begins to run it, and after how long.
     crashes_on: Callable[[Request], bool] | None = None
     crash_delay_s: float = 0.05
+    # Milliseconds for which an engine reads each token of a prompt before the head of
+    # its answer. A request that crashes it then does so before the head.
+    read_ms_per_token: float = 0.0
     process: RunnerProcess = field(init=False)
     # Events of the streams with which a plain service answers; None for whole bodies.
     events: int | None = None
@@ -342,6 +345,10 @@
             ("Content-Type", "text/event-stream"),
             *([("Transfer-Encoding", "chunked")] if has_chunks else []),
         ]
+        if self.read_ms_per_token:
+            await asyncio.sleep(request.token_usage[0] * self.read_ms_per_token / 1000)
+            if await self._crash(request):
+                return
         writer.write(raw_http.encode_head(200, head))
         if await self._crash(request):
             return
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -55,7 +55,7 @@
         while True:
             await asyncio.sleep(REGISTRATION_PERIOD_S)
             for runner in world.runners:
-                if runner.process.is_up:
+                if runner.process.is_up and runner.name not in world.deregistered:
                     world.store.put(f"servers/{runner.name}", runner.entry())
 
     async with platform_world(log_path, hosts=HOSTS) as world:
@@ -117,8 +117,9 @@
     crashes: int,
     send_bad: Callable[[Load], None],
     send_sound: Callable[[Load], None],
+    after_s: float = 1.0,
 ) -> tuple[int, list[Answer]]:
-    """Send bad and sound requests until a second after the bound.
+    """Send bad and sound requests until some seconds after the bound.
 
     Parameters
     ----------
@@ -130,6 +131,8 @@
         `CONTACT_S`.
     send_bad, send_sound : callable
         Send one request each.
+    after_s : float, default=1.0
+        Seconds after the bound.
 
     Returns
     -------
@@ -142,7 +145,7 @@
         runner.crashes_on = is_bad
     bad, sound = Load(world, "bad"), Load(world, "sound")
     bound, ends_at = math.inf, time.monotonic() + MAX_PLAY_S
-    while (now := time.monotonic()) < bound + 1:
+    while (now := time.monotonic()) < bound + after_s:
         assert now < ends_at, "the bad requests crash no runner, or never stop"
         if crashed_at := crash_times(world)[:crashes]:
             bound = crashed_at[-1] + CONTACT_S
@@ -208,6 +211,42 @@
     assert failures(sound_answers) == []
 
 
+@pytest.mark.parametrize(
+    ("crashes", "is_bad", "prompt"),
+    [
+        (PART_CRASHES, has_bad_part, "first:40,bad:30"),
+        (REQUEST_CRASHES, lambda request: request.body == b"bad", "first:40"),
+    ],
+    ids=["part", "request"],
+)
+async def test_request_that_crashes_engines_after_a_long_prefill_there_is_refused(
+    log_path, crashes, is_bad, prompt
+):
+    def send_bad(bad: Load) -> None:
+        if bad.tasks and not bad.tasks[-1].done():
+            # One at a time, so that none was sent shortly before a crash.
+            return
+        headers = {"Token-Usage": "20000,70", "Prompt-Prefix": f"{prompt},own:30"}
+        bad.send("/stream/x", b"bad", GENERATION | headers)
+
+    async with crashing_world(log_path) as world:
+        # Without a prefill engine, decode engines read the prompts.
+        world.deregister(world.runner_named("e-1"))
+        for name in ("e-2", "e-3"):
+            world.runner_named(name).read_ms_per_token = 0.07
+        late, _ = await play_past_bound(
+            world,
+            is_bad,
+            crashes,
+            send_bad,
+            lambda sound: sound.send_prompt(
+                f"first:40,session{len(sound.tasks) % 4}:30"
+            ),
+            after_s=10.0,
+        )
+    assert late <= MAX_LATE_REQUESTS
+
+
 async def test_request_that_waits_for_capacity_when_its_part_is_barred_is_refused(
     log_path,
 ):
--- a/tests/unit/test_crash_causes.py
+++ b/tests/unit/test_crash_causes.py
@@ -228,18 +228,24 @@
 
 
 @pytest.mark.parametrize(
-    ("call_s", "after_head_s", "events", "weight"),
+    ("call_s", "after_head_s", "events", "reads_prompt", "weight"),
     [
-        (0.3, 0.1, 0, STRONG),
-        (0.3, 0.1, 3, WEAK),
-        (1.5, 1.1, 0, 0.0),
-        (4.0, 3.9, 80, 0.0),
-        (0.1, None, 0, crash_evidence.UNANSWERED_WEIGHT),
-        (1.1, None, 0, 0.0),
+        (0.3, 0.1, 0, False, STRONG),
+        (0.3, 0.1, 3, False, WEAK),
+        (1.5, 1.1, 0, False, 0.0),
+        (4.0, 3.9, 80, False, 0.0),
+        (1.5, 1.1, 0, True, 0.0),
+        (4.0, 3.9, 80, True, 0.0),
+        (0.1, None, 0, False, crash_evidence.UNANSWERED_WEIGHT),
+        (1.1, None, 0, False, 0.0),
+        (0.1, None, 0, True, crash_evidence.UNANSWERED_WEIGHT),
+        (9.0, None, 0, True, crash_evidence.UNANSWERED_WEIGHT),
     ],
 )
-def test_only_runs_that_had_just_begun_are_blamed(call_s, after_head_s, events, weight):
-    assert crash_weight(call_s, after_head_s, events) == weight
+def test_only_runs_that_had_just_begun_are_blamed(
+    call_s, after_head_s, events, reads_prompt, weight
+):
+    assert crash_weight(call_s, after_head_s, events, reads_prompt) == weight
 
 
 def test_request_is_barred_after_three_crashes_though_it_had_no_answer(fleet):
