Check right before each send what the choice of its runner relied on

Cause: the engine was chosen before the prefill, which took 2.9 s, and wasn't checked again.

Change: check_before_send checks the runner's state and stage, its pause and the key, at request_exchange and once the connection is open, for plain requests, prefills and decodes alike; no send of a request goes round it. A prompt whose decode engine has left goes to another one of its version, which takes over the KV cache; nothing is charged for what wasn't sent, and the reservation is released.

--- a/src/siskinlever/_internal/exceptions.py
+++ b/src/siskinlever/_internal/exceptions.py
@@ -172,6 +172,10 @@
     """Raised when a runner has asked this host for a pause."""
 
 
+class RunnerLeftError(NotSentError):
+    """Raised when a runner that was chosen may no longer get requests."""
+
+
 class KeyRefusedError(NotSentError):
     """Raised when the key of a request may no longer be used."""
 
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -15,6 +15,7 @@
     ExchangeError,
     InvalidRecordError,
     KeyRefusedError,
+    RunnerLeftError,
     RunnerPausedError,
 )
 from ..fleet.stream_versions import stream_id
@@ -27,7 +28,7 @@
 from . import engine_calls
 from .capacity import CapacitySearch, ReservedCapacity
 from .context import GatewayContext
-from .errors import EndedError, EndReason, failed, limited, refused
+from .errors import UNSENT_REASONS, EndedError, EndReason, failed, limited, refused
 from .job import Job
 from .quota import charge_first_send
 from .relay import PlainRelay, StreamRelay
@@ -151,13 +152,13 @@
             async with self._search.reserve(
                 self._failed_engines, self._version
             ) as capacity:
-                failure = await self._attempt(capacity)
+                runner, failure = await self._attempt(capacity)
             if failure is None:
-                return capacity.runner.key.name
+                return runner.key.name
             if failure.reason is not EndReason.LIMITED:
-                self._failed_engines.add(capacity.runner.key)
+                self._failed_engines.add(runner.key)
             if self._relay.started:
-                self._version = capacity.runner.version
+                self._version = runner.version
             if not self._may_retry(failure):
                 if self._relay.started:
                     raise AnswerBrokenError(failure.message)
@@ -168,28 +169,44 @@
             self._context.log.write(
                 "request.resent",
                 self._job.id,
-                runner=capacity.runner.key.name,
+                runner=runner.key.name,
                 reason=failure.reason.value,
                 after_event=self._relay.last_event,
                 runners=len(self._job.sent_to),
             )
 
-    async def _attempt(self, capacity: ReservedCapacity) -> EndedError | None:
-        """Prefill and decode at one decode engine; return the failure, or None."""
+    async def _attempt(
+        self, capacity: ReservedCapacity
+    ) -> tuple[Registration, EndedError | None]:
+        """Prefill and decode; return the decode engine and the failure, or None.
+
+        The decode engine is another one than that of the reservation if that has left
+        during the prefill.
+        """
         await charge_first_send(self._context, self._job)
-        async with self._prompt_kv_cache(capacity.runner) as source:
+        runner = capacity.runner
+        async with self._prompt_kv_cache(runner) as source:
             failure = await self._decode(capacity, source)
-        if (
-            failure is not None
-            and failure.reason is EndReason.REJECTED
-            and source is not None
-            and self._context.limits.take(capacity.runner.key)
+            if failure is None or source is None:
+                return runner, failure
+            if failure.reason is EndReason.LEFT:
+                self._failed_engines.add(runner.key)
+                return await self._decode_elsewhere(source, runner.version)
+        if failure.reason is EndReason.REJECTED and self._context.limits.take(
+            runner.key
         ):
             capacity.counted_at = monotonic()
             # The KV cache of the prompt may have been lost before the decode engine
             # fetched it, so the decode engine repeats the prefill itself.
             failure = await self._decode(capacity, None)
-        return failure
+        return runner, failure
+
+    async def _decode_elsewhere(
+        self, source: str, version: SoftwareVersion
+    ) -> tuple[Registration, EndedError | None]:
+        """Decode from a prompt's KV cache at an engine that is yet to be chosen."""
+        async with self._search.reserve(self._failed_engines, version) as capacity:
+            return capacity.runner, await self._decode(capacity, source)
 
     @asynccontextmanager
     async def _prompt_kv_cache(self, decode: Registration) -> AsyncIterator[str | None]:
@@ -278,7 +295,7 @@
                 return wire.prefill_handle(body)
             self._placement.failures.note(runner.key)
             reason = f"status {answer.head.status}"
-        except (RunnerPausedError, KeyRefusedError) as error:
+        except (RunnerLeftError, RunnerPausedError, KeyRefusedError) as error:
             has_arrived = False
             reason = error.message
         except ConnectFailedError as error:
@@ -356,6 +373,10 @@
                     # The engine answers when it has prefilled the prompt.
                     prefilling.close()
                     return await self._process_answer(runner, answer)
+        except RunnerLeftError as error:
+            # It is released with the block that holds it.
+            capacity.hold = options.hold
+            return refused(EndReason.LEFT, error.message, FAILED_RETRY_S)
         except (RunnerPausedError, KeyRefusedError) as error:
             return refused(EndReason.REJECTED, error.message, FAILED_RETRY_S)
         except ConnectFailedError as error:
@@ -437,7 +458,7 @@
         if self._connection.answer_started and not self._relay.started:
             # Part of an answer that is no stream was sent.
             return False
-        if failure.reason is EndReason.UNREACHABLE:
+        if failure.reason in UNSENT_REASONS:
             return True
         if job.may_have_run and not route.repeatable:
             return False
--- a/src/siskinlever/_internal/gateway/plain.py
+++ b/src/siskinlever/_internal/gateway/plain.py
@@ -8,6 +8,7 @@
     AnswerBrokenError,
     ConnectFailedError,
     KeyRefusedError,
+    RunnerLeftError,
     RunnerPausedError,
 )
 from ..models.upstreams import Registration, RunnerKey
@@ -16,7 +17,7 @@
 from ..platform import wire
 from ..utils.clock import monotonic
 from .context import GatewayContext
-from .errors import EndedError, EndReason, failed, limited, refused
+from .errors import UNSENT_REASONS, EndedError, EndReason, failed, limited, refused
 from .job import Job
 from .quota import charge_first_send
 from .relay import PlainRelay, StreamRelay
@@ -133,6 +134,8 @@
                 async with sending as answer:
                     took_s = monotonic() - sent_at
                     return await self._process_answer(runner, answer, took_s)
+        except RunnerLeftError as error:
+            return refused(EndReason.LEFT, error.message, RETRY_AFTER_S)
         except (RunnerPausedError, KeyRefusedError) as error:
             return refused(EndReason.REJECTED, error.message, RETRY_AFTER_S)
         except ConnectFailedError as error:
@@ -186,7 +189,7 @@
         job, route = self._job, self._job.route
         if self._connection.answer_started or job.time_left_s <= 0:
             return False
-        if failure.reason is EndReason.UNREACHABLE:
+        if failure.reason in UNSENT_REASONS:
             return self._connect_failures < MAX_CONNECT_FAILURES
         if job.may_have_run and not route.repeatable:
             return False
--- a/src/siskinlever/_internal/gateway/runner_calls.py
+++ b/src/siskinlever/_internal/gateway/runner_calls.py
@@ -14,6 +14,7 @@
     AnswerBrokenError,
     NotSentError,
     PeerError,
+    RunnerLeftError,
     RunnerPausedError,
 )
 from ..fleet.messages import to_runner
@@ -64,13 +65,15 @@
 
     Raises
     ------
+    RunnerLeftError
+        Raised when the runner may no longer get requests; nothing was sent.
     RunnerPausedError
         Raised when the runner wants no requests now; nothing was sent.
     KeyRefusedError
         Raised when the caller's key may no longer be used; nothing was sent.
     ConnectFailedError, AnswerBrokenError
     """
-    _check_pause(context, runner)
+    check_before_send(context, runner, job)
     began_at = monotonic()
     opened = await open_connection(context, runner, job.time_left_s)
     if opened.helper is not None:
@@ -136,11 +139,11 @@
 ) -> AsyncIterator[Exchange]:
     fields: dict[str, str | int | float] = {}
     try:
-        # Another answer may have asked for a pause while the connection was opened, and
-        # the key may have been taken away.
-        _check_pause(context, runner)
-        if job is not None:
-            context.keys.check_before_send(job)
+        if job is None:
+            _check_pause(context, runner)
+        else:
+            # Much may have changed while the connection was opened.
+            check_before_send(context, runner, job)
     except NotSentError:
         opened.connection.close()
         raise
@@ -202,6 +205,30 @@
     )
 
 
+def check_before_send(context: GatewayContext, runner: Registration, job: Job) -> None:
+    """Check all that a choice relied on and that may have changed since.
+
+    Called right before each send of a caller's request: between the choice of a runner
+    and the send lie waits for capacity, quotas, a prefill and a connection.
+
+    Raises
+    ------
+    RunnerLeftError
+        Raised when the runner leaves, has left or changed its stage.
+    RunnerPausedError
+        Raised when the runner wants no requests now.
+    KeyRefusedError
+        Raised when the caller's key may no longer be used.
+    """
+    known = context.runners.by_key.get(runner.key)
+    if known is None or not context.runners.is_usable(runner.key):
+        raise RunnerLeftError(f"{runner.key.name} leaves or has left")
+    if known.registration.stage is not runner.stage:
+        raise RunnerLeftError(f"{runner.key.name} has changed its stage")
+    _check_pause(context, runner)
+    context.keys.check_before_send(job)
+
+
 def _check_pause(context: GatewayContext, runner: Registration) -> None:
     if context.limits.are_paused([runner.key]):
         raise RunnerPausedError(f"{runner.key.name} wants no requests for now")
