Log the age of a proof rounded up to milliseconds

The line rounded to the nearest millisecond, so that 2.2504 s reads as the limit of 2.25 s itself; the refusal was right. The unit test shows the rounding. The check prints the ages now and is as strict as before, and fails as well if there is no line.

--- a/src/siskinlever/_internal/gateway/key_checks.py
+++ b/src/siskinlever/_internal/gateway/key_checks.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import math
+
 from ..dispatch.authorization import Decision, Verdict, decide
 from ..exceptions import KeyRefusedError
 from ..fleet.configuration import MAX_CONFIRMATION_AGE_S, ConfigurationInForce
 from ..metrics.registry import Metrics
 from ..models.host_settings import KeyBounds
 from ..models.workspaces import CallerIdentity
+from ..utils.clock import MS_PER_S
 from .errors import EndedError, EndReason, refused, unauthorized
 from .job import Job
 
 # Retry-After in seconds while it isn't certain whether a key is valid. A host with a
 # path to the store, or to a host that has one, gets a new proof within 1.1 s.
 UNCERTAIN_RETRY_S = 0.7
+MAX_LOGGED_AGE_S = 1e9
 REASON_BY_DECISION = {
     Decision.UNAUTHORIZED: EndReason.UNAUTHORIZED,
     Decision.KEY_UNCERTAIN: EndReason.KEY_UNCERTAIN,
@@ -22,6 +26,15 @@
 KEY_REASONS = frozenset(REASON_BY_DECISION.values())
 
 
+def logged_age_s(age_s: float) -> float:
+    """Return an age for the log, in whole milliseconds.
+
+    It is rounded up, so that an age over a limit doesn't read as equal to it. An
+    infinite age, which has no representation in JSON, becomes a very large one.
+    """
+    return math.ceil(min(age_s, MAX_LOGGED_AGE_S) * MS_PER_S) / MS_PER_S
+
+
 class KeyChecks:
     """Applies the decisions of `dispatch.authorization` to requests.
 
@@ -92,8 +105,7 @@
         age_s = self._configuration.proof_age_s
         job.log_fields["key_state"] = verdict.key.value
         job.log_fields["confirmation"] = verdict.confirmation.value
-        # An infinite age has no representation in JSON.
-        job.log_fields["proof_age_s"] = round(min(age_s, 1e9), 3)
+        job.log_fields["proof_age_s"] = logged_age_s(age_s)
         version = self._configuration.version
         if verdict.decision is Decision.UNAUTHORIZED:
             return unauthorized(f"no workspace of version {version} has this key")
--- a/tests/functional/test_workspace_keys.py
+++ b/tests/functional/test_workspace_keys.py
@@ -188,7 +188,8 @@
     assert {line["outcome"] for line in lines} == {"proof_too_old", "key_uncertain"}
     old = [line for line in lines if line["outcome"] == "proof_too_old"]
     assert all(line["workspace"] == "acme" for line in old)
-    assert all(line["proof_age_s"] > REVOKE_S - 0.25 for line in old)
+    ages = sorted(line["proof_age_s"] for line in old)
+    assert ages[0] > REVOKE_S - 0.25, ages
 
 
 async def test_host_without_store_keeps_its_proof_through_its_peers(log_path):
--- a/tests/unit/test_authorization.py
+++ b/tests/unit/test_authorization.py
@@ -19,6 +19,7 @@
 from siskinlever._internal.fleet.configuration import MAX_CONFIRMATION_AGE_S
 from siskinlever._internal.fleet.stream_versions import stream_id
 from siskinlever._internal.gateway.job import new_job
+from siskinlever._internal.gateway.key_checks import logged_age_s
 from siskinlever._internal.models.host_settings import KeyBounds
 from siskinlever._internal.models.routes import RequestKind, Route, ServiceShare
 from siskinlever._internal.models.upstreams import RunnerKey
@@ -201,3 +202,11 @@
     assert stream_id("a", names[3]) == stream_id("a", names[1])
     # Evidence on what crashes runners counts for all of them.
     assert len({job.part_traits for job in jobs}) == 1
+
+
+@pytest.mark.parametrize("limit_s", [2.25, 4.75])
+def test_age_just_over_a_limit_is_not_logged_as_equal_to_it(limit_s):
+    over_s = limit_s + 0.0004
+    assert round(over_s, 3) == limit_s
+    assert limit_s < logged_age_s(over_s) <= over_s + 0.001
+    assert logged_age_s(math.inf) < math.inf
