--- a/src/siskinlever_testbed/standins/platform/store.py
+++ b/src/siskinlever_testbed/standins/platform/store.py
@@ -88,6 +88,9 @@
     # Value of the Store-Era header in all answers; None to omit it.
     era: int | None = None
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
+    # Connections of calls that wait for an answer, and those of them that get none.
+    _in_flight: set[asyncio.Transport] = field(default_factory=set)
+    _silent: set[asyncio.Transport] = field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -110,6 +113,10 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def silence(self) -> None:
+        """Answer nothing more on the connections that are open."""
+        self._silent |= self._in_flight
+
     def snapshot(self) -> Snapshot:
         """Return a copy that `restore` accepts."""
         return Snapshot(
@@ -205,7 +212,14 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             return _reset(request)
-        response = await handler(request)
+        connection = request.transport
+        self._in_flight.add(connection)
+        try:
+            response = await handler(request)
+        finally:
+            self._in_flight.discard(connection)
+        if connection in self._silent:
+            await asyncio.sleep(3600)
         if self.era is not None:
             response.headers["Store-Era"] = str(self.era)
         if fault is StoreFault.LOSE_ANSWERS and is_write:
