--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -155,17 +155,33 @@
                 self._log.write("store.history_lost", revision=revision)
                 revision = 0
             except PlatformError as error:
-                retry_s = RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S
-                if revision:
-                    # It may have hidden a change. The read that follows waits only if
-                    # the store has cut the watch at once.
-                    self.link.record_lost_watch(error, requested_at)
-                    pause_s = _with_jitter(retry_s) - (monotonic() - requested_at)
-                    revision = 0
-                else:
-                    self.link.record_failure(error, requested_at, "read-configuration")
-                    pause_s = retries.next_pause_s(retry_s)
-                await asyncio.sleep(max(0.0, pause_s))
+                is_watch = revision > 0
+                pause_s = self._note_failure(error, requested_at, is_watch, retries)
+                # A watch may have hidden a change, so the next call is a read.
+                revision = 0
+                await asyncio.sleep(pause_s)
+
+    def _note_failure(
+        self,
+        error: PlatformError,
+        requested_at: float,
+        is_watch: bool,
+        retries: _Retries,
+    ) -> float:
+        """Record a call for the configuration that failed.
+
+        Returns
+        -------
+        pause_s : float
+            Seconds until the next call. After a watch there is a pause only if the
+            store has cut it at once.
+        """
+        retry_s = RETRY_S if self._is_reader() else OWN_PROOF_RETRY_S
+        if is_watch:
+            self.link.record_lost_watch(error, requested_at)
+            return max(0.0, _with_jitter(retry_s) - (monotonic() - requested_at))
+        self.link.record_failure(error, requested_at, "read-configuration")
+        return retries.next_pause_s(retry_s)
 
     def _needs_own_proof(self) -> bool:
         """Return whether the proofs of other hosts don't reach this one."""
