Count the sockets that tests leave open by module

The fixture of failed two tests of a whole run (21 and 100 descriptors): the tests of a module may share a fleet, whose client keeps connections open for the next test. Each test may leave 16 descriptors that are no sockets, and each module 16 of any kind once its fixtures are closed. A test that leaves 20 files fails, and so does a module that leaves 20 sockets (tried with a file of two such tests).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,12 @@
 import os
 import time
 from collections.abc import AsyncIterator, Callable, Generator, Iterator
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    contextmanager,
+    suppress,
+)
 from pathlib import Path
 
 import pytest
@@ -40,20 +45,42 @@
     assert left is time, "the test has left a virtual clock in place"
 
 
-def open_descriptors() -> int:
+def open_descriptors(with_sockets: bool = True) -> int:
     """Return the number of descriptors that this process has open."""
-    return len(os.listdir("/proc/self/fd"))
+    found = 0
+    for name in os.listdir("/proc/self/fd"):
+        with suppress(FileNotFoundError):
+            target = os.readlink(f"/proc/self/fd/{name}")
+            found += with_sockets or not target.startswith("socket:")
+    return found
+
+
+@contextmanager
+def closing_descriptors(owner: str, with_sockets: bool) -> Iterator[None]:
+    """Fail if many descriptors are left open after the block."""
+    before = open_descriptors(with_sockets)
+    yield
+    if open_descriptors(with_sockets) - before > MAX_LEFT_DESCRIPTORS:
+        gc.collect()
+        left = open_descriptors(with_sockets) - before
+        assert left <= MAX_LEFT_DESCRIPTORS, f"{owner} has left {left} descriptors"
+
+
+@pytest.fixture(scope="module", autouse=True)
+def descriptors_closed_by_module(process_waits: ProcessWaits) -> Iterator[None]:
+    """Fail the last test of a module that leaves many descriptors open."""
+    with closing_descriptors("the module", with_sockets=True):
+        yield
 
 
 @pytest.fixture(autouse=True)
-def closed_descriptors(process_waits: ProcessWaits) -> Iterator[None]:
-    """Fail a test that leaves many descriptors open."""
-    before = open_descriptors()
-    yield
-    if open_descriptors() - before > MAX_LEFT_DESCRIPTORS:
-        gc.collect()
-        left = open_descriptors() - before
-        assert left <= MAX_LEFT_DESCRIPTORS, f"the test has left {left} descriptors"
+def descriptors_closed_by_test(process_waits: ProcessWaits) -> Iterator[None]:
+    """Fail a test that leaves many descriptors open.
+
+    Sockets count for the module: its tests may share a fleet and its connections.
+    """
+    with closing_descriptors("the test", with_sockets=False):
+        yield
 
 
 @pytest.fixture
