Call a store that forgets its history no more often than one that refuses

A store that forgets the history of each revision at once was read and watched without a pause: 7 hosts made 16,543 calls in 10 s on a virtual clock, each of which is priced, and 429 follows beyond the store's rate.

--- a/src/siskinlever/_internal/fleet/store_follower.py
+++ b/src/siskinlever/_internal/fleet/store_follower.py
@@ -135,6 +135,7 @@
     async def follow_configuration(self) -> None:
         """Keep the configuration up to date until cancelled."""
         revision = era = 0
+        history_lost_at = float("-inf")
         retries = _Retries()
         while True:
             requested_at, called_at = monotonic(), self._configuration.now()
@@ -154,6 +155,10 @@
             except HistoryLostError:
                 self._log.write("store.history_lost", revision=revision)
                 revision = 0
+                # The first loss is followed by a read at once.
+                pause_s = history_lost_at + _with_jitter(RETRY_S) - monotonic()
+                await asyncio.sleep(max(0.0, pause_s))
+                history_lost_at = monotonic()
             except PlatformError as error:
                 is_watch = revision > 0
                 pause_s = self._note_failure(error, requested_at, is_watch, retries)
--- a/tests/lib/memory_store.py
+++ b/tests/lib/memory_store.py
@@ -30,6 +30,8 @@
         Whether calls get 503.
     refused_paths : set of str
         Paths of calls that get 429.
+    forgets : bool
+        Whether the history of each revision is lost.
     watch_cut : callable or None
         Returns after how many seconds the next watch is cut; None to cut none.
     call_s : float
@@ -43,6 +45,7 @@
         self.era: int | None = None
         self.is_down = False
         self.refused_paths: set[str] = set()
+        self.forgets = False
         self.watch_cut: Callable[[], float] | None = None
         self.call_s = CALL_S
         self.calls: list[str] = []
@@ -134,7 +137,7 @@
     async def _watch(self, query: dict[str, str]) -> tuple[AnswerHead, bytes]:
         after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000
         cut_s = self.watch_cut() if self.watch_cut else NEVER_S
-        if after > self.revision:
+        if after > self.revision or self.forgets:
             return self._head(410), b""
         try:
             async with asyncio.timeout(min(wait_s, cut_s)):
--- a/tests/unit/test_store_timing.py
+++ b/tests/unit/test_store_timing.py
@@ -106,6 +106,18 @@
         assert all(host.uses("r-2") for host in fleet.hosts)
 
 
+def test_store_that_forgets_its_history_at_once_is_not_called_often():
+    with following_fleet(0, HOSTS) as fleet:
+        fleet.loop.advance_time(OUTAGE_RECOVERY_S)
+        fleet.store.forgets = True
+        calls = len(fleet.store.calls)
+        fleet.loop.advance_time(10.0)
+        assert len(fleet.store.calls) - calls <= HOSTS * 10.0 * 2 * 2 / 0.25
+        fleet.apply(2)
+        taken_s = fleet.seconds_until(lambda: fleet.versions() == [2] * HOSTS, LIMIT_S)
+        assert taken_s <= CONFIG_APPLY_S
+
+
 @pytest.mark.parametrize("path", ["/kv-range", "/kv-watch"])
 def test_calls_that_the_store_refuses_are_not_repeated_often(path):
     with following_fleet(0, HOSTS) as fleet:
