--- a/src/siskinlever/_internal/daemon/gateway.py
+++ b/src/siskinlever/_internal/daemon/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import signal
 import time
 from collections.abc import AsyncIterator, Callable
@@ -22,6 +21,12 @@
 from ..fleet.configuration import ConfigurationInForce
 from ..fleet.crash_reports import CrashReports
 from ..fleet.demand import DemandMeter
+from ..fleet.host_sets import (
+    budget_hosts,
+    other_servers,
+    sending_hosts,
+    serving_hosts,
+)
 from ..fleet.hosts import HostStatus, HostTable
 from ..fleet.in_progress import InProgress
 from ..fleet.load_updates import LoadUpdates
@@ -51,7 +56,7 @@
 from ..logs.lines import STANDARD_OUTPUT, LogLines, log_lines
 from ..metrics.registry import Metrics
 from ..models.host_settings import HostSettings
-from ..models.ids import HostName, Incarnation
+from ..models.ids import Incarnation
 from ..models.routes import CallerLimits
 from ..network.http1_server import (
     BodyBuffers,
@@ -89,9 +94,6 @@
     BODY_MEMORY_SHARE: 150_000_000,
     CALLER_DESCRIPTOR_SHARE: 4_096,
 }
-# The retry budget is divided among at least this many hosts, so that a host that has
-# not yet discovered the others does not use their shares.
-MIN_BUDGET_HOSTS = 8
 
 
 @dataclass(slots=True)
@@ -285,7 +287,7 @@
     )
     limits = RunnerLimits(
         settings.host,
-        lambda: _sending_hosts(view, hosts, follower.registered_hosts),
+        lambda: sending_hosts(view, hosts, follower.registered_hosts),
         log,
         metrics,
     )
@@ -301,7 +303,7 @@
     )
     crash_reports = CrashReports(
         CrashCauses(),
-        lambda: _other_servers(view, hosts),
+        lambda: other_servers(view, hosts),
         links,
         log,
         metrics,
@@ -330,7 +332,7 @@
     speeds = RunnerSpeeds()
     budget = SharedRetryBudget(
         settings.bounds.retry,
-        lambda: _budget_hosts(view, hosts),
+        lambda: budget_hosts(view, hosts),
         settings.is_first_start,
     )
     context = GatewayContext(
@@ -344,15 +346,15 @@
         unreachable_runners=unreachable_runners,
         runner_paths=runner_paths,
         peers=links,
-        other_servers=lambda: _other_servers(view, hosts),
+        other_servers=lambda: other_servers(view, hosts),
         retry_budget=budget,
         limits=limits,
         allowances=AllowanceExchange(
             settings.host,
             settings.bounds.allowance,
-            lambda: _serving_hosts(view, hosts, own_status()),
-            lambda: _sending_hosts(view, hosts, follower.registered_hosts),
-            lambda: _other_servers(view, hosts),
+            lambda: serving_hosts(view, hosts, own_status()),
+            lambda: sending_hosts(view, hosts, follower.registered_hosts),
+            lambda: other_servers(view, hosts),
             configuration,
             links,
             log,
@@ -368,7 +370,7 @@
             tasks,
         ),
         stream_versions=StreamVersions(
-            settings.host, lambda: _other_servers(view, hosts), links, log, tasks
+            settings.host, lambda: other_servers(view, hosts), links, log, tasks
         ),
         stored_streams=StoredStreams(
             settings.host,
@@ -425,47 +427,6 @@
     )
 
 
-def _budget_hosts(view: ServingView, hosts: HostTable) -> float:
-    """Return the number of hosts among which the extra retries are divided.
-
-    In a large fleet, hosts outside the serving set have no share, and half of the
-    budget is left for hosts that replace others, whose shares may be spent.
-    """
-    if not view.is_large or not view.serving:
-        return max(MIN_BUDGET_HOSTS, 1 + len(hosts.by_host))
-    return 2 * len(view.serving) if view.is_serving else math.inf
-
-
-def _sending_hosts(
-    view: ServingView, hosts: HostTable, registered: frozenset[HostName]
-) -> frozenset[HostName]:
-    """Return the hosts among which the limits of runners are divided.
-
-    In a large fleet, these are the hosts of the serving set. In a small one, they
-    include the hosts that were lost recently, which may still be sending requests, and
-    those that this host has never met, which may be cut off from it.
-    """
-    if view.is_large and view.serving:
-        return frozenset(status.host for status in view.serving)
-    return frozenset({view.own_host, *hosts.by_host}) | registered
-
-
-def _serving_hosts(
-    view: ServingView, hosts: HostTable, own: HostStatus
-) -> list[HostName]:
-    """Return the live hosts that serve callers, with this one if it is one of them."""
-    others = [status.host for status in _other_servers(view, hosts)]
-    is_serving = own.serving and (view.is_serving or not view.is_large)
-    return [*others, own.host] if is_serving else others
-
-
-def _other_servers(view: ServingView, hosts: HostTable) -> list[HostStatus]:
-    """Return the other live hosts that serve callers."""
-    if view.is_large:
-        return [status for status in view.serving if status.host != view.own_host]
-    return [known.status for known in hosts.alive() if known.status.serving]
-
-
 async def _listen(host: GatewayHost, metrics: Metrics, stack: AsyncExitStack) -> None:
     context, listeners = host.context, host.settings.listeners
     settings = context.settings
--- a/src/siskinlever/_internal/fleet/peer_sync.py
+++ b/src/siskinlever/_internal/fleet/peer_sync.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Callable
 
 from ..dispatch.runner_limits import RunnerLimits
 from ..dispatch.runner_paths import RunnerPaths
-from ..exceptions import PeerError
+from ..exceptions import InvalidRecordError, PeerError
 from ..logs.lines import LogLines
 from ..models.ids import HostName
 from ..models.upstreams import Address, RunnerKey
@@ -22,6 +21,7 @@
 from .configuration import ConfigurationInForce
 from .crash_reports import CrashReports
 from .demand import DemandMeter
+from .document_compression import DocumentCompression, decompressed
 from .hosts import HOST_RETENTION_S, LOST_AFTER_S, HostStatus, HostTable, HostWork
 from .in_progress import InProgress
 from .load_updates import LoadUpdates
@@ -70,19 +70,6 @@
 # Minimum seconds between two announcements of changed registrations, which come in
 # series when a fleet starts or a release goes on.
 MIN_ANNOUNCE_PERIOD_S = 0.3
-# The fastest level makes a configuration of many routes a tenth of its size.
-ZLIB_LEVEL = 1
-# Larger than the largest value of the store.
-MAX_DOCUMENT_BYTES = 16_777_216
-
-
-def _decompressed(data: bytes) -> bytes:
-    """Return the document in zlib data; raises `zlib.error`."""
-    decompressor = zlib.decompressobj()
-    document = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
-    if not decompressor.eof:
-        raise zlib.error(f"incomplete, or over {MAX_DOCUMENT_BYTES} bytes")
-    return document
 
 
 def exchange_period_s(peers: int) -> float:
@@ -170,7 +157,7 @@
         self._announced_change = 0
         self._registrations_announced_at = float("-inf")
         self._fetched = FetchedChanges()
-        self._compressed_document = (b"", b"")
+        self._compression = DocumentCompression()
         # A fetch of documents is in progress until then, at the latest.
         self._fetching_until = float("-inf")
         # The newest version that was announced during it, and by whom.
@@ -343,7 +330,9 @@
         is_newer = self._configuration.version > request.above_version
         document = self._configuration.document if is_newer else b""
         if request.accepts_zlib:
-            configuration = {"configuration_zlib": self._compressed(document)}
+            configuration = {
+                "configuration_zlib": self._compression.compressed(document)
+            }
         else:
             configuration = {"configuration": document}
         known, own = self._follower.registrations, self.own_status()
@@ -359,14 +348,6 @@
             incarnation=own.incarnation,
         )
 
-    def _compressed(self, document: bytes) -> bytes:
-        """Return a document as zlib data; the newest one is compressed once."""
-        if not document:
-            return b""
-        if self._compressed_document[0] != document:
-            self._compressed_document = document, zlib.compress(document, ZLIB_LEVEL)
-        return self._compressed_document[1]
-
     async def _handle_reply(
         self, address: Address, state: peer_pb2.FleetState, called_at: float
     ) -> None:
@@ -442,10 +423,10 @@
         document = documents.configuration
         if documents.configuration_zlib:
             try:
-                document = _decompressed(documents.configuration_zlib)
-            except zlib.error as error:
+                document = decompressed(documents.configuration_zlib)
+            except InvalidRecordError as error:
                 self._log.write(
-                    "peer.document_invalid", peer=address, reason=repr(error)
+                    "peer.document_invalid", peer=address, reason=error.message
                 )
         if document:
             self._configuration.advance(document, f"peer {address}")
--- a/src/siskinlever/_internal/gateway/engine_calls.py
+++ b/src/siskinlever/_internal/gateway/engine_calls.py
@@ -5,7 +5,7 @@
 from ..exceptions import ExchangeError, InvalidRecordError
 from ..models.upstreams import EngineReport, Registration, Stage
 from ..network.http1_client import Call
-from ..platform import records, wire
+from ..platform import engine_wire, records, wire
 from .context import GatewayContext
 from .runner_calls import fetch_from_runner
 
@@ -40,7 +40,7 @@
         Raised when the engine wants a pause, was not reached or did not answer
         completely within `CALL_TIMEOUT_S`.
     """
-    call = wire.hold_call(runner.address, runner.key.name, tokens, ttl_s)
+    call = engine_wire.hold_call(runner.address, runner.key.name, tokens, ttl_s)
     head, body = await fetch_from_runner(context, runner, call, CALL_TIMEOUT_S)
     context.metrics.count("holds", status=str(head.status))
     if wire.is_other_runner(head, runner.key.name):
@@ -48,7 +48,7 @@
     if head.status != 200:
         return None
     try:
-        return wire.hold_id(body)
+        return engine_wire.hold_id(body)
     except InvalidRecordError as error:
         context.log.write(
             "hold.unreadable", runner=runner.key.name, reason=error.message
@@ -67,7 +67,7 @@
     InvalidRecordError
         Raised when the report cannot be decoded.
     """
-    call = wire.report_call(runner.address)
+    call = engine_wire.report_call(runner.address)
     _, body = await fetch_from_runner(context, runner, call, CALL_TIMEOUT_S)
     return records.decode_report(body)
 
@@ -97,7 +97,7 @@
         completely within `ORDER_TIMEOUT_S`.
     """
     host = context.settings.host
-    call = wire.stage_order_call(
+    call = engine_wire.stage_order_call(
         runner.address, runner.key.name, stage, host, fencing_token, orders_accepted
     )
     # An engine tells the holders of orders apart by the hosts that send them.
@@ -112,7 +112,7 @@
 
     Failures are logged and counted, not raised.
     """
-    call = wire.release_hold_call(runner.address, hold)
+    call = engine_wire.release_hold_call(runner.address, hold)
     context.tasks.start(_release(context, runner, call, "hold"), "drop-hold")
 
 
@@ -121,7 +121,7 @@
 
     Failures are logged and counted, not raised.
     """
-    call = wire.free_handle_call(runner.address, handle)
+    call = engine_wire.free_handle_call(runner.address, handle)
     context.tasks.start(_release(context, runner, call, "handle"), "free-handle")
 
 
--- a/src/siskinlever/_internal/gateway/generation.py
+++ b/src/siskinlever/_internal/gateway/generation.py
@@ -23,7 +23,7 @@
 from ..models.upstreams import Registration, RunnerKey, SoftwareVersion, Stage
 from ..network.http1_client import Exchange
 from ..network.http1_server import CallerConnection
-from ..platform import wire
+from ..platform import engine_wire, wire
 from ..utils.clock import monotonic
 from . import engine_calls
 from .capacity import CapacitySearch, ReservedCapacity
@@ -252,7 +252,7 @@
         self._job.log_fields["prefill"] = runner.key.name
         is_consumed = False
         try:
-            yield wire.kv_source(runner.address, handle)
+            yield engine_wire.kv_source(runner.address, handle)
             is_consumed = self._relay.started
         finally:
             if not is_consumed:
@@ -292,7 +292,7 @@
                     self._context.runner_speeds.note_answer(
                         runner.key, work, took_s / max(1, tokens), 0.0
                     )
-                return wire.prefill_handle(body)
+                return engine_wire.prefill_handle(body)
             self._placement.failures.note(runner.key)
             reason = f"status {answer.head.status}"
         except (RunnerLeftError, RunnerPausedError, KeyRefusedError) as error:
