Tell duties with equal figures apart when one of them ends

Found on reading: a duty that ended was removed from the list by equality, so that another one of the same name, detail and figures could be removed in its place; it then failed unseen, and its own end raised ValueError. Duties are compared by identity now. The new test failed before and passes.

--- a/src/siskinlever/_internal/utils/duties.py
+++ b/src/siskinlever/_internal/utils/duties.py
@@ -30,7 +30,7 @@
 Report = Callable[["Duty", BaseException], None]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Duty:
     """What a host does for as long as it runs.
 
--- a/tests/unit/test_duties.py
+++ b/tests/unit/test_duties.py
@@ -119,3 +119,20 @@
     host.loop.advance_time(1.5)
     host.loop.run_until_complete(host.tasks.close())
     assert host.first.is_released and host.reported == []
+
+
+def test_duty_that_ends_leaves_an_equal_one_in_the_list(host):
+    async def start_two():
+        rounds = Rounds(host.loop)
+        kept = host.duties.start("equal", rounds.run)
+        await asyncio.sleep(0)
+        ended = host.duties.start("equal", Rounds(host.loop).run)
+        await asyncio.sleep(0.1)
+        ended.cancel()
+        await asyncio.sleep(0.1)
+        rounds.failures_left = 1_000
+        return kept
+
+    host.loop.run_until_complete(start_two())
+    host.loop.advance_time(3.0)
+    assert [duty.name for duty in host.duties.failing()] == ["equal"]
