Review: callers that read slowly lose their answers

Cause: TCP_USER_TIMEOUT of 3 s on callers' channels also drops a peer whose window is closed, although it answers each probe.

Case: review/9, a script. Six kept channels with a small receive buffer, whose callers read nothing for 7 s of the 14 s that they have; a SIGHUP beside them.

--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -210,7 +210,8 @@
                 self._crash(attempt)
             for number in range(first, output // TOKENS_PER_EVENT + 1):
                 # The two lines of an event are written one after the other.
-                for line in (f"id: {number}\n", f"data: token-{number}\n\n"):
+                text = f"token-{number}".ljust(self.options.event_bytes, ".")
+                for line in (f"id: {number}\n", f"data: {text}\n\n"):
                     data = line.encode()
                     if has_chunks:
                         data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
@@ -339,6 +340,7 @@
     parser.add_argument("--slots", type=int, default=48)
     parser.add_argument("--kv-tokens", type=int, default=42_411)
     parser.add_argument("--step-s", type=float, default=0.008)
+    parser.add_argument("--event-bytes", type=int, default=0)
     parser.add_argument("--framing", choices=("chunks", "connection"), default="chunks")
     parser.add_argument("--crash-part", default="-")
     parser.add_argument(
