Review: a part that crashes engines is forgotten when all hosts are killed

Cause: the evidence on crashes is kept in the hosts' memory only.

Case: review/7, a script. The part crashes five engines and is refused; all three hosts are killed and started again; the part comes again once they are in touch.

--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -137,7 +137,10 @@
 class Store:
     """The platform's store."""
 
-    address: str = ""
+    # One for each host, so that the store can tell them apart.
+    addresses: list[str] = field(default_factory=list)
+    # Monotonic time at which each host has last begun to watch the configuration.
+    watched_at_by_host: dict[int, float] = field(default_factory=dict)
     revision: int = 1
     by_key: dict[str, Item] = field(default_factory=dict)
     # Length of each lease, and when it ends.
@@ -188,10 +191,22 @@
         for key in [k for k, item in self.by_key.items() if item.lease == number]:
             self.remove(key)
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def listen(self, number: int) -> asyncio.Server:
+        """Serve the calls of a host."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._serve(number, reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        self.addresses.append(f"{host}:{port}")
+        return server
+
+    async def _serve(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve the calls of one connection."""
         gone = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with suppress(*gone):
             while True:
@@ -202,6 +217,8 @@
                 headers = {n.lower(): v.strip() for n, _, v in pairs}
                 length = int(headers.get("content-length", "0"))
                 content = await reader.readexactly(length)
+                if target.startswith("/kv-watch"):
+                    self.watched_at_by_host[number] = time.monotonic()
                 status, answer = await self._answer(method, target, content)
                 body = json.dumps(answer).encode()
                 writer.write(
@@ -331,6 +348,7 @@
         self.slots: list[RunnerSlot] = []
         self.events: list[Event] = []
         self.restart_s = 2.5
+        self.bounds: dict[str, Any] = dict(BOUNDS)
         network = random.randrange(20, 250)
         self.ips = [
             f"127.{network}.{random.randrange(1, 250)}.{i + 1}" for i in range(hosts)
@@ -457,8 +475,8 @@
             zone=f"hall-{'abc'[number % 3]}",
             seeds=seeds,
             bootstrap=json.dumps(is_first_start),
-            bounds="\n".join(f"{k} = {json.dumps(v)}" for k, v in BOUNDS.items()),
-            store=self.store.address,
+            bounds="\n".join(f"{k} = {json.dumps(v)}" for k, v in self.bounds.items()),
+            store=self.store.addresses[number],
             internal_end=self.ports["internal"] + 15,
             **self.ports,
         )
@@ -615,9 +633,7 @@
     """Run a store, the runners that `build` adds, and hosts that are ready."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), record, hosts)
-        server = await asyncio.start_server(fleet.store.serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()[:2]
-        fleet.store.address = f"{host}:{port}"
+        servers = [await fleet.store.listen(number) for number in range(hosts)]
         build(fleet)
         try:
             fleet.start_task(fleet.store.end_leases())
@@ -631,7 +647,8 @@
             yield fleet
         finally:
             await fleet.end()
-            server.close()
+            for server in servers:
+                server.close()
             _keep_logs(fleet.folder)
 
 
