Review: streams cut by a crash look complete if they end with their channel

Cause: an orderly end of a channel is taken for the end of the stream, although its engine has crashed, and is turned into a last chunk.

Case: review/6, a script. One decode engine of five is killed once while it runs streams that have neither a length nor chunks.

--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -197,6 +197,7 @@
         self.log("run", attempt=attempt, parts=request.parts)
         if crashes and self.options.crash_when == "before-head":
             self._crash(attempt)
+        event_s = self.options.step_s * TOKENS_PER_EVENT
         has_chunks = self.options.framing == "chunks"
         head = own | self._signature(own) | {"Content-Type": "text/event-stream"}
         if has_chunks:
@@ -209,15 +210,18 @@
                 await asyncio.sleep(self.options.step_s)
                 self._crash(attempt)
             for number in range(first, output // TOKENS_PER_EVENT + 1):
-                # The two lines of an event are written one after the other.
                 text = f"token-{number}".ljust(self.options.event_bytes, ".")
-                for line in (f"id: {number}\n", f"data: {text}\n\n"):
+                lines = [f"id: {number}\n", f"data: {text}\n\n"]
+                if self.options.whole_events:
+                    lines = ["".join(lines)]
+                # Otherwise the lines of an event are written one after the other.
+                for line in lines:
                     data = line.encode()
                     if has_chunks:
                         data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
                     writer.write(data)
                     await writer.drain()
-                    await asyncio.sleep(self.options.step_s * TOKENS_PER_EVENT / 2)
+                    await asyncio.sleep(event_s / len(lines))
                 if gone.done():
                     self.log("gone", attempt=attempt)
                     return
@@ -340,6 +344,7 @@
     parser.add_argument("--slots", type=int, default=48)
     parser.add_argument("--kv-tokens", type=int, default=42_411)
     parser.add_argument("--step-s", type=float, default=0.008)
+    parser.add_argument("--whole-events", action="store_true")
     parser.add_argument("--event-bytes", type=int, default=0)
     parser.add_argument("--framing", choices=("chunks", "connection"), default="chunks")
     parser.add_argument("--crash-part", default="-")
